--- /dev/null
+++ b/primroserudder/connection/callers.py
@@ -0,0 +1,236 @@
+"""The callers' port of an entry."""
+
+import uuid
+from collections.abc import Awaitable, Callable, Iterator
+from contextlib import ExitStack, contextmanager
+from dataclasses import dataclass, field
+from functools import partial
+
+import orjson
+from aiohttp import web
+from loguru import logger
+
+from ..errors import Ran, RudderError
+from ..process.clock import Clock
+from ..process.invariants import Invariants
+from ..process.metrics import Metrics
+from ..request.attempts import Server
+from ..request.caller import (
+    Arrival,
+    CallerRequest,
+    parse_completion,
+)
+from ..request.identity import authenticate
+from ..request.passage import Passage
+from ..request.problem import (
+    RAN_HEADER,
+    REQUEST_ID_HEADER,
+    problem_body,
+    problem_event,
+    problem_headers,
+)
+from ..version.holder import VersionHolder
+
+REQUEST_ID = web.RequestKey('request_id', str)
+ARRIVED_AT = web.RequestKey('arrived_at', float)
+
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+
+class InternalFault(RudderError):
+    """A fault of the program itself."""
+
+
+class NotFound(RudderError):
+    """The callers' port has no such path."""
+
+    code = 'not_found'
+    status = 404
+    ran = Ran.NO
+    default_remedy = 'use /v1/models, /v1/completions or /v1/chat/completions'
+
+
+@dataclass(slots=True)
+class Callers:
+    """Handles callers' requests; it lives as long as the process."""
+
+    server: Server
+    holder: VersionHolder
+    clock: Clock
+    metrics: Metrics
+    invariants: Invariants
+    max_body_bytes: int
+    in_flight: set[str] = field(default_factory=set)
+
+    def app(self) -> web.Application:
+        """Return the application of the callers' port."""
+        app = web.Application(
+            middlewares=[self._problems],
+            client_max_size=self.max_body_bytes,
+        )
+        app.add_routes(
+            [
+                web.get('/v1/models', self.models),
+                web.post('/v1/completions', self.complete),
+                web.post('/v1/chat/completions', self.complete),
+            ]
+        )
+        return app
+
+    async def models(self, request: web.Request) -> web.Response:
+        """List the services of the caller's workspace."""
+        version = self.holder.current
+        workspace = authenticate(request.headers, version)
+        services = version.rendered.services_by_workspace[workspace]
+        listed = [
+            {'id': name, 'object': 'model', 'created': 0, 'owned_by': workspace}
+            for name in services
+        ]
+        return json_response({'object': 'list', 'data': listed})
+
+    async def complete(self, request: web.Request) -> web.StreamResponse:
+        """Serve one completion."""
+        version = self.holder.current
+        workspace = authenticate(request.headers, version)
+        arrival = Arrival(
+            request_id=request[REQUEST_ID],
+            path=request.path,
+            headers=request.headers,
+            body=await request.read(),
+            arrived_at=self.clock.monotonic(),
+            created=int(self.clock.wall()),
+        )
+        wanted = parse_completion(arrival, workspace, version)
+        with self._counted(wanted.request_id):
+            return await self._serve(request, wanted)
+
+    @contextmanager
+    def _counted(self, request_id: str) -> Iterator[None]:
+        self.in_flight.add(request_id)
+        with ExitStack() as stack:
+            stack.callback(self.in_flight.discard, request_id)
+            yield
+
+    async def _serve(
+        self,
+        request: web.Request,
+        wanted: CallerRequest,
+    ) -> web.StreamResponse:
+        passage = Passage(self.invariants, wanted.request_id)
+        if wanted.is_streamed:
+            return await self._stream(request, wanted, passage)
+        try:
+            body = await self.server.whole(wanted, passage)
+        except RudderError as error:
+            raise passage.close(error) from error
+        headers = {
+            RAN_HEADER: Ran.YES.value,
+            REQUEST_ID_HEADER: wanted.request_id,
+        }
+        return web.Response(
+            body=body,
+            headers=headers,
+            content_type='application/json',
+        )
+
+    async def _stream(
+        self,
+        request: web.Request,
+        wanted: CallerRequest,
+        passage: Passage,
+    ) -> web.StreamResponse:
+        response = web.StreamResponse(
+            headers={
+                'Content-Type': 'text/event-stream',
+                'Cache-Control': 'no-cache',
+                RAN_HEADER: Ran.YES.value,
+                REQUEST_ID_HEADER: wanted.request_id,
+            },
+        )
+        send = partial(self._send, request, response)
+        try:
+            await self.server.stream(wanted, passage, send)
+        except RudderError as error:
+            passage.close(error)
+            if not response.prepared:
+                raise
+            self.metrics.count('requests', code=error.code)
+            await response.write(problem_event(error, wanted.request_id))
+        await response.write_eof()
+        return response
+
+    async def _send(
+        self,
+        request: web.Request,
+        response: web.StreamResponse,
+        events: bytes,
+    ) -> None:
+        if not response.prepared:
+            self._note_first_token(request)
+            await response.prepare(request)
+        await response.write(events)
+
+    def _note_first_token(self, request: web.Request) -> None:
+        waited = self.clock.monotonic() - request[ARRIVED_AT]
+        self.metrics.latency('time_to_first_token').record(waited)
+
+    @web.middleware
+    async def _problems(
+        self,
+        request: web.Request,
+        handler: Handler,
+    ) -> web.StreamResponse:
+        unique = uuid.uuid4().hex
+        request[REQUEST_ID] = f'req-{unique}'
+        request[ARRIVED_AT] = self.clock.monotonic()
+        try:
+            response = await handler(request)
+        except web.HTTPException as refused:
+            return self._problem(request, _from_http(refused))
+        except RudderError as error:
+            return self._problem(request, error)
+        except Exception as fault:
+            logger.bind(request_id=request[REQUEST_ID]).error(
+                'request failed: {}',
+                type(fault).__name__,
+            )
+            return self._problem(request, InternalFault('the entry failed'))
+        self.metrics.count('requests', code='ok')
+        return response
+
+    def _problem(
+        self,
+        request: web.Request,
+        error: RudderError,
+    ) -> web.Response:
+        self.metrics.count('requests', code=error.code)
+        request_id = request[REQUEST_ID]
+        return web.Response(
+            status=error.status,
+            body=problem_body(error, request_id),
+            headers=problem_headers(error, request_id),
+        )
+
+
+class _HttpRefusal(RudderError):
+    """A refusal of the HTTP library, with its own status."""
+
+    code = 'http_error'
+    ran = Ran.NO
+    default_remedy = 'correct the request'
+
+
+def _from_http(refused: web.HTTPException) -> RudderError:
+    if isinstance(refused, web.HTTPNotFound):
+        return NotFound('got a path that is not served')
+    error = _HttpRefusal(refused.reason)
+    error.status = refused.status  # type: ignore[misc]
+    return error
+
+
+def json_response(body: object) -> web.Response:
+    """Return a JSON answer."""
+    return web.Response(
+        body=orjson.dumps(body),
+        content_type='application/json',
+    )
--- /dev/null
+++ b/primroserudder/connection/enginehttp.py
@@ -0,0 +1,227 @@
+"""Speaks the engines' HTTP protocol.
+
+Explanation
+===========
+Nothing outside this module and the stand-in knows the wire form.
+"""
+
+import asyncio
+from collections.abc import AsyncIterator, Mapping, Sequence
+from contextlib import asynccontextmanager
+from dataclasses import asdict, dataclass
+from http import HTTPStatus
+
+import aiohttp
+import orjson
+
+from ..process.engines import (
+    CacheEvent,
+    EngineAnswer,
+    EngineCall,
+    EngineLoad,
+    EngineOrder,
+    EngineStatus,
+    OrderRefused,
+    UpstreamLost,
+    UpstreamRefused,
+    UpstreamUnreachable,
+)
+
+CONTROL_TIMEOUT_S = 2
+CONNECT_TIMEOUT_S = 1
+SILENCE_TIMEOUT_S = 30
+NOT_RUN_HEADER = 'Engine-Not-Run'
+CALL_HEADERS = (
+    ('Engine-Request-Id', 'request_id'),
+    ('Engine-Attempt', 'attempt'),
+    ('Engine-Group', 'group_id'),
+    ('Engine-Generation', 'generation'),
+    ('Engine-Created', 'created'),
+    ('Engine-Priority', 'priority'),
+    ('Engine-Deadline-S', 'deadline'),
+    ('Engine-Resume-From', 'resume_from'),
+)
+
+
+@dataclass(slots=True)
+class HttpAnswer:
+    """The answer to one attempt over HTTP."""
+
+    response: aiohttp.ClientResponse
+
+    @property
+    def status(self) -> int:
+        """HTTP status of the answer."""
+        return self.response.status
+
+    @property
+    def headers(self) -> Mapping[str, str]:
+        """Headers of the answer."""
+        return self.response.headers
+
+    async def chunks(self) -> AsyncIterator[bytes]:
+        """Yield the body as it arrives."""
+        try:
+            async for chunk in self.response.content.iter_any():
+                yield chunk
+        except (aiohttp.ClientError, asyncio.TimeoutError) as error:
+            raise UpstreamLost(
+                f'the answer broke off: {type(error).__name__}',
+            ) from error
+
+
+@dataclass(slots=True)
+class EngineHttp:
+    """Adapter of the engines' protocol."""
+
+    session: aiohttp.ClientSession
+
+    async def status(self, address: str) -> EngineStatus:
+        """Return the engine's own view of itself."""
+        return _status(await self._control(address, 'GET', '/status'))
+
+    async def order(self, address: str, order: EngineOrder) -> EngineStatus:
+        """Give an order and return the engine's state after it."""
+        body = orjson.dumps(asdict(order))
+        return _status(await self._control(address, 'POST', '/orders', body))
+
+    @asynccontextmanager
+    async def generate(
+        self,
+        address: str,
+        call: EngineCall,
+    ) -> AsyncIterator[EngineAnswer]:
+        """Send one attempt; leaving the context cancels what is running."""
+        response = await self._send(address, call)
+        try:
+            await _check_answer(response, call)
+            yield HttpAnswer(response)
+        finally:
+            # Closing the connection, not returning it to the pool, keeps a
+            # late answer from reaching the next request.
+            if response.content.at_eof():
+                response.release()
+            else:
+                response.close()
+
+    async def cancel(self, address: str, request_id: str) -> None:
+        """Stop all attempts of a request at the engine."""
+        body = orjson.dumps({'request_id': request_id})
+        await self._control(address, 'POST', '/cancel', body)
+
+    async def cache_events(
+        self,
+        address: str,
+        after: int,
+    ) -> Sequence[CacheEvent]:
+        """Return the events of the prefix cache after a number."""
+        found = await self._control(address, 'GET', f'/cache?after={after}')
+        return [CacheEvent(**event) for event in orjson.loads(found)]
+
+    async def export_cache(self, address: str, request_id: str) -> bytes:
+        """Return the KV cache of a request."""
+        return await self._control(address, 'GET', f'/kv/{request_id}')
+
+    async def import_cache(
+        self,
+        address: str,
+        request_id: str,
+        cache: bytes,
+    ) -> None:
+        """Give an engine the KV cache of a request."""
+        await self._control(address, 'PUT', f'/kv/{request_id}', cache)
+
+    async def _send(
+        self,
+        address: str,
+        call: EngineCall,
+    ) -> aiohttp.ClientResponse:
+        timeout = aiohttp.ClientTimeout(
+            sock_connect=CONNECT_TIMEOUT_S,
+            sock_read=SILENCE_TIMEOUT_S,
+        )
+        try:
+            return await self.session.post(
+                f'http://{address}{call.path}',
+                data=call.body,
+                headers=_headers(call),
+                timeout=timeout,
+                allow_redirects=False,
+            )
+        except (
+            aiohttp.ClientConnectorError,
+            aiohttp.ConnectionTimeoutError,
+        ) as error:
+            raise UpstreamUnreachable(f'{address}: no connection') from error
+        except (aiohttp.ClientError, asyncio.TimeoutError) as error:
+            raise UpstreamLost(
+                f'{address}: lost while sending: {type(error).__name__}',
+            ) from error
+
+    async def _control(
+        self,
+        address: str,
+        method: str,
+        path: str,
+        body: bytes | None = None,
+    ) -> bytes:
+        timeout = aiohttp.ClientTimeout(total=CONTROL_TIMEOUT_S)
+        try:
+            async with self.session.request(
+                method,
+                f'http://{address}{path}',
+                data=body,
+                timeout=timeout,
+                allow_redirects=False,
+            ) as response:
+                return await _control_answer(response)
+        except (aiohttp.ClientError, asyncio.TimeoutError) as error:
+            raise UpstreamUnreachable(
+                f'{address}: {method} {path}: {type(error).__name__}',
+            ) from error
+
+
+async def _control_answer(response: aiohttp.ClientResponse) -> bytes:
+    found = await response.read()
+    if response.status == HTTPStatus.CONFLICT:
+        reason = found.decode(errors='replace')
+        raise OrderRefused(f'{response.url}: {reason}')
+    if response.status != HTTPStatus.OK:
+        raise UpstreamUnreachable(
+            f'{response.url}: got status {response.status}',
+        )
+    return found
+
+
+def _headers(call: EngineCall) -> dict[str, str]:
+    headers = {
+        name: str(getattr(call, attribute)) for name, attribute in CALL_HEADERS
+    }
+    headers['Content-Type'] = 'application/json'
+    return headers
+
+
+async def _check_answer(
+    response: aiohttp.ClientResponse,
+    call: EngineCall,
+) -> None:
+    if NOT_RUN_HEADER in response.headers:
+        reason = await response.text()
+        raise UpstreamRefused(f'the engine refused: {reason}')
+    echoed = response.headers.get('Engine-Attempt')
+    if response.status != HTTPStatus.OK or echoed != str(call.attempt):
+        raise UpstreamLost(
+            f'got status {response.status} for attempt {echoed}: expected '
+            f'200 for attempt {call.attempt}',
+        )
+
+
+def _status(found: bytes) -> EngineStatus:
+    try:
+        fields = orjson.loads(found)
+        load = EngineLoad(**fields.pop('load'))
+        return EngineStatus(load=load, **fields)
+    except (orjson.JSONDecodeError, TypeError, KeyError) as error:
+        raise UpstreamUnreachable(
+            f'the engine sent a malformed status: {error}',
+        ) from error
--- /dev/null
+++ b/primroserudder/connection/operators.py
@@ -0,0 +1,140 @@
+"""The operators' port of each process."""
+
+import hmac
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from http import HTTPStatus
+
+from aiohttp import web
+
+from ..errors import Ran, RudderError
+from ..process.metrics import Metrics
+from ..process.state import StateDump
+from ..request.problem import problem_body, problem_headers
+from ..version.document import ConfigurationError
+from ..version.holder import Version, VersionHolder
+from ..version.store import VersionStore
+from .callers import json_response
+
+OPEN_PATHS = frozenset(('/healthz', '/readyz'))
+
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+Publish = Callable[[Version], Awaitable[None]]
+
+
+class WrongToken(RudderError):
+    """The operators' token is missing or wrong."""
+
+    code = 'wrong_token'
+    status = HTTPStatus.UNAUTHORIZED
+    ran = Ran.NO
+    default_remedy = 'send Authorization: Bearer with operators_token'
+
+
+@dataclass(slots=True)
+class Operators:
+    """Handles operators' requests."""
+
+    token: str
+    metrics: Metrics
+    state: StateDump
+    holder: VersionHolder
+    store: VersionStore
+    is_ready: Callable[[], bool]
+    publish: Publish
+    routes: list[web.RouteDef] = field(default_factory=list)
+
+    def app(self) -> web.Application:
+        """Return the application of the operators' port."""
+        app = web.Application(middlewares=[self._guard])
+        app.add_routes(
+            [
+                web.get('/healthz', self.health),
+                web.get('/readyz', self.ready),
+                web.get('/metrics', self.show_metrics),
+                web.get('/state', self.dump),
+                web.get('/v1/config', self.show_version),
+                web.post('/v1/config', self.apply),
+                web.get('/v1/config/submissions/{id}', self.show_submission),
+                *self.routes,
+            ]
+        )
+        return app
+
+    async def health(self, request: web.Request) -> web.Response:
+        """Answer as long as the process runs."""
+        return web.Response(text='ok\n')
+
+    async def ready(self, request: web.Request) -> web.Response:
+        """Tell the balancer whether to send new work."""
+        if self.is_ready():
+            return web.Response(text='ready\n')
+        return web.Response(
+            status=HTTPStatus.SERVICE_UNAVAILABLE, text='not ready\n'
+        )
+
+    async def show_metrics(self, request: web.Request) -> web.Response:
+        """Return the metrics in Prometheus's text form."""
+        return web.Response(
+            body=self.metrics.prometheus_text(),
+            content_type='text/plain',
+            charset='utf-8',
+        )
+
+    async def dump(self, request: web.Request) -> web.Response:
+        """Return the state of the process."""
+        return json_response(self.state.collect())
+
+    async def show_version(self, request: web.Request) -> web.Response:
+        """Return the configuration in force here."""
+        current = self.holder.current
+        return json_response(
+            {
+                'number': current.number,
+                'digest': current.digest,
+                'document': current.body.decode(),
+            }
+        )
+
+    async def show_submission(self, request: web.Request) -> web.Response:
+        """Tell whether a submission was accepted."""
+        submission = request.match_info['id']
+        number = await self.store.accepted_number(submission)
+        return json_response({'submission': submission, 'number': number})
+
+    async def apply(self, request: web.Request) -> web.Response:
+        """Accept a configuration as the successor of a base version."""
+        base = request.query.get('base', '')
+        submission = request.query.get('submission', '')
+        if not base.isdecimal() or not submission:
+            raise ConfigurationError(
+                'got no base or no submission: expected both in the query',
+            )
+        body = await request.read()
+        version = await self.store.submit(body, int(base), submission)
+        self.holder.offer(version)
+        await self.publish(version)
+        return json_response({'number': version.number})
+
+    @web.middleware
+    async def _guard(
+        self,
+        request: web.Request,
+        handler: Handler,
+    ) -> web.StreamResponse:
+        try:
+            if request.path not in OPEN_PATHS:
+                self._check_token(request)
+            return await handler(request)
+        except RudderError as error:
+            return web.Response(
+                status=error.status,
+                body=problem_body(error, ''),
+                headers=problem_headers(error, ''),
+            )
+
+    def _check_token(self, request: web.Request) -> None:
+        given = request.headers.get('Authorization', '').encode()
+        expected = f'Bearer {self.token}'.encode()
+        if not hmac.compare_digest(given, expected):
+            raise WrongToken("got no valid operators' token")
--- /dev/null
+++ b/primroserudder/connection/platformhttp.py
@@ -0,0 +1,125 @@
+"""Speaks the platform's HTTP protocol.
+
+Explanation
+===========
+Nothing outside this module and the stand-in knows the wire form.
+"""
+
+import asyncio
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
+from http import HTTPStatus
+from typing import Any
+
+import aiohttp
+import orjson
+
+from ..process.platform import (
+    Conflict,
+    ObjectMissing,
+    OutcomeUnknown,
+    PlatformUnavailable,
+    Row,
+    Transaction,
+    VmListing,
+    VmState,
+)
+
+
+@dataclass(slots=True)
+class PlatformHttp:
+    """Adapter of the platform's table, object store and VM list."""
+
+    session: aiohttp.ClientSession
+    url: str
+    timeout_s: float
+
+    async def read(self, key: str) -> Row | None:
+        """Return the row, or ``None`` if there is none."""
+        found = await self._ask('/table/read', {'key': key})
+        row = found['row']
+        return None if row is None else _row(row)
+
+    async def scan(self, prefix: str) -> Sequence[Row]:
+        """Return the rows whose keys begin with the prefix, by key."""
+        found = await self._ask('/table/scan', {'prefix': prefix})
+        return [_row(row) for row in found['rows']]
+
+    async def commit(self, transaction: Transaction) -> None:
+        """Apply the transaction; see the interface for the errors."""
+        body = {
+            'conditions': [
+                [condition.key, condition.revision]
+                for condition in transaction.conditions
+            ],
+            'writes': [
+                [write.key, write.fields] for write in transaction.writes
+            ],
+        }
+        try:
+            await self._ask('/table/commit', body)
+        except PlatformUnavailable as error:
+            if isinstance(error.__cause__, aiohttp.ClientConnectorError):
+                raise
+            raise OutcomeUnknown(f'commit: {error}') from error
+
+    async def put_object(self, name: str, body: bytes) -> None:
+        """Store an object."""
+        await self._call('PUT', f'/objects/{name}', body)
+
+    async def get_object(self, name: str) -> bytes:
+        """Return an object's body."""
+        return await self._call('GET', f'/objects/{name}', None)
+
+    async def list_vms(self) -> Sequence[VmListing]:
+        """Return the platform's list of VMs."""
+        found = await self._ask('/vms', {})
+        return [
+            VmListing(**{**listed, 'state': VmState(listed['state'])})
+            for listed in found['vms']
+        ]
+
+    # The parsed answer is dynamic: each caller takes its own fields.
+    async def _ask(self, path: str, body: Mapping[str, object]) -> Any:
+        answer = await self._call('POST', path, orjson.dumps(body))
+        try:
+            return orjson.loads(answer)
+        except orjson.JSONDecodeError as error:
+            raise PlatformUnavailable(
+                f'platform: POST {path}: the answer is not JSON',
+            ) from error
+
+    async def _call(self, method: str, path: str, body: bytes | None) -> bytes:
+        timeout = aiohttp.ClientTimeout(total=self.timeout_s)
+        try:
+            async with self.session.request(
+                method,
+                f'{self.url}{path}',
+                data=body,
+                timeout=timeout,
+                allow_redirects=False,
+            ) as response:
+                found = await response.read()
+                _raise_for(response.status, f'platform: {method} {path}')
+                return found
+        except (aiohttp.ClientError, asyncio.TimeoutError) as error:
+            raise PlatformUnavailable(
+                f'platform: {method} {path}: {type(error).__name__}',
+            ) from error
+
+
+def _raise_for(status: int, what: str) -> None:
+    if status == HTTPStatus.OK:
+        return
+    if status == HTTPStatus.CONFLICT:
+        raise Conflict(f'{what}: a condition did not hold')
+    if status == HTTPStatus.NOT_FOUND:
+        raise ObjectMissing(f'{what}: no such object')
+    raise PlatformUnavailable(f'{what}: got status {status}')
+
+
+def _row(found: Sequence[object]) -> Row:
+    key, revision, fields = found
+    if not isinstance(fields, dict):
+        raise PlatformUnavailable(f'platform: row {key}: got no fields')
+    return Row(str(key), int(str(revision)), fields)
--- /dev/null
+++ b/primroserudder/process/groups.py
@@ -0,0 +1,146 @@
+"""Groups of VMs and the directory in which a process keeps them."""
+
+import enum
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import dataclass, field
+
+from .platform import JsonObject
+
+GROUP_PREFIX = 'groups/'
+
+
+class GroupState(enum.StrEnum):
+    """Where a group stands in its life."""
+
+    FORMING = 'forming'
+    SERVING = 'serving'
+    DRAINING = 'draining'
+    RETIRED = 'retired'
+
+
+@dataclass(frozen=True, slots=True)
+class Member:
+    """A VM of a group, with the incarnation that was ordered."""
+
+    vm_id: str
+    address: str
+    incarnation: str = ''
+
+
+@dataclass(frozen=True, slots=True)
+class GroupRecord:
+    """A group as its controller wrote it; the first member leads."""
+
+    group_id: str
+    deployment: str
+    failure_domain: str
+    fabric_domain: str
+    generation: int
+    members: Sequence[Member]
+    model: str
+    model_version: str
+    state: GroupState
+    adapters: Sequence[str] = ()
+
+    @property
+    def leader(self) -> Member:
+        """Return the member that takes requests."""
+        return self.members[0]
+
+    @property
+    def key(self) -> str:
+        """Return the key of the group's row."""
+        return group_key(self.failure_domain, self.group_id)
+
+
+def group_key(failure_domain: str, group_id: str) -> str:
+    """Return the key of a group's row.
+
+    Examples
+    ========
+    >>> group_key('ub-1', 'g7')
+    'groups/ub-1/g7'
+    """
+    return f'{GROUP_PREFIX}{failure_domain}/{group_id}'
+
+
+def group_to_fields(group: GroupRecord) -> JsonObject:
+    """Return a group as the fields of its row."""
+    return {
+        'group_id': group.group_id,
+        'deployment': group.deployment,
+        'failure_domain': group.failure_domain,
+        'fabric_domain': group.fabric_domain,
+        'generation': group.generation,
+        'members': [
+            [member.vm_id, member.address, member.incarnation]
+            for member in group.members
+        ],
+        'model': group.model,
+        'model_version': group.model_version,
+        'state': group.state.value,
+        'adapters': list(group.adapters),
+    }
+
+
+def group_from_fields(fields: JsonObject) -> GroupRecord:
+    """Return the group that a row's fields describe."""
+    rest = dict(fields)
+    members = rest.pop('members')
+    adapters = rest.pop('adapters', ())
+    state = GroupState(str(rest.pop('state')))
+    return GroupRecord(
+        members=tuple(Member(*member) for member in _sequence(members)),
+        adapters=tuple(_sequence(adapters)),
+        state=state,
+        **rest,  # type: ignore[arg-type]
+    )
+
+
+def _sequence(found: object) -> Sequence[str]:
+    return found if isinstance(found, Sequence) else ()
+
+
+@dataclass(slots=True)
+class GroupDirectory:
+    """The groups that a process knows; generations only rise."""
+
+    by_id: dict[str, GroupRecord] = field(default_factory=dict)
+
+    def replace_domain(
+        self,
+        failure_domain: str,
+        groups: Iterable[GroupRecord],
+    ) -> None:
+        """Take over a whole listing of one failure domain's groups."""
+        listed = {group.group_id: group for group in groups}
+        gone = {
+            group.group_id
+            for group in self.by_id.values()
+            if group.failure_domain == failure_domain
+        } - listed.keys()
+        for group_id in gone:
+            self.by_id.pop(group_id)
+        for group in listed.values():
+            self.learn(group)
+
+    def learn(self, group: GroupRecord) -> None:
+        """Take over a record unless a newer generation is known."""
+        known = self.by_id.get(group.group_id)
+        if known is None or known.generation <= group.generation:
+            self.by_id[group.group_id] = group
+
+    def of_deployment(self, deployment: str) -> Iterable[GroupRecord]:
+        """Yield the groups of one deployment."""
+        return (
+            group
+            for group in self.by_id.values()
+            if group.deployment == deployment
+        )
+
+    def dump(self) -> Mapping[str, object]:
+        """Return the directory for the state dump."""
+        return {
+            group_id: group_to_fields(group)
+            for group_id, group in self.by_id.items()
+        }
--- /dev/null
+++ b/primroserudder/process/settings.py
@@ -0,0 +1,131 @@
+"""Settings of the programs, read from JSON files and checked whole."""
+
+import pathlib
+from typing import Annotated, TypeVar
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+
+from ..errors import RudderError
+
+HIGHEST_PORT = 65535
+DEFAULT_BODY_BYTES = 4_194_304
+SHOWN_CHARACTERS = 80
+Identifier = Annotated[str, Field(pattern='^[a-z0-9][a-z0-9-]{0,62}$')]
+Port = Annotated[int, Field(ge=0, le=HIGHEST_PORT)]
+
+
+class SettingsError(RudderError):
+    """The settings can't be used."""
+
+    code = 'bad_settings'
+    status = 400
+    default_remedy = 'correct the settings file and run again with --check'
+
+
+class _Checked(BaseModel):
+    model_config = ConfigDict(extra='forbid', frozen=True)
+
+
+class TlsFiles(_Checked):
+    """PEM files of one port; ``client_ca`` asks clients for certificates."""
+
+    certificate: pathlib.Path
+    key: pathlib.Path
+    client_ca: pathlib.Path | None = None
+
+
+class Listener(_Checked):
+    """One listening port; port 0 takes any free one."""
+
+    host: str = '127.0.0.1'
+    port: Port
+    tls: TlsFiles | None = None
+
+    @property
+    def address(self) -> str:
+        """Return host and port as peers name them."""
+        return f'{self.host}:{self.port}'
+
+
+class LogSettings(_Checked):
+    """What is logged, and how."""
+
+    level: str = Field(
+        default='INFO',
+        pattern='^(DEBUG|INFO|WARNING|ERROR)$',
+    )
+    as_json: bool = False
+
+
+class PlatformSettings(_Checked):
+    """Where the platform's services are and how long to wait for them."""
+
+    url: str = Field(pattern='^https?://')
+    timeout_s: float = Field(default=2, gt=0)
+
+
+class NodeSettings(_Checked):
+    """What every process of the system needs to know."""
+
+    node_id: Identifier
+    failure_domain: Identifier
+    region: Identifier = 'local'
+    platform: PlatformSettings
+    operators: Listener
+    operators_token: str = Field(min_length=8)
+    peers: Listener
+    peer_seeds: tuple[str, ...] = ()
+    logs: LogSettings = LogSettings()
+
+
+class EntrySettings(NodeSettings):
+    """Settings of ``rudder-entry``."""
+
+    callers: Listener
+    max_body_bytes: int = Field(default=DEFAULT_BODY_BYTES, gt=0)
+
+
+class ControllerSettings(NodeSettings):
+    """Settings of ``rudder-controller``."""
+
+
+_Settings = TypeVar('_Settings', bound=BaseModel)
+
+
+def read_settings(path: pathlib.Path, kind: type[_Settings]) -> _Settings:
+    """Return the settings in a file.
+
+    Raises
+    ======
+    SettingsError
+        The file can't be read or a value is not acceptable.
+    """
+    try:
+        text = path.read_text(encoding='utf-8')
+    except (OSError, UnicodeDecodeError) as error:
+        raise SettingsError(
+            f'{path}: cannot be read: {error}',
+            remedy='name a readable JSON file with --settings',
+        ) from error
+    try:
+        return kind.model_validate_json(text)
+    except ValidationError as invalid:
+        raise SettingsError(f'{path}: {describe(invalid)}') from invalid
+
+
+def describe(invalid: ValidationError) -> str:
+    """Return the first fault of a validation, with its path and value.
+
+    Examples
+    ========
+    >>> try:
+    ...     Listener.model_validate({'port': 70000})
+    ... except ValidationError as error:
+    ...     describe(error)
+    'port: got 70000: Input should be less than or equal to 65535'
+    """
+    fault = invalid.errors(include_url=False)[0]
+    place = '.'.join(str(part) for part in fault['loc']) or 'document'
+    shown = repr(fault['input'])[:SHOWN_CHARACTERS]
+    reason = fault['msg']
+    return f'{place}: got {shown}: {reason}'
--- /dev/null
+++ b/primroserudder/programs/controllernode.py
@@ -0,0 +1,72 @@
+"""A controller: forms the groups of its failure domain."""
+
+from dataclasses import dataclass, field
+
+from ..connection.enginehttp import EngineHttp
+from ..process.controller import Controller
+from ..process.groups import GroupDirectory
+from ..process.lease import LEASE_RENEWAL_S, Lease
+from ..process.settings import ControllerSettings
+from .node import NodeRuntime
+
+RECONCILE_S = 0.5
+
+
+@dataclass(slots=True)
+class ControllerNode:
+    """The parts of a controller."""
+
+    settings: ControllerSettings
+    runtime: NodeRuntime = field(init=False)
+    controller: Controller = field(init=False)
+    operators_port: int = 0
+
+    def __post_init__(self) -> None:
+        """Make the common parts."""
+        self.runtime = NodeRuntime(self.settings, 'controller')
+
+    async def start(self) -> None:
+        """Open the ports and start the steps."""
+        runtime = self.runtime
+        await runtime.open_clients()
+        await runtime.open_peers()
+        self._wire()
+        await runtime.start_peers()
+        self.operators_port = await runtime.listen_operators(lambda: True)
+        runtime.start_common_steps()
+        lease = self.controller.lease
+        runtime.start_step(lease.renew, LEASE_RENEWAL_S, 'renew_lease')
+        runtime.start_step(
+            self.controller.reconcile,
+            RECONCILE_S,
+            'reconcile',
+        )
+
+    async def stop(self) -> None:
+        """Close the ports; the lease lapses by itself."""
+        await self.runtime.close()
+
+    def _wire(self) -> None:
+        runtime = self.runtime
+        lease = Lease(
+            runtime.platform,
+            runtime.clock,
+            self.settings.failure_domain,
+            runtime.membership.own.incarnation,
+        )
+        self.controller = Controller(
+            platform=runtime.platform,
+            engines=EngineHttp(runtime.session),
+            holder=runtime.holder,
+            lease=lease,
+            directory=GroupDirectory(),
+        )
+        runtime.state.register(
+            'lease',
+            lambda: {
+                'held': lease.is_held(),
+                'fencing': lease.fencing,
+                'holder': lease.holder,
+            },
+        )
+        runtime.state.register('groups', self.controller.directory.dump)
--- /dev/null
+++ b/primroserudder/programs/entrynode.py
@@ -0,0 +1,110 @@
+"""An entry: takes callers' requests to whole groups."""
+
+import asyncio
+from dataclasses import dataclass, field
+
+from ..connection.callers import Callers
+from ..connection.enginehttp import EngineHttp
+from ..process.evidence import PROBE_INTERVAL_S, EvidenceBook, Prober
+from ..process.groups import (
+    GROUP_PREFIX,
+    GroupDirectory,
+    group_from_fields,
+)
+from ..process.settings import EntrySettings
+from ..request.attempts import Server
+from ..request.routing import Router
+from .node import NodeRuntime
+
+GROUP_POLL_S = 1
+DRAIN_NOTICE_S = 3
+
+
+@dataclass(slots=True)
+class EntryNode:
+    """The parts of an entry."""
+
+    settings: EntrySettings
+    runtime: NodeRuntime = field(init=False)
+    directory: GroupDirectory = field(default_factory=GroupDirectory)
+    callers: Callers = field(init=False)
+    prober: Prober = field(init=False)
+    callers_port: int = 0
+    operators_port: int = 0
+
+    def __post_init__(self) -> None:
+        """Make the common parts."""
+        self.runtime = NodeRuntime(self.settings, 'entry')
+
+    async def start(self) -> None:
+        """Open the ports and start the steps."""
+        runtime = self.runtime
+        await runtime.open_clients()
+        await runtime.open_peers()
+        self._wire()
+        await runtime.start_peers()
+        self.operators_port = await runtime.listen_operators(self.is_ready)
+        self.callers_port = await runtime.listen_http(
+            self.callers.app(),
+            self.settings.callers,
+            'callers',
+        )
+        self._register_state()
+        runtime.start_common_steps()
+        runtime.start_step(self._poll_groups, GROUP_POLL_S, 'poll_groups')
+        runtime.start_step(self._probe, PROBE_INTERVAL_S, 'probe')
+
+    def is_ready(self) -> bool:
+        """Return whether the balancer may send new work."""
+        is_configured = self.runtime.holder.current.number > 0
+        return is_configured and not self.runtime.is_draining
+
+    async def stop(self) -> None:
+        """Take no new work, let requests in flight finish, then close."""
+        self.runtime.is_draining = True
+        await asyncio.sleep(DRAIN_NOTICE_S if self.callers.in_flight else 0)
+        await self.runtime.close()
+
+    def _wire(self) -> None:
+        runtime = self.runtime
+        engines = EngineHttp(runtime.session)
+        evidence = EvidenceBook(runtime.clock)
+        self.prober = Prober(runtime.clock, engines, evidence)
+        router = Router(
+            self.settings.failure_domain,
+            self.directory,
+            evidence,
+            runtime.rng,
+        )
+        self.callers = Callers(
+            server=Server(router, engines, runtime.clock, runtime.metrics),
+            holder=runtime.holder,
+            clock=runtime.clock,
+            metrics=runtime.metrics,
+            invariants=runtime.invariants,
+            max_body_bytes=self.settings.max_body_bytes,
+        )
+
+    def _register_state(self) -> None:
+        state = self.runtime.state
+        state.register('groups', self.directory.dump)
+        state.register('evidence', self.prober.book.dump)
+        state.register('in_flight', lambda: sorted(self.callers.in_flight))
+
+    async def _poll_groups(self) -> None:
+        rows = await self.runtime.platform.scan(GROUP_PREFIX)
+        groups = [group_from_fields(row.fields) for row in rows]
+        domains = {group.failure_domain for group in groups}
+        for domain in domains:
+            listed = [
+                group for group in groups if group.failure_domain == domain
+            ]
+            self.directory.replace_domain(domain, listed)
+
+    async def _probe(self) -> None:
+        members = [
+            member
+            for group in self.directory.by_id.values()
+            for member in group.members
+        ]
+        await self.prober.probe_all(members)
--- /dev/null
+++ b/primroserudder/programs/node.py
@@ -0,0 +1,217 @@
+"""What an entry and a controller have in common."""
+
+import asyncio
+import random
+import uuid
+from collections.abc import Awaitable, Callable
+from contextlib import AsyncExitStack
+from dataclasses import dataclass, field
+
+import aiohttp
+from grpc import aio
+
+from ..connection.exchange import (
+    MembershipService,
+    PeerClient,
+    VersionsService,
+)
+from ..connection.http import bound_port, serve
+from ..connection.operators import Operators
+from ..connection.peers import PeerChannels, bind, peer_server
+from ..connection.platformhttp import PlatformHttp
+from ..errors import RudderError
+from ..process.clock import Clock, SystemClock
+from ..process.invariants import Invariants
+from ..process.loops import repeat
+from ..process.membership import (
+    Membership,
+    Node,
+    listed_nodes,
+    register,
+)
+from ..process.metrics import Metrics
+from ..process.settings import Listener, NodeSettings
+from ..process.state import StateDump
+from ..version.holder import Version, VersionHolder
+from ..version.store import VersionStore
+from ..wire import peers_pb2_grpc
+
+HEAD_POLL_S = 2
+EXCHANGE_S = 1
+REGISTRATION_S = 5
+STEP_JITTER = 0.1
+
+
+@dataclass(slots=True)
+class NodeRuntime:
+    """The parts that every process of the system has."""
+
+    settings: NodeSettings
+    role: str
+    clock: Clock = field(default_factory=SystemClock)
+    rng: random.Random = field(default_factory=random.SystemRandom)
+    metrics: Metrics = field(default_factory=Metrics)
+    state: StateDump = field(default_factory=StateDump)
+    holder: VersionHolder = field(default_factory=VersionHolder)
+    stack: AsyncExitStack = field(default_factory=AsyncExitStack)
+    is_draining: bool = False
+    tasks: list[asyncio.Task[None]] = field(default_factory=list)
+    invariants: Invariants = field(init=False)
+    channels: PeerChannels = field(init=False)
+    session: aiohttp.ClientSession = field(init=False)
+    platform: PlatformHttp = field(init=False)
+    store: VersionStore = field(init=False)
+    peer_server: aio.Server = field(init=False)
+    membership: Membership = field(init=False)
+    peers: PeerClient = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Make what needs no running loop."""
+        self.invariants = Invariants(self.metrics)
+        self.channels = PeerChannels(self.settings.peers.tls)
+
+    async def open_clients(self) -> None:
+        """Open what needs a running loop."""
+        connector = aiohttp.TCPConnector(limit=0)
+        self.session = await self.stack.enter_async_context(
+            aiohttp.ClientSession(connector=connector, auto_decompress=False),
+        )
+        platform = self.settings.platform
+        self.platform = PlatformHttp(
+            self.session,
+            platform.url,
+            platform.timeout_s,
+        )
+        self.store = VersionStore(self.platform)
+
+    async def open_peers(self) -> None:
+        """Bind the peers' port; services are added until it is started."""
+        self.stack.push_async_callback(self.channels.close)
+        self.peer_server = peer_server()
+        port = bind(self.peer_server, self.settings.peers)
+        host = self.settings.peers.host
+        own = Node(
+            node_id=self.settings.node_id,
+            incarnation=uuid.uuid4().hex,
+            failure_domain=self.settings.failure_domain,
+            role=self.role,
+            address=Listener(host=host, port=port).address,
+        )
+        self.membership = Membership(own, self.clock)
+        service = MembershipService(
+            self.membership,
+            self.holder,
+            lambda: self.is_draining,
+        )
+        self.peers = PeerClient(self.channels, service)
+        peers_pb2_grpc.add_MembershipServicer_to_server(
+            service,
+            self.peer_server,
+        )
+        peers_pb2_grpc.add_VersionsServicer_to_server(
+            VersionsService(self.holder),
+            self.peer_server,
+        )
+
+    async def start_peers(self) -> None:
+        """Begin to answer peers."""
+        await self.peer_server.start()
+        self.stack.push_async_callback(self.peer_server.stop, 0)
+
+    async def listen_operators(
+        self,
+        is_ready: Callable[[], bool],
+    ) -> int:
+        """Start the operators' port and return it."""
+        operators = Operators(
+            token=self.settings.operators_token,
+            metrics=self.metrics,
+            state=self.state,
+            holder=self.holder,
+            store=self.store,
+            is_ready=is_ready,
+            publish=self.publish,
+        )
+        app = operators.app()
+        return await self.listen_http(app, self.settings.operators, 'operators')
+
+    async def listen_http(
+        self,
+        app: aiohttp.web.Application,
+        listener: Listener,
+        name: str,
+    ) -> int:
+        """Start an HTTP port and return it."""
+        runner = await serve(app, listener, name)
+        self.stack.push_async_callback(runner.cleanup)
+        return bound_port(runner)
+
+    def start_common_steps(self) -> None:
+        """Start the steps that every process repeats."""
+        self._register_state()
+        self.start_step(self._poll_head, HEAD_POLL_S, 'poll_head')
+        self.start_step(self._exchange, EXCHANGE_S, 'exchange')
+        self.start_step(self._register, REGISTRATION_S, 'register')
+
+    def start_step(
+        self,
+        step: Callable[[], Awaitable[object]],
+        interval_s: float,
+        name: str,
+    ) -> None:
+        """Repeat a step until the process stops."""
+        loop = repeat(step, interval_s, name, self.metrics)
+        self.tasks.append(asyncio.create_task(loop, name=name))
+
+    async def close(self) -> None:
+        """Stop the steps and close all ports and clients."""
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await self.stack.aclose()
+
+    async def publish(self, version: Version) -> None:
+        """Push a version to the living peers."""
+        addresses = [peer.node.address for peer in self.membership.living()]
+        await self.peers.push(addresses, version)
+
+    def _register_state(self) -> None:
+        own = self.membership.own
+        self.state.register(
+            'node',
+            lambda: {
+                'node_id': own.node_id,
+                'role': own.role,
+                'failure_domain': own.failure_domain,
+                'region': self.settings.region,
+                'incarnation': own.incarnation,
+                'draining': self.is_draining,
+            },
+        )
+        self.state.register('version', self.holder.dump)
+        self.state.register('peers', self.membership.dump)
+        self.state.register('metrics', self.metrics.dump)
+        self.state.register('invariants', self.invariants.dump)
+
+    async def _poll_head(self) -> None:
+        head = await self.store.read_head()
+        if head.number > self.holder.current.number:
+            body = await self.store.fetch(head.digest)
+            self.holder.offer_body(head.number, head.digest, body)
+
+    async def _register(self) -> None:
+        await register(self.platform, self.membership.own)
+        self.membership.learn(await listed_nodes(self.platform))
+
+    async def _exchange(self) -> None:
+        known = [node.address for node in self.membership.nodes()][1:]
+        addresses = {*known, *self.settings.peer_seeds}
+        await asyncio.gather(
+            *(self._exchange_with(address) for address in addresses),
+        )
+
+    async def _exchange_with(self, address: str) -> None:
+        try:
+            await self.peers.exchange(address)
+        except RudderError as error:
+            self.metrics.count('failed_exchanges', code=error.code)
--- /dev/null
+++ b/primroserudder/programs/operatorclient.py
@@ -0,0 +1,89 @@
+"""Calls the operators' port of a process."""
+
+import asyncio
+from collections.abc import Mapping
+from dataclasses import dataclass
+from http import HTTPStatus
+from typing import Any
+
+import aiohttp
+import orjson
+
+from ..errors import RudderError
+
+CALL_TIMEOUT_S = 10
+
+
+class ProcessUnreachable(RudderError):
+    """The process gave no answer."""
+
+    code = 'process_unreachable'
+    status = 503
+    default_remedy = 'check --url and that the process runs'
+
+
+class Refused(RudderError):
+    """The process refused what was asked."""
+
+    code = 'refused'
+    status = 400
+
+    def __init__(self, problem: Mapping[str, Any]) -> None:
+        """Take over the problem that the process sent."""
+        super().__init__(
+            str(problem.get('detail', 'the process refused')),
+            remedy=str(problem.get('remedy', '')),
+        )
+        self.problem = problem
+
+
+@dataclass(frozen=True, slots=True)
+class OperatorClient:
+    """One process's operators' port."""
+
+    session: aiohttp.ClientSession
+    url: str
+    token: str
+
+    async def get(self, path: str) -> Any:
+        """Return the JSON answer to a question."""
+        return await self._call('GET', path, None)
+
+    async def post(self, path: str, body: bytes) -> Any:
+        """Return the JSON answer to an order."""
+        return await self._call('POST', path, body)
+
+    async def delete(self, path: str) -> Any:
+        """Return the JSON answer to a removal."""
+        return await self._call('DELETE', path, None)
+
+    async def _call(self, method: str, path: str, body: bytes | None) -> Any:
+        timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
+        try:
+            async with self.session.request(
+                method,
+                f'{self.url}{path}',
+                data=body,
+                headers={'Authorization': f'Bearer {self.token}'},
+                timeout=timeout,
+            ) as response:
+                return await _answer(response)
+        except (aiohttp.ClientError, asyncio.TimeoutError) as error:
+            raise ProcessUnreachable(
+                f'{self.url}: {type(error).__name__}',
+            ) from error
+
+
+async def _answer(response: aiohttp.ClientResponse) -> Any:
+    answer = await response.read()
+    if response.status == HTTPStatus.OK:
+        return orjson.loads(answer)
+    raise Refused(_problem(answer))
+
+
+def _problem(answer: bytes) -> Mapping[str, Any]:
+    try:
+        problem = orjson.loads(answer)
+    except orjson.JSONDecodeError:
+        return {'detail': answer.decode(errors='replace')}
+    return problem if isinstance(problem, dict) else {'detail': str(problem)}
--- /dev/null
+++ b/primroserudder/request/caller.py
@@ -0,0 +1,206 @@
+"""A caller's request, checked and ready to be served."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from http import HTTPStatus
+
+import orjson
+import xxhash
+
+from ..errors import Ran, RudderError
+from ..version.document import Service
+from ..version.holder import Version
+
+HIGHEST_SEED = 0x7FFFFFFF
+HIGHEST_PRIORITY = 9
+DEFAULT_DEADLINE_S = 600.0
+
+
+class BadRequest(RudderError):
+    """The request is malformed."""
+
+    code = 'bad_request'
+    status = HTTPStatus.BAD_REQUEST
+    ran = Ran.NO
+    default_remedy = 'correct the request'
+
+
+class UnknownService(RudderError):
+    """The workspace has no service of that name."""
+
+    code = 'model_not_found'
+    status = HTTPStatus.NOT_FOUND
+    ran = Ran.NO
+    default_remedy = 'list the services with GET /v1/models'
+
+
+@dataclass(frozen=True, slots=True)
+class CallerRequest:
+    """One request to a model service.
+
+    Explanation
+    ===========
+    ``deadline`` is a time of the process's clock in seconds, ``body`` what
+    an engine gets, and ``prompt`` what decides on prefix affinity.
+    """
+
+    request_id: str
+    workspace: str
+    service_name: str
+    service: Service
+    path: str
+    body: bytes
+    prompt: str
+    max_tokens: int
+    is_streamed: bool
+    created: int
+    deadline: float
+    priority: int = 0
+    is_idempotent: bool = True
+    idempotency_key: str = ''
+
+
+@dataclass(frozen=True, slots=True)
+class Arrival:
+    """What was read from a caller's connection, before any check."""
+
+    request_id: str
+    path: str
+    headers: Mapping[str, str]
+    body: bytes
+    arrived_at: float
+    created: int
+    keys_by_header: Mapping[str, str] = field(default_factory=dict)
+
+
+def parse_completion(
+    arrival: Arrival,
+    workspace: str,
+    version: Version,
+) -> CallerRequest:
+    """Return the checked request.
+
+    Raises
+    ======
+    BadRequest
+        The body or a header is malformed.
+    UnknownService
+        The workspace has no such service.
+    """
+    body = _parse_body(arrival.body)
+    name = body.get('model')
+    services = version.rendered.services_by_workspace[workspace]
+    if not isinstance(name, str) or name not in services:
+        raise UnknownService(
+            f'got model {name!r}: expected one of {sorted(services)}',
+        )
+    service = services[name]
+    max_tokens = _max_tokens(body, service)
+    body['max_tokens'] = max_tokens
+    body.setdefault('seed', _seed(workspace, arrival.body))
+    if service.adapter:
+        body['adapter'] = service.adapter
+    return CallerRequest(
+        request_id=arrival.request_id,
+        workspace=workspace,
+        service_name=name,
+        service=service,
+        path=arrival.path,
+        body=orjson.dumps(body),
+        prompt=prompt_text(body),
+        max_tokens=max_tokens,
+        is_streamed=bool(body.get('stream')),
+        created=arrival.created,
+        deadline=arrival.arrived_at + _deadline(arrival.headers),
+        priority=_priority(arrival.headers, service),
+        is_idempotent=_is_idempotent(arrival.headers),
+        idempotency_key=arrival.headers.get('Idempotency-Key', ''),
+    )
+
+
+def prompt_text(body: Mapping[str, object]) -> str:
+    """Return the text that an engine prefills.
+
+    Raises
+    ======
+    BadRequest
+        There is neither a prompt nor messages.
+    """
+    prompt = body.get('prompt')
+    if isinstance(prompt, str):
+        return prompt
+    messages = body.get('messages')
+    if isinstance(messages, list) and messages:
+        return '\n'.join(_message_text(message) for message in messages)
+    raise BadRequest(
+        'got neither a prompt nor messages: expected a string in prompt or '
+        'a list of messages',
+    )
+
+
+def _message_text(message: object) -> str:
+    if not isinstance(message, dict):
+        kind = type(message).__name__
+        raise BadRequest(f'got a message of type {kind}: expected an object')
+    return ': '.join((str(message.get('role')), str(message.get('content'))))
+
+
+def _parse_body(body: bytes) -> dict[str, object]:
+    try:
+        parsed = orjson.loads(body)
+    except orjson.JSONDecodeError as error:
+        raise BadRequest(f'the body is not JSON: {error}') from error
+    if not isinstance(parsed, dict):
+        raise BadRequest('the body is not a JSON object')
+    return parsed
+
+
+def _max_tokens(body: Mapping[str, object], service: Service) -> int:
+    asked = body.get('max_tokens') or body.get('max_completion_tokens')
+    if asked is None:
+        return service.max_tokens
+    if not isinstance(asked, int) or asked < 1:
+        raise BadRequest(f'got max_tokens {asked!r}: expected at least 1')
+    return min(asked, service.max_tokens)
+
+
+def _seed(workspace: str, body: bytes) -> int:
+    # The same request of the same workspace always gets the same seed.
+    return xxhash.xxh32_intdigest(workspace.encode() + body) & HIGHEST_SEED
+
+
+def _deadline(headers: Mapping[str, str]) -> float:
+    given = headers.get('Rudder-Deadline-S')
+    if given is None:
+        return DEFAULT_DEADLINE_S
+    try:
+        seconds = float(given)
+    except ValueError:
+        seconds = 0
+    if not 0 < seconds <= DEFAULT_DEADLINE_S:
+        raise BadRequest(
+            f'got Rudder-Deadline-S {given!r}: expected seconds up to '
+            f'{DEFAULT_DEADLINE_S}',
+        )
+    return seconds
+
+
+def _priority(headers: Mapping[str, str], service: Service) -> int:
+    given = headers.get('Rudder-Priority')
+    if given is None:
+        return service.priority
+    if not given.isdecimal() or int(given) > HIGHEST_PRIORITY:
+        raise BadRequest(
+            f'got Rudder-Priority {given!r}: expected 0 to {HIGHEST_PRIORITY}',
+        )
+    # A caller may lower its own priority but not raise it.
+    return min(int(given), service.priority)
+
+
+def _is_idempotent(headers: Mapping[str, str]) -> bool:
+    given = headers.get('Rudder-Idempotent', 'true').lower()
+    if given not in {'true', 'false'}:
+        raise BadRequest(
+            f'got Rudder-Idempotent {given!r}: expected true or false',
+        )
+    return given == 'true'
--- /dev/null
+++ b/primroserudder/standins/enginehttp.py
@@ -0,0 +1,198 @@
+"""Serves a stand-in engine over HTTP."""
+
+from collections.abc import Awaitable, Callable, Mapping
+from dataclasses import asdict, dataclass
+from http import HTTPStatus
+
+import orjson
+from aiohttp import web
+
+from ..process.engines import EngineOrder, OrderRefused, UpstreamRefused
+from ..request.caller import prompt_text
+from .engine import Engine, EngineCrashed, Generation
+from .faults import change_faults
+from .frames import CHAT_PATH, STREAM_END, token_event, whole_answer
+
+COMPLETION_PATH = '/v1/completions'
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+
+@dataclass(frozen=True, slots=True)
+class _Call:
+    """One attempt as it came over HTTP."""
+
+    generation: Generation
+    path: str
+    created: int
+    model: str
+    is_streamed: bool
+
+
+@dataclass(slots=True)
+class EngineStandin:
+    """HTTP shell of one engine."""
+
+    engine: Engine
+
+    def app(self) -> web.Application:
+        """Return the application of the engine's port."""
+        app = web.Application(middlewares=[self._faults])
+        app.add_routes(
+            [
+                web.get('/status', self.status),
+                web.post('/orders', self.order),
+                web.post('/cancel', self.cancel),
+                web.get('/cache', self.cache_events),
+                web.post(COMPLETION_PATH, self.generate),
+                web.post(CHAT_PATH, self.generate),
+                web.post('/faults', self.change_faults),
+                web.post('/crash', self.crash),
+            ]
+        )
+        return app
+
+    async def status(self, request: web.Request) -> web.Response:
+        """Return the engine's status."""
+        return _json(asdict(self.engine.status()))
+
+    async def order(self, request: web.Request) -> web.Response:
+        """Take an order."""
+        order = EngineOrder(**(await request.json()))
+        try:
+            status = self.engine.take_order(order)
+        except OrderRefused as refused:
+            return web.Response(status=HTTPStatus.CONFLICT, text=str(refused))
+        return _json(asdict(status))
+
+    async def cancel(self, request: web.Request) -> web.Response:
+        """Stop a request."""
+        self.engine.cancel((await request.json())['request_id'])
+        return _json({})
+
+    async def cache_events(self, request: web.Request) -> web.Response:
+        """Return the cache events after a number."""
+        after = int(request.query['after'])
+        events = self.engine.cache.events[after:]
+        return _json([asdict(event) for event in events])
+
+    async def generate(self, request: web.Request) -> web.StreamResponse:
+        """Generate an answer, streamed or whole."""
+        call = _parse(request, await request.json())
+        try:
+            if call.is_streamed:
+                return await self._stream(request, call)
+            return await self._whole(call)
+        except UpstreamRefused as refused:
+            return web.Response(
+                status=HTTPStatus.CONFLICT,
+                text=str(refused),
+                headers={'Engine-Not-Run': 'true'},
+            )
+        except EngineCrashed:
+            return _break_off(request)
+
+    async def change_faults(self, request: web.Request) -> web.Response:
+        """Switch faults of this engine."""
+        change_faults(self.engine.faults, await request.json())
+        return _json({})
+
+    async def crash(self, request: web.Request) -> web.Response:
+        """Let the engine crash and start anew."""
+        self.engine.crash()
+        return _json({})
+
+    async def _stream(
+        self,
+        request: web.Request,
+        call: _Call,
+    ) -> web.StreamResponse:
+        wanted = call.generation
+        response = web.StreamResponse(headers=_headers(call))
+        response.content_type = 'text/event-stream'
+        position = wanted.resume_from
+        async for text in self.engine.generate(wanted):
+            if not response.prepared:
+                await response.prepare(request)
+            await response.write(
+                token_event(
+                    call.path,
+                    wanted.request_id,
+                    call.created,
+                    call.model,
+                    position,
+                    text,
+                ),
+            )
+            position += 1
+        if not response.prepared:
+            await response.prepare(request)
+        await response.write(STREAM_END)
+        await response.write_eof()
+        return response
+
+    async def _whole(self, call: _Call) -> web.Response:
+        wanted = call.generation
+        tokens = [text async for text in self.engine.generate(wanted)]
+        body = whole_answer(
+            call.path,
+            wanted.request_id,
+            call.created,
+            call.model,
+            len(wanted.prompt.split()),
+            tokens,
+        )
+        return web.Response(
+            body=body,
+            headers=_headers(call),
+            content_type='application/json',
+        )
+
+    @web.middleware
+    async def _faults(
+        self,
+        request: web.Request,
+        handler: Handler,
+    ) -> web.StreamResponse:
+        is_control = request.path in {'/faults', '/crash'}
+        if self.engine.faults.is_dead and not is_control:
+            return _break_off(request)
+        return await handler(request)
+
+
+def _break_off(request: web.Request) -> web.Response:
+    if request.transport is not None:
+        request.transport.abort()
+    return web.Response(status=HTTPStatus.INTERNAL_SERVER_ERROR)
+
+
+def _headers(call: _Call) -> Mapping[str, str]:
+    return {'Engine-Attempt': str(call.generation.attempt)}
+
+
+def _parse(request: web.Request, body: Mapping[str, object]) -> _Call:
+    headers = request.headers
+    generation = Generation(
+        request_id=headers['Engine-Request-Id'],
+        attempt=int(headers['Engine-Attempt']),
+        group_id=headers['Engine-Group'],
+        generation=int(headers['Engine-Generation']),
+        prompt=prompt_text(body),
+        seed=int(str(body['seed'])),
+        max_tokens=int(str(body['max_tokens'])),
+        priority=int(headers['Engine-Priority']),
+        resume_from=int(headers['Engine-Resume-From']),
+    )
+    return _Call(
+        generation,
+        request.path,
+        int(headers['Engine-Created']),
+        str(body.get('model')),
+        bool(body.get('stream')),
+    )
+
+
+def _json(body: object) -> web.Response:
+    return web.Response(
+        body=orjson.dumps(body),
+        content_type='application/json',
+    )
--- /dev/null
+++ b/primroserudder/standins/platformhttp.py
@@ -0,0 +1,125 @@
+"""Serves the platform in memory over HTTP."""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import asdict, dataclass
+from http import HTTPStatus
+
+import orjson
+from aiohttp import web
+
+from ..process.platform import (
+    Condition,
+    Conflict,
+    ObjectMissing,
+    OutcomeUnknown,
+    PlatformUnavailable,
+    Row,
+    Transaction,
+    Write,
+)
+from .faults import change_faults
+from .memory import MemoryPlatform
+
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+
+@dataclass(slots=True)
+class PlatformStandin:
+    """HTTP shell of the platform in memory."""
+
+    platform: MemoryPlatform
+
+    def app(self) -> web.Application:
+        """Return the application."""
+        app = web.Application(middlewares=[_statuses])
+        app.add_routes(
+            [
+                web.post('/table/read', self.read),
+                web.post('/table/scan', self.scan),
+                web.post('/table/commit', self.commit),
+                web.put('/objects/{name:.+}', self.put_object),
+                web.get('/objects/{name:.+}', self.get_object),
+                web.post('/vms', self.vms),
+                web.post('/faults', self.change_faults),
+                web.get('/usage', self.usage),
+            ]
+        )
+        return app
+
+    async def read(self, request: web.Request) -> web.Response:
+        """Read one row."""
+        body = await request.json()
+        row = await self._seen(request).read(body['key'])
+        return _json({'row': None if row is None else _row(row)})
+
+    async def scan(self, request: web.Request) -> web.Response:
+        """Read the rows under a prefix."""
+        body = await request.json()
+        rows = await self._seen(request).scan(body['prefix'])
+        return _json({'rows': [_row(row) for row in rows]})
+
+    async def commit(self, request: web.Request) -> web.Response:
+        """Apply a transaction."""
+        body = await request.json()
+        transaction = Transaction(
+            [Condition(*condition) for condition in body['conditions']],
+            [Write(*write) for write in body['writes']],
+        )
+        await self._seen(request).commit(transaction)
+        return _json({})
+
+    async def put_object(self, request: web.Request) -> web.Response:
+        """Store an object."""
+        body = await request.read()
+        await self._seen(request).put_object(request.match_info['name'], body)
+        return _json({})
+
+    async def get_object(self, request: web.Request) -> web.Response:
+        """Return an object."""
+        name = request.match_info['name']
+        body = await self._seen(request).get_object(name)
+        return web.Response(body=body)
+
+    async def vms(self, request: web.Request) -> web.Response:
+        """Return the list of VMs."""
+        listed = await self._seen(request).list_vms()
+        return _json({'vms': [asdict(vm) for vm in listed]})
+
+    async def change_faults(self, request: web.Request) -> web.Response:
+        """Switch faults; this port is the operator's of the stand-in."""
+        change_faults(self.platform.faults, await request.json())
+        return _json({})
+
+    async def usage(self, request: web.Request) -> web.Response:
+        """Return how often the platform was asked."""
+        return _json(asdict(self.platform.usage))
+
+    def _seen(self, request: web.Request) -> MemoryPlatform:
+        return self.platform.seen_by(request.headers.get('Party', ''))
+
+
+@web.middleware
+async def _statuses(
+    request: web.Request,
+    handler: Handler,
+) -> web.StreamResponse:
+    try:
+        return await handler(request)
+    except (Conflict, ObjectMissing, PlatformUnavailable) as refused:
+        return web.Response(status=refused.status)
+    except OutcomeUnknown:
+        # The connection is closed without an answer, as a lost one would be.
+        if request.transport is not None:
+            request.transport.abort()
+        return web.Response(status=HTTPStatus.INTERNAL_SERVER_ERROR)
+
+
+def _row(row: Row) -> list[object]:
+    return [row.key, row.revision, row.fields]
+
+
+def _json(body: object) -> web.Response:
+    return web.Response(
+        body=orjson.dumps(body),
+        content_type='application/json',
+    )
--- /dev/null
+++ b/primroserudder/testing/builders.py
@@ -0,0 +1,170 @@
+"""Builders of test data."""
+
+import json
+from collections.abc import Mapping
+
+from ..process.engines import EngineOrder, EngineStatus
+from ..process.groups import GroupRecord, GroupState, Member
+from ..process.platform import VmListing, VmState
+from ..request.caller import Arrival, CallerRequest
+from ..request.identity import hash_secret
+from ..version.document import Service
+from ..version.holder import Version, make_version
+
+SALT = '0123456789abcdef'
+SECRET = 'demo-secret'
+KEY = f'north.{SECRET}'
+WORKSPACE = 'yard-north'
+DEPLOYMENT = 'ledger-model'
+SERVICE = 'ledger'
+DOMAIN = 'fd-1'
+
+
+def document(**changes: object) -> dict[str, object]:
+    """Return a configuration with one model service of two groups."""
+    return {
+        'format': 1,
+        'pools': {'local': {'honours_fencing': True}},
+        'deployments': {
+            DEPLOYMENT: {
+                'kind': 'model',
+                'pool': 'local',
+                'model': 'ledger-7b',
+                'model_version': 'v1',
+                'group_size': 2,
+                'groups_by_failure_domain': {DOMAIN: 2},
+            },
+        },
+        'templates': {
+            'ledger': {
+                'parameters': {
+                    'max-tokens': {'type': 'integer', 'default': 64},
+                },
+                'service': {
+                    'deployment': DEPLOYMENT,
+                    'max_tokens': {'$param': 'max-tokens'},
+                },
+            },
+        },
+        'workspaces': {
+            WORKSPACE: {
+                'keys': {
+                    'north': {
+                        'salt': SALT,
+                        'sha256': hash_secret(SALT, SECRET),
+                    },
+                },
+                'services': {SERVICE: {'template': 'ledger'}},
+            },
+        },
+        **changes,
+    }
+
+
+def document_body(**changes: object) -> bytes:
+    """Return the configuration as it is submitted."""
+    return json.dumps(document(**changes)).encode()
+
+
+def version(number: int = 1, **changes: object) -> Version:
+    """Return a checked configuration version."""
+    return make_version(number, document_body(**changes))
+
+
+def vm(index: int = 0, **changes: object) -> VmListing:
+    """Return a live VM of the first failure domain."""
+    fields: dict[str, object] = {
+        'vm_id': f'vm{index}',
+        'address': f'vm{index}:1',
+        'failure_domain': DOMAIN,
+        'fabric_domain': 'f0',
+        'pool': 'local',
+        'state': VmState.LIVE,
+        **changes,
+    }
+    return VmListing(**fields)  # type: ignore[arg-type]
+
+
+def group(index: int = 0, size: int = 2, **changes: object) -> GroupRecord:
+    """Return a serving group; its VMs follow those of the group before."""
+    first = index * size
+    members = tuple(
+        Member(f'vm{place}', f'vm{place}:1', f'vm{place}#1')
+        for place in range(first, first + size)
+    )
+    fields: dict[str, object] = {
+        'group_id': f'g{index}',
+        'deployment': DEPLOYMENT,
+        'failure_domain': DOMAIN,
+        'fabric_domain': 'f0',
+        'generation': 1,
+        'members': members,
+        'model': 'ledger-7b',
+        'model_version': 'v1',
+        'state': GroupState.SERVING,
+        **changes,
+    }
+    return GroupRecord(**fields)  # type: ignore[arg-type]
+
+
+def order(of: GroupRecord, rank: int = 0, fencing: int = 1) -> EngineOrder:
+    """Return the order that a group's member gets."""
+    return EngineOrder(
+        group_id=of.group_id,
+        generation=of.generation,
+        model=of.model,
+        model_version=of.model_version,
+        members=tuple(member.vm_id for member in of.members),
+        rank=rank,
+        fencing=fencing,
+        valid_for=5,
+    )
+
+
+def confirmed(of: GroupRecord, rank: int = 0) -> EngineStatus:
+    """Return the status of a member that holds its group's order."""
+    member = of.members[rank]
+    return EngineStatus(
+        vm_id=member.vm_id,
+        incarnation=member.incarnation,
+        group_id=of.group_id,
+        generation=of.generation,
+        model=of.model,
+        model_version=of.model_version,
+        members=tuple(other.vm_id for other in of.members),
+        ready=True,
+    )
+
+
+def caller_request(**changes: object) -> CallerRequest:
+    """Return a streamed, idempotent request of 20 tokens."""
+    fields: dict[str, object] = {
+        'request_id': 'req-1',
+        'workspace': WORKSPACE,
+        'service_name': SERVICE,
+        'service': Service(deployment=DEPLOYMENT),
+        'path': '/v1/completions',
+        'body': b'{"prompt":"p","seed":1,"max_tokens":20,"stream":true}',
+        'prompt': 'p',
+        'max_tokens': 20,
+        'is_streamed': True,
+        'created': 0,
+        'deadline': 1000,
+        **changes,
+    }
+    return CallerRequest(**fields)  # type: ignore[arg-type]
+
+
+def arrival(
+    body: Mapping[str, object],
+    headers: Mapping[str, str] | None = None,
+) -> Arrival:
+    """Return a request as it was read from a connection."""
+    return Arrival(
+        request_id='req-1',
+        path='/v1/completions',
+        headers={'Authorization': f'Bearer {KEY}', **(headers or {})},
+        body=json.dumps(body).encode(),
+        arrived_at=0,
+        created=0,
+    )
--- /dev/null
+++ b/primroserudder/testing/fakes.py
@@ -0,0 +1,162 @@
+"""Fakes at the interfaces, for tests in virtual time."""
+
+import itertools
+from collections.abc import AsyncGenerator, AsyncIterator, Mapping, Sequence
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+
+import orjson
+
+from ..process.clock import Clock
+from ..process.engines import (
+    CacheEvent,
+    EngineAnswer,
+    EngineCall,
+    EngineOrder,
+    EngineStatus,
+    UpstreamUnreachable,
+)
+from ..process.groups import GroupRecord
+from ..request.caller import prompt_text
+from ..standins.engine import Engine, Generation
+from ..standins.frames import STREAM_END, token_event, whole_answer
+from . import builders
+
+
+@dataclass(slots=True)
+class FakeAnswer:
+    """The answer of an engine in the same process."""
+
+    body: AsyncIterator[bytes]
+    status: int = 200
+    headers: Mapping[str, str] = field(default_factory=dict)
+
+    def chunks(self) -> AsyncIterator[bytes]:
+        """Yield the body as it arrives."""
+        return self.body
+
+
+@dataclass(slots=True)
+class FakeEngines:
+    """Stand-in engines by address, without any network between."""
+
+    party: str = ''
+    by_address: dict[str, Engine] = field(default_factory=dict)
+
+    def seen_by(self, party: str) -> 'FakeEngines':
+        """Return the same engines as a party sees them."""
+        return FakeEngines(party, self.by_address)
+
+    def add(self, address: str, engine: Engine) -> Engine:
+        """Add an engine."""
+        self.by_address[address] = engine
+        return engine
+
+    async def status(self, address: str) -> EngineStatus:
+        """Return an engine's status."""
+        return self._reach(address).status()
+
+    async def order(self, address: str, order: EngineOrder) -> EngineStatus:
+        """Give an engine an order."""
+        return self._reach(address).take_order(order)
+
+    @asynccontextmanager
+    async def generate(
+        self,
+        address: str,
+        call: EngineCall,
+    ) -> AsyncIterator[EngineAnswer]:
+        """Run one attempt; its first token decides on refusal."""
+        engine = self._reach(address)
+        frames = _frames(engine, call)
+        # A refusal comes before the answer's headers.
+        first = await anext(frames, b'')
+        body = _rest(first, frames)
+        yield FakeAnswer(body)
+        await body.aclose()
+        await frames.aclose()
+
+    async def cancel(self, address: str, request_id: str) -> None:
+        """Stop a request."""
+        self._reach(address).cancel(request_id)
+
+    async def cache_events(
+        self,
+        address: str,
+        after: int,
+    ) -> Sequence[CacheEvent]:
+        """Return the cache events after a number."""
+        return self._reach(address).cache.events[after:]
+
+    async def export_cache(self, address: str, request_id: str) -> bytes:
+        """Return the KV cache of a request."""
+        self._reach(address)
+        return request_id.encode()
+
+    async def import_cache(
+        self,
+        address: str,
+        request_id: str,
+        cache: bytes,
+    ) -> None:
+        """Give an engine the KV cache of a request."""
+        self._reach(address)
+
+    def _reach(self, address: str) -> Engine:
+        engine = self.by_address.get(address)
+        if engine is None or engine.faults.is_dead:
+            raise UpstreamUnreachable(f'{address}: no connection')
+        if self.party in engine.faults.cut_parties:
+            raise UpstreamUnreachable(f'{address}: cut off')
+        return engine
+
+
+def group_of_engines(
+    engines: FakeEngines,
+    clock: Clock,
+    index: int = 0,
+    size: int = 2,
+) -> GroupRecord:
+    """Return a serving group whose engines exist and hold its order."""
+    group = builders.group(index, size)
+    for rank, member in enumerate(group.members):
+        engine = engines.add(member.address, Engine(member.vm_id, clock))
+        engine.take_order(builders.order(group, rank))
+        engine.ready_at = clock.monotonic()
+    return group
+
+
+async def _rest(
+    first: bytes,
+    frames: AsyncIterator[bytes],
+) -> AsyncGenerator[bytes, None]:
+    yield first
+    async for frame in frames:
+        yield frame
+
+
+async def _frames(
+    engine: Engine, call: EngineCall
+) -> AsyncGenerator[bytes, None]:
+    body = orjson.loads(call.body)
+    wanted = Generation(
+        request_id=call.request_id,
+        attempt=call.attempt,
+        group_id=call.group_id,
+        generation=call.generation,
+        prompt=prompt_text(body),
+        seed=body['seed'],
+        max_tokens=body['max_tokens'],
+        priority=call.priority,
+        resume_from=call.resume_from,
+    )
+    tokens = engine.generate(wanted)
+    if not body.get('stream'):
+        texts = [text async for text in tokens]
+        yield whole_answer(call.path, call.request_id, 0, 'm', 0, texts)
+        return
+    positions = itertools.count(call.resume_from)
+    async for text in tokens:
+        position = next(positions)
+        yield token_event(call.path, call.request_id, 0, 'm', position, text)
+    yield STREAM_END
--- /dev/null
+++ b/primroserudder/version/render.py
@@ -0,0 +1,187 @@
+"""Renders templates with the values of each workspace."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from types import MappingProxyType
+from typing import TypeAlias
+
+from pydantic import JsonValue, ValidationError
+
+from ..process.settings import describe
+from .document import (
+    Binding,
+    ConfigurationError,
+    Document,
+    ModelDeployment,
+    Parameter,
+    ParameterSpec,
+    PlainDeployment,
+    Service,
+    Template,
+)
+
+PLACEHOLDER = '$param'
+
+ServicesByName: TypeAlias = Mapping[str, Service]
+
+_TYPES_BY_NAME: Mapping[str, tuple[type, ...]] = MappingProxyType(
+    {
+        'string': (str,),
+        'integer': (int,),
+        'number': (int, float),
+        'boolean': (bool,),
+    }
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Rendered:
+    """A document with the services of each workspace, by name."""
+
+    document: Document
+    services_by_workspace: Mapping[str, ServicesByName]
+
+
+def render_document(document: Document, source: str = 'document') -> Rendered:
+    """Return the document with all templates rendered.
+
+    Raises
+    ======
+    ConfigurationError
+        A reference is unknown or a value is not acceptable.
+    """
+    _check_pools(document, source)
+    services_by_workspace = {
+        name: {
+            service: _render_binding(
+                document,
+                binding,
+                f'{source}: workspaces.{name}.services.{service}',
+            )
+            for service, binding in workspace.services.items()
+        }
+        for name, workspace in document.workspaces.items()
+    }
+    return Rendered(document, services_by_workspace)
+
+
+def _check_pools(document: Document, source: str) -> None:
+    for name, deployment in document.deployments.items():
+        if isinstance(deployment, PlainDeployment):
+            continue
+        if deployment.pool not in document.pools:
+            raise ConfigurationError(
+                f'{source}: deployments.{name}.pool: got '
+                f'{deployment.pool!r}: expected one of '
+                f'{sorted(document.pools)}',
+            )
+
+
+def _render_binding(document: Document, binding: Binding, at: str) -> Service:
+    template = document.templates.get(binding.template)
+    if template is None:
+        raise ConfigurationError(
+            f'{at}.template: got {binding.template!r}: expected one of '
+            f'{sorted(document.templates)}',
+        )
+    values = _values(template, binding, f'{at}.values')
+    raw = _substitute(template.service, values, at)
+    try:
+        service = Service.model_validate(raw)
+    except ValidationError as invalid:
+        raise ConfigurationError(
+            f'{at}: template {binding.template}: {describe(invalid)}',
+        ) from invalid
+    _check_deployment(document, service, at)
+    return service
+
+
+def _check_deployment(document: Document, service: Service, at: str) -> None:
+    deployment = document.deployments.get(service.deployment)
+    if deployment is None:
+        raise ConfigurationError(
+            f'{at}.deployment: got {service.deployment!r}: expected one of '
+            f'{sorted(document.deployments)}',
+        )
+    if not service.adapter:
+        return
+    known = (
+        deployment.adapters if isinstance(deployment, ModelDeployment) else []
+    )
+    if service.adapter not in known:
+        raise ConfigurationError(
+            f'{at}.adapter: got {service.adapter!r}: expected one of {known}',
+        )
+
+
+def _values(
+    template: Template,
+    binding: Binding,
+    at: str,
+) -> Mapping[str, Parameter]:
+    unknown = binding.values.keys() - template.parameters.keys()
+    if unknown:
+        raise ConfigurationError(
+            f'{at}: got {sorted(unknown)}: expected only '
+            f'{sorted(template.parameters)}',
+        )
+    return {
+        name: _value(spec, binding.values.get(name, spec.default), at, name)
+        for name, spec in template.parameters.items()
+    }
+
+
+def _value(
+    spec: ParameterSpec,
+    given: Parameter | None,
+    at: str,
+    name: str,
+) -> Parameter:
+    if given is None:
+        raise ConfigurationError(
+            f'{at}.{name}: got nothing: expected a {spec.type}',
+        )
+    is_other_bool = isinstance(given, bool) and spec.type != 'boolean'
+    if is_other_bool or not isinstance(given, _TYPES_BY_NAME[spec.type]):
+        raise ConfigurationError(
+            f'{at}.{name}: got {given!r}: expected a {spec.type}',
+        )
+    _check_range(spec, given, f'{at}.{name}')
+    return given
+
+
+def _check_range(spec: ParameterSpec, given: Parameter, at: str) -> None:
+    if spec.choices is not None and given not in spec.choices:
+        raise ConfigurationError(
+            f'{at}: got {given!r}: expected one of {spec.choices}',
+        )
+    if isinstance(given, str):
+        return
+    if spec.minimum is not None and given < spec.minimum:
+        raise ConfigurationError(
+            f'{at}: got {given!r}: expected at least {spec.minimum}',
+        )
+    if spec.maximum is not None and given > spec.maximum:
+        raise ConfigurationError(
+            f'{at}: got {given!r}: expected at most {spec.maximum}',
+        )
+
+
+def _substitute(
+    node: JsonValue,
+    values: Mapping[str, Parameter],
+    at: str,
+) -> JsonValue:
+    if isinstance(node, list):
+        return [_substitute(inner, values, at) for inner in node]
+    if not isinstance(node, dict):
+        return node
+    if node.keys() == {PLACEHOLDER}:
+        name = str(node[PLACEHOLDER])
+        if name not in values:
+            raise ConfigurationError(
+                f'{at}: template uses parameter {name!r}: expected one of '
+                f'{sorted(values)}',
+            )
+        return values[name]
+    return {key: _substitute(inner, values, at) for key, inner in node.items()}
--- /dev/null
+++ b/primroserudder/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Generated messages and services of the peers protocol."""
