--- a/primroserudder/standins/fleet.py
+++ b/primroserudder/standins/fleet.py
@@ -52,7 +52,12 @@
     async def _start_engine(self, fleet: EngineFleet, index: int) -> None:
         vm_id = f'{fleet.failure_domain}-{fleet.pool}-vm{index}'
         speed = EngineSpeed(**self.settings.speed.model_dump())
-        engine = Engine(vm_id, SystemClock(), fleet.honours_fencing, speed)
+        engine = Engine(
+            vm_id,
+            SystemClock(),
+            honours_fencing=fleet.honours_fencing,
+            speed=speed,
+        )
         self.engines_by_vm[vm_id] = engine
         wanted = fleet.first_port + index if fleet.first_port else 0
         app = EngineStandin(engine).app()
