--- a/primroserudder/programs/tests/test_local.py
+++ b/primroserudder/programs/tests/test_local.py
@@ -8,7 +8,7 @@
 
 from ...process.clock import SystemClock
 from ..demo import DEMO_KEY, EXAMPLE
-from ..load import LoadPlan, LoadTool
+from ..loadtool import LoadPlan, LoadTool
 from ..local import LOCAL_TOKEN, Local
 from ..operatorclient import OperatorClient
 
