--- a/primroserudder/connection/callers.py
+++ b/primroserudder/connection/callers.py
@@ -30,6 +30,7 @@
     problem_headers,
 )
 from ..version.holder import VersionHolder
+from .guard import ConnectionGuard, read_body
 
 REQUEST_ID = web.RequestKey('request_id', str)
 ARRIVED_AT = web.RequestKey('arrived_at', float)
@@ -61,6 +62,11 @@
     invariants: Invariants
     max_body_bytes: int
     in_flight: set[str] = field(default_factory=set)
+    guard: ConnectionGuard = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Make the guard of the port."""
+        self.guard = ConnectionGuard(self.clock, self.metrics)
 
     def app(self) -> web.Application:
         """Return the application of the callers' port."""
@@ -96,7 +102,7 @@
             request_id=request[REQUEST_ID],
             path=request.path,
             headers=request.headers,
-            body=await request.read(),
+            body=await read_body(request),
             arrived_at=self.clock.monotonic(),
             created=int(self.clock.wall()),
         )
@@ -184,6 +190,7 @@
         request[REQUEST_ID] = f'req-{unique}'
         request[ARRIVED_AT] = self.clock.monotonic()
         try:
+            self.guard.check(request)
             response = await handler(request)
         except web.HTTPException as refused:
             return self._problem(request, _from_http(refused))
--- a/primroserudder/programs/entrynode.py
+++ b/primroserudder/programs/entrynode.py
@@ -5,6 +5,7 @@
 
 from ..connection.callers import Callers
 from ..connection.enginehttp import EngineHttp
+from ..connection.http import bound_port
 from ..process.evidence import PROBE_INTERVAL_S, EvidenceBook, Prober
 from ..process.groups import (
     GROUP_PREFIX,
@@ -18,6 +19,7 @@
 
 GROUP_POLL_S = 1
 DRAIN_NOTICE_S = 3
+SWEEP_S = 1
 
 
 @dataclass(slots=True)
@@ -42,14 +44,8 @@
         await runtime.open_clients()
         await runtime.open_peers()
         self._wire()
-        await runtime.start_peers()
-        self.operators_port = await runtime.listen_operators(self.is_ready)
-        self.callers_port = await runtime.listen_http(
-            self.callers.app(),
-            self.settings.callers,
-            'callers',
-        )
         self._register_state()
+        await self._listen()
         runtime.start_common_steps()
         runtime.start_step(self._poll_groups, GROUP_POLL_S, 'poll_groups')
         runtime.start_step(self._probe, PROBE_INTERVAL_S, 'probe')
@@ -65,6 +61,21 @@
         await asyncio.sleep(DRAIN_NOTICE_S if self.callers.in_flight else 0)
         await self.runtime.close()
 
+    async def _listen(self) -> None:
+        await self.runtime.start_peers()
+        self.operators_port = await self.runtime.listen_operators(
+            self.is_ready,
+        )
+        guard = self.callers.guard
+        runner = await self.runtime.listen_http(
+            self.callers.app(),
+            self.settings.callers,
+            'callers',
+        )
+        guard.runner = runner
+        self.callers_port = bound_port(runner)
+        self.runtime.start_step(guard.sweep, SWEEP_S, 'sweep')
+
     def _wire(self) -> None:
         runtime = self.runtime
         engines = EngineHttp(runtime.session)
--- a/primroserudder/programs/node.py
+++ b/primroserudder/programs/node.py
@@ -7,7 +7,7 @@
 from contextlib import AsyncExitStack
 from dataclasses import dataclass, field
 
-import aiohttp
+from aiohttp import ClientSession, TCPConnector, web
 from grpc import aio
 
 from ..connection.exchange import (
@@ -58,7 +58,7 @@
     tasks: list[asyncio.Task[None]] = field(default_factory=list)
     invariants: Invariants = field(init=False)
     channels: PeerChannels = field(init=False)
-    session: aiohttp.ClientSession = field(init=False)
+    session: ClientSession = field(init=False)
     platform: PlatformHttp = field(init=False)
     store: VersionStore = field(init=False)
     peer_server: aio.Server = field(init=False)
@@ -72,9 +72,9 @@
 
     async def open_clients(self) -> None:
         """Open what needs a running loop."""
-        connector = aiohttp.TCPConnector(limit=0)
+        connector = TCPConnector(limit=0)
         self.session = await self.stack.enter_async_context(
-            aiohttp.ClientSession(connector=connector, auto_decompress=False),
+            ClientSession(connector=connector, auto_decompress=False),
         )
         platform = self.settings.platform
         self.platform = PlatformHttp(
@@ -133,18 +133,21 @@
             publish=self.publish,
         )
         app = operators.app()
-        return await self.listen_http(app, self.settings.operators, 'operators')
+        runner = await self.listen_http(
+            app, self.settings.operators, 'operators'
+        )
+        return bound_port(runner)
 
     async def listen_http(
         self,
-        app: aiohttp.web.Application,
+        app: web.Application,
         listener: Listener,
         name: str,
-    ) -> int:
-        """Start an HTTP port and return it."""
+    ) -> web.AppRunner:
+        """Start an HTTP port and return its runner."""
         runner = await serve(app, listener, name)
         self.stack.push_async_callback(runner.cleanup)
-        return bound_port(runner)
+        return runner
 
     def start_common_steps(self) -> None:
         """Start the steps that every process repeats."""
