Check what platform and engines answer with validated models

Cause: the adapters took fields out of parsed JSON by hand, so that an answer of another shape became a KeyError or ValueError in whichever step had asked.

--- a/primroserudder/connection/enginehttp.py
+++ b/primroserudder/connection/enginehttp.py
@@ -10,15 +10,16 @@
 from contextlib import asynccontextmanager
 from dataclasses import asdict, dataclass
 from http import HTTPStatus
+from typing import TypeVar
 
 import aiohttp
 import orjson
+from pydantic import TypeAdapter, ValidationError
 
 from ..process.engines import (
     CacheEvent,
     EngineAnswer,
     EngineCall,
-    EngineLoad,
     EngineOrder,
     EngineStatus,
     OrderRefused,
@@ -26,7 +27,11 @@
     UpstreamRefused,
     UpstreamUnreachable,
 )
+from ..process.settings import describe
 
+_STATUS = TypeAdapter(EngineStatus)
+_CACHE_EVENTS = TypeAdapter(list[CacheEvent])
+_Answer = TypeVar('_Answer')
 CONTROL_TIMEOUT_S = 2
 CONNECT_TIMEOUT_S = 1
 SILENCE_TIMEOUT_S = 30
@@ -116,7 +121,7 @@
     ) -> Sequence[CacheEvent]:
         """Return the events of the prefix cache after a number."""
         found = await self._control(address, 'GET', f'/cache?after={after}')
-        return [CacheEvent(**event) for event in orjson.loads(found)]
+        return _parse(found, _CACHE_EVENTS)
 
     async def export_cache(self, address: str, request_id: str) -> bytes:
         """Return the KV cache of a request."""
@@ -217,11 +222,13 @@
 
 
 def _status(found: bytes) -> EngineStatus:
+    return _parse(found, _STATUS)
+
+
+def _parse(found: bytes, kind: TypeAdapter[_Answer]) -> _Answer:
     try:
-        fields = orjson.loads(found)
-        load = EngineLoad(**fields.pop('load'))
-        return EngineStatus(load=load, **fields)
-    except (orjson.JSONDecodeError, TypeError, KeyError) as error:
+        return kind.validate_json(found)
+    except ValidationError as invalid:
         raise UpstreamUnreachable(
-            f'the engine sent a malformed status: {error}',
-        ) from error
+            f'the engine sent a malformed answer: {describe(invalid)}',
+        ) from invalid
--- a/primroserudder/connection/platformhttp.py
+++ b/primroserudder/connection/platformhttp.py
@@ -6,13 +6,15 @@
 """
 
 import asyncio
+import itertools
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 from http import HTTPStatus
-from typing import Any
+from typing import TypeVar
 
 import aiohttp
 import orjson
+from pydantic import BaseModel, ValidationError
 
 from ..process.platform import (
     Conflict,
@@ -22,8 +24,25 @@
     Row,
     Transaction,
     VmListing,
-    VmState,
 )
+from ..process.settings import describe
+
+_WireRow = tuple[str, int, dict[str, object]]
+
+
+class _ReadAnswer(BaseModel):
+    row: _WireRow | None
+
+
+class _ScanAnswer(BaseModel):
+    rows: list[_WireRow]
+
+
+class _VmsAnswer(BaseModel):
+    vms: list[VmListing]
+
+
+_Answer = TypeVar('_Answer', bound=BaseModel)
 
 
 @dataclass(slots=True)
@@ -36,14 +55,13 @@
 
     async def read(self, key: str) -> Row | None:
         """Return the row, or ``None`` if there is none."""
-        found = await self._ask('/table/read', {'key': key})
-        row = found['row']
-        return None if row is None else _row(row)
+        found = await self._ask('/table/read', {'key': key}, _ReadAnswer)
+        return None if found.row is None else Row(*found.row)
 
     async def scan(self, prefix: str) -> Sequence[Row]:
         """Return the rows whose keys begin with the prefix, by key."""
-        found = await self._ask('/table/scan', {'prefix': prefix})
-        return [_row(row) for row in found['rows']]
+        found = await self._ask('/table/scan', {'prefix': prefix}, _ScanAnswer)
+        return list(itertools.starmap(Row, found.rows))
 
     async def commit(self, transaction: Transaction) -> None:
         """Apply the transaction; see the interface for the errors."""
@@ -57,7 +75,7 @@
             ],
         }
         try:
-            await self._ask('/table/commit', body)
+            await self._call('POST', '/table/commit', orjson.dumps(body))
         except PlatformUnavailable as error:
             if isinstance(error.__cause__, aiohttp.ClientConnectorError):
                 raise
@@ -73,21 +91,21 @@
 
     async def list_vms(self) -> Sequence[VmListing]:
         """Return the platform's list of VMs."""
-        found = await self._ask('/vms', {})
-        return [
-            VmListing(**{**listed, 'state': VmState(listed['state'])})
-            for listed in found['vms']
-        ]
-
-    # The parsed answer is dynamic: each caller takes its own fields.
-    async def _ask(self, path: str, body: Mapping[str, object]) -> Any:
+        return (await self._ask('/vms', {}, _VmsAnswer)).vms
+
+    async def _ask(
+        self,
+        path: str,
+        body: Mapping[str, object],
+        kind: type[_Answer],
+    ) -> _Answer:
         answer = await self._call('POST', path, orjson.dumps(body))
         try:
-            return orjson.loads(answer)
-        except orjson.JSONDecodeError as error:
+            return kind.model_validate_json(answer)
+        except ValidationError as invalid:
             raise PlatformUnavailable(
-                f'platform: POST {path}: the answer is not JSON',
-            ) from error
+                f'platform: POST {path}: {describe(invalid)}',
+            ) from invalid
 
     async def _call(self, method: str, path: str, body: bytes | None) -> bytes:
         timeout = aiohttp.ClientTimeout(total=self.timeout_s)
@@ -116,10 +134,3 @@
     if status == HTTPStatus.NOT_FOUND:
         raise ObjectMissing(f'{what}: no such object')
     raise PlatformUnavailable(f'{what}: got status {status}')
-
-
-def _row(found: Sequence[object]) -> Row:
-    key, revision, fields = found
-    if not isinstance(fields, dict):
-        raise PlatformUnavailable(f'platform: row {key}: got no fields')
-    return Row(str(key), int(str(revision)), fields)
