--- a/primroserudder/programs/node.py
+++ b/primroserudder/programs/node.py
@@ -189,6 +189,7 @@
                 'region': self.settings.region,
                 'incarnation': own.incarnation,
                 'draining': self.is_draining,
+                'tasks': len(asyncio.all_tasks()),
             },
         )
         self.state.register('version', self.holder.dump)
