--- /dev/null
+++ b/primroserudder/programs/tests/test_secrets.py
@@ -0,0 +1,96 @@
+"""Tests that secrets stay out of sight and credentials apart."""
+
+import asyncio
+import io
+from typing import Any
+
+import aiohttp
+import pytest
+from loguru import logger
+
+from ...testing import builders
+from ...testing.nodes import TOKEN, running_entry
+from ..entrynode import EntryNode
+from ..operatorclient import OperatorClient, Refused
+
+PROMPT = 'a-prompt-that-must-not-be-seen'
+IDEMPOTENCY_KEY = 'a-key-that-must-not-be-seen'
+
+
+async def _complete(entry: EntryNode, session: aiohttp.ClientSession) -> None:
+    async with session.post(
+        f'http://127.0.0.1:{entry.callers_port}/v1/completions',
+        json={'model': builders.SERVICE, 'prompt': PROMPT},
+        headers={
+            'Authorization': f'Bearer {builders.KEY}',
+            'Idempotency-Key': IDEMPOTENCY_KEY,
+        },
+    ) as response:
+        await response.read()
+
+
+async def _everything_shown(entry: EntryNode) -> str:
+    url = f'http://127.0.0.1:{entry.operators_port}'
+    headers = {'Authorization': f'Bearer {TOKEN}'}
+    async with aiohttp.ClientSession(headers=headers) as session:
+        await _complete(entry, session)
+        async with session.get(f'{url}/state') as state:
+            shown = await state.text()
+        async with session.get(f'{url}/metrics') as metrics:
+            return shown + await metrics.text()
+
+
+async def test_no_secret_in_logs_dumps_and_metrics() -> None:
+    lines = io.StringIO()
+    sink = logger.add(lines, level='DEBUG')
+    async with running_entry() as entry:
+        shown = await _everything_shown(entry)
+    logger.remove(sink)
+    seen = shown + lines.getvalue()
+    assert 'entry-0' in seen
+    for secret in (PROMPT, IDEMPOTENCY_KEY, TOKEN, builders.SECRET):
+        assert secret not in seen
+
+
+@pytest.mark.parametrize('token', ['', 'wrong', builders.KEY])
+async def test_operators_port_needs_its_own_token(token: str) -> None:
+    async with running_entry() as entry, aiohttp.ClientSession() as session:
+        url = f'http://127.0.0.1:{entry.operators_port}'
+        client = OperatorClient(session, url, token)
+        answers = await asyncio.gather(
+            *(client.get(path) for path in ('/state', '/v1/config')),
+            return_exceptions=True,
+        )
+    assert [type(answer) for answer in answers] == [Refused, Refused]
+
+
+async def test_callers_port_does_not_take_the_operators_token() -> None:
+    async with running_entry() as entry, aiohttp.ClientSession() as session:
+        url = f'http://127.0.0.1:{entry.callers_port}/v1/models'
+        headers = {'Authorization': f'Bearer {TOKEN}'}
+        async with session.get(url, headers=headers) as response:
+            assert response.status == 401
+
+
+async def test_other_workspaces_services_are_unknown() -> None:
+    other = {
+        'keys': {},
+        'services': {'secret-service': {'template': 'ledger'}},
+    }
+    document: dict[str, Any] = builders.document()
+    workspaces = {**document['workspaces'], 'yard-south': other}
+    async with running_entry() as entry, aiohttp.ClientSession() as session:
+        version = builders.version(2, workspaces=workspaces)
+        entry.runtime.holder.offer(version)
+        url = f'http://127.0.0.1:{entry.callers_port}'
+        headers = {'Authorization': f'Bearer {builders.KEY}'}
+        async with session.get(f'{url}/v1/models', headers=headers) as listed:
+            models = await listed.text()
+        body = {'model': 'secret-service', 'prompt': 'p'}
+        async with session.post(
+            f'{url}/v1/completions',
+            json=body,
+            headers=headers,
+        ) as response:
+            assert response.status == 404
+    assert 'secret-service' not in models
