--- /dev/null
+++ b/primroserudder/programs/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measures slopes and works the capacity page out from them."""
--- /dev/null
+++ b/primroserudder/programs/bench/inflight.py
@@ -0,0 +1,105 @@
+"""Measures what a request in flight costs an entry."""
+
+import argparse
+import asyncio
+import pathlib
+import sys
+from collections.abc import Sequence
+
+import aiohttp
+import orjson
+
+from ..common import EXIT_OK, run
+from ..siteplan import KEY, MODEL, Site, add_site_flags, site_of
+from .rest import configure, process_cpu_s, process_rss_bytes
+from .slope import Point, fit, write_slopes
+
+COMMAND = 'bin/bench'
+SIZES = (100, 400, 1200)
+TOKENS = 1000
+SETTLE_S = 3
+MEASURED_S = 5
+
+
+def main() -> None:
+    """Write the slopes of a running site's first entry to a file."""
+    made = argparse.ArgumentParser(description='Measures open requests.')
+    add_site_flags(made)
+    made.add_argument('--out', type=pathlib.Path, required=True)
+    arguments = made.parse_args()
+    sys.exit(run(_main(arguments)))
+
+
+async def _main(arguments: argparse.Namespace) -> int:
+    site = site_of(arguments)
+    pid = arguments.pids[0]
+    connector = aiohttp.TCPConnector(limit=0)
+    async with aiohttp.ClientSession(connector=connector) as session:
+        await configure(session, site, arguments.folder)
+        points = [await _measure(session, site, pid, size) for size in SIZES]
+    write_slopes(
+        arguments.out,
+        [
+            fit(
+                'request_bytes',
+                'bytes',
+                COMMAND,
+                [Point(size, rss) for size, rss, _ in points],
+            ),
+            fit(
+                'stream_cpu',
+                'CPU seconds a second',
+                COMMAND,
+                [Point(size, share) for size, _, share in points],
+            ),
+        ],
+    )
+    return EXIT_OK
+
+
+async def _measure(
+    session: aiohttp.ClientSession,
+    site: Site,
+    pid: int,
+    size: int,
+) -> tuple[int, int, float]:
+    streams = [
+        asyncio.create_task(_hold(session, site, index))
+        for index in range(size)
+    ]
+    await asyncio.sleep(SETTLE_S)
+    began = process_cpu_s(pid)
+    await asyncio.sleep(MEASURED_S)
+    share = (process_cpu_s(pid) - began) / MEASURED_S
+    rss = process_rss_bytes(pid)
+    await _end(streams)
+    return size, rss, share
+
+
+async def _hold(
+    session: aiohttp.ClientSession,
+    site: Site,
+    index: int,
+) -> None:
+    body = {
+        'model': MODEL,
+        'prompt': f'batch {index}',
+        'max_tokens': TOKENS,
+        'stream': True,
+    }
+    async with session.post(
+        f'{site.callers_url(0)}/v1/completions',
+        data=orjson.dumps(body),
+        headers={'Authorization': f'Bearer {KEY}'},
+    ) as response:
+        await response.read()
+
+
+async def _end(streams: Sequence[asyncio.Task[None]]) -> None:
+    for stream in streams:
+        stream.cancel()
+    await asyncio.gather(*streams, return_exceptions=True)
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/primroserudder/programs/bench/memory.py
@@ -0,0 +1,139 @@
+"""Measures what known peers, engines and versions cost one process."""
+
+import argparse
+import gc
+import pathlib
+import time
+import tracemalloc
+from collections.abc import Callable, Sequence
+
+from ...connection.exchange import node_to_message, take_over
+from ...process.clock import SystemClock
+from ...process.evidence import EvidenceBook
+from ...process.groups import GroupDirectory
+from ...process.membership import Membership, Node
+from ...testing import builders
+from ...version.holder import make_version
+from ...wire import peers_pb2
+from .slope import Point, Slope, fit, write_slopes
+
+COMMAND = 'bin/bench'
+PEERS = (34, 170, 470)
+GROUPS = (4, 66, 925)
+WORKSPACES = (10, 40, 100)
+GROUP_SIZE = 4
+ROUNDS = 20
+DOMAINS = 14
+INCARNATION_LENGTH = 32
+
+
+def main() -> None:
+    """Write the slopes to a file."""
+    made = argparse.ArgumentParser(description='Measures slopes of memory.')
+    made.add_argument('--out', type=pathlib.Path, required=True)
+    arguments = made.parse_args()
+    write_slopes(
+        arguments.out,
+        [
+            _bytes_slope('peer_bytes', PEERS, _membership),
+            _bytes_slope('engine_bytes', GROUPS, _groups, GROUP_SIZE),
+            _bytes_slope('workspace_bytes', WORKSPACES, _version),
+            _cpu_slope('hello_cpu', PEERS, _take_over),
+            _cpu_slope('render_cpu', WORKSPACES, _version),
+        ],
+    )
+
+
+def _bytes_slope(
+    name: str,
+    sizes: Sequence[int],
+    make: Callable[[int], object],
+    units_each: int = 1,
+) -> Slope:
+    points = [
+        Point(size * units_each, _held_bytes(make, size)) for size in sizes
+    ]
+    return fit(name, 'bytes', COMMAND, points)
+
+
+def _cpu_slope(
+    name: str,
+    sizes: Sequence[int],
+    work: Callable[[int], object],
+) -> Slope:
+    points = [Point(size, _cpu_s(work, size)) for size in sizes]
+    return fit(name, 'CPU seconds', COMMAND, points)
+
+
+def _held_bytes(make: Callable[[int], object], size: int) -> int:
+    make(size)
+    gc.collect()
+    tracemalloc.start()
+    before, _ = tracemalloc.get_traced_memory()
+    held = make(size)
+    gc.collect()
+    after, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    # The line below also keeps what was made alive until here.
+    return after - before if held is not None else 0
+
+
+def _cpu_s(work: Callable[[int], object], size: int) -> float:
+    work(size)
+    began = time.process_time()
+    for _ in range(ROUNDS):
+        work(size)
+    return (time.process_time() - began) / ROUNDS
+
+
+def _node(index: int) -> Node:
+    domain = index % DOMAINS
+    return Node(
+        node_id=f'entry-{index}',
+        incarnation=str(index).zfill(INCARNATION_LENGTH),
+        failure_domain=f'fd-{domain}',
+        role='entry',
+        address=f'127.0.0.1:{index}',
+    )
+
+
+def _membership(size: int) -> object:
+    membership = Membership(_node(0), SystemClock())
+    for index in range(1, size + 1):
+        membership.hear(_node(index), 1)
+    return membership
+
+
+def _groups(size: int) -> object:
+    directory = GroupDirectory()
+    book = EvidenceBook(SystemClock())
+    for index in range(size):
+        group = builders.group(index, GROUP_SIZE)
+        directory.learn(group)
+        for rank, _ in enumerate(group.members):
+            book.note(builders.confirmed(group, rank), 0)
+    return directory, book
+
+
+def _version(size: int) -> object:
+    template = {'template': 'ledger'}
+    workspaces = {
+        f'yard-{index}': {'keys': {}, 'services': {'ledger': template}}
+        for index in range(size)
+    }
+    return make_version(1, builders.document_body(workspaces=workspaces))
+
+
+def _take_over(size: int) -> object:
+    membership = Membership(_node(0), SystemClock())
+    hello = peers_pb2.Hello(
+        sender=node_to_message(_node(1)),
+        version=1,
+        known=map(node_to_message, map(_node, range(size))),
+    )
+    take_over(membership, peers_pb2.Hello.FromString(hello.SerializeToString()))
+    return membership
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/primroserudder/programs/bench/slope.py
@@ -0,0 +1,89 @@
+"""Slopes: what one more of something costs."""
+
+import pathlib
+from collections.abc import Mapping, Sequence
+from dataclasses import asdict, dataclass
+
+import orjson
+from pydantic import TypeAdapter
+
+
+@dataclass(frozen=True, slots=True)
+class Point:
+    """One measurement: a size and what was seen at it."""
+
+    size: float
+    seen: float
+
+
+@dataclass(frozen=True, slots=True)
+class Slope:
+    """A line through measurements.
+
+    Parameters
+    ==========
+    name : str
+        What was measured.
+    unit : str
+        Unit of what was seen, for one unit of size.
+    command : str
+        The command that measured it.
+    points : sequence of Point
+        At three sizes or more.
+    per_unit, at_zero : float
+        The line of least squares.
+    """
+
+    name: str
+    unit: str
+    command: str
+    points: Sequence[Point]
+    per_unit: float
+    at_zero: float
+
+
+def fit(
+    name: str,
+    unit: str,
+    command: str,
+    points: Sequence[Point],
+) -> Slope:
+    """Return the line of least squares through points.
+
+    Examples
+    ========
+    >>> line = fit('rows', 'bytes', 'cmd', [Point(1, 5), Point(3, 9)])
+    >>> line.per_unit, line.at_zero
+    (2.0, 3.0)
+    """
+    count = len(points)
+    mean_size = sum(point.size for point in points) / count
+    mean_seen = sum(point.seen for point in points) / count
+    spread = sum((point.size - mean_size) ** 2 for point in points)
+    shared = sum(
+        (point.size - mean_size) * (point.seen - mean_seen) for point in points
+    )
+    per_unit = shared / spread
+    return Slope(
+        name=name,
+        unit=unit,
+        command=command,
+        points=tuple(points),
+        per_unit=per_unit,
+        at_zero=mean_seen - per_unit * mean_size,
+    )
+
+
+_SLOPES = TypeAdapter(list[Slope])
+
+
+def write_slopes(path: pathlib.Path, slopes: Sequence[Slope]) -> None:
+    """Write slopes as JSON."""
+    body = [asdict(slope) for slope in slopes]
+    path.write_bytes(orjson.dumps(body, option=orjson.OPT_INDENT_2))
+
+
+def read_slopes(path: pathlib.Path) -> Mapping[str, Slope]:
+    """Return the slopes of a file by name."""
+    slopes = _SLOPES.validate_json(path.read_bytes())
+    return {slope.name: slope for slope in slopes}
--- /dev/null
+++ b/primroserudder/programs/bench/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the subpackage."""
--- a/primroserudder/programs/soakplan.py
+++ b/primroserudder/programs/siteplan.py
@@ -1,41 +1,57 @@
-"""Settings files of a soak: a site of entries, controllers and stand-ins."""
+"""Settings files of a site of entries, controllers and stand-ins."""
 
+import argparse
 import itertools
 import pathlib
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
-from types import MappingProxyType
 
 import orjson
 
 from ..request.identity import hash_secret
 
 FAILURE_DOMAINS = ('fd-1', 'fd-2', 'fd-3')
+FIRST_PORT = 12000
 ENTRIES = 8
-ENGINES_BY_DOMAIN: Mapping[str, int] = MappingProxyType(
-    {'fd-1': 24, 'fd-2': 24, 'fd-3': 20},
-)
-GROUPS_BY_DOMAIN: Mapping[str, int] = MappingProxyType(
-    {'fd-1': 5, 'fd-2': 5, 'fd-3': 4},
-)
+ENGINES = (24, 24, 20)
 GROUP_SIZE = 4
 VMS_PER_FABRIC_DOMAIN = 12
-TOKEN = 'soak-operators-token'
-SALT = 'soak-salt-0123456'
-SECRET = 'soak-secret'
-KEY = f'soak.{SECRET}'
+TOKEN = 'site-operators-token'
+SALT = 'site-salt-0123456'
+SECRET = 'site-secret'
+KEY = f'yard.{SECRET}'
 MODEL = 'ledger'
 PLAIN = 'refunds'
 _PORTS_APART = 100
-_ENGINE_PORTS_APART = 200
+_ENGINE_PORTS_APART = 1000
 _CALLERS, _OPERATORS, _PEERS, _CONTROLLERS = range(4)
 
 
 @dataclass(frozen=True, slots=True)
-class SoakSite:
-    """A site whose ports follow one first port."""
+class Site:
+    """A site whose ports follow one first port.
+
+    Explanation
+    ===========
+    ``engines`` counts the engines of each failure domain; the last group's
+    worth of them is left as spares.
+    """
 
     first_port: int
+    entries: int = ENTRIES
+    engines: tuple[int, ...] = ENGINES
+
+    @property
+    def groups_by_domain(self) -> Mapping[str, int]:
+        """Return how many groups each failure domain shall have."""
+        return {
+            domain: max(1, count // GROUP_SIZE - 1)
+            for domain, count in zip(
+                FAILURE_DOMAINS,
+                self.engines,
+                strict=True,
+            )
+        }
 
     @property
     def platform_url(self) -> str:
@@ -67,17 +83,17 @@
         """Return the ports of all engines."""
         return [
             f'http://127.0.0.1:{port}'
-            for place, domain in enumerate(FAILURE_DOMAINS)
+            for place, count in enumerate(self.engines)
             for port in itertools.islice(
                 itertools.count(self._engines_from(place)),
-                ENGINES_BY_DOMAIN[domain],
+                count,
             )
         ]
 
     def write(self, folder: pathlib.Path) -> None:
         """Write the settings files and the configuration into a folder."""
         _write(folder / 'standin.json', self._standins())
-        for index in range(ENTRIES):
+        for index in range(self.entries):
             _write(folder / f'entry-{index}.json', self._entry(index))
         for index, _ in enumerate(FAILURE_DOMAINS):
             settings = self._controller(index)
@@ -95,9 +111,9 @@
         fleets = [
             {
                 'failure_domain': domain,
-                'pool': 'soak',
+                'pool': 'site',
                 'first_port': self._engines_from(place),
-                'count': ENGINES_BY_DOMAIN[domain],
+                'count': self.engines[place],
                 'vms_per_fabric_domain': VMS_PER_FABRIC_DOMAIN,
             }
             for place, domain in enumerate(FAILURE_DOMAINS)
@@ -118,7 +134,7 @@
         }
 
     def _controller(self, index: int) -> dict[str, object]:
-        place = ENTRIES + index
+        place = self.entries + index
         return {
             'node_id': f'controller-{index}',
             **self._node(index),
@@ -141,15 +157,15 @@
     def _configuration(self) -> dict[str, object]:
         return {
             'format': 1,
-            'pools': {'soak': {'honours_fencing': True}},
+            'pools': {'site': {'honours_fencing': True}},
             'deployments': {
                 'ledger-model': {
                     'kind': 'model',
-                    'pool': 'soak',
+                    'pool': 'site',
                     'model': 'ledger-7b',
                     'model_version': 'v1',
                     'group_size': GROUP_SIZE,
-                    'groups_by_failure_domain': dict(GROUPS_BY_DOMAIN),
+                    'groups_by_failure_domain': dict(self.groups_by_domain),
                 },
                 PLAIN: {
                     'kind': 'plain',
@@ -164,9 +180,9 @@
                 PLAIN: {'service': {'deployment': PLAIN}},
             },
             'workspaces': {
-                'soak': {
+                'yard': {
                     'keys': {
-                        'soak': {
+                        'yard': {
                             'salt': SALT,
                             'sha256': hash_secret(SALT, SECRET),
                         },
@@ -180,5 +196,35 @@
         }
 
 
+def add_site_flags(made: argparse.ArgumentParser) -> None:
+    """Add the flags by which a site is named."""
+    made.add_argument('--folder', type=pathlib.Path, required=True)
+    made.add_argument('--first-port', type=int, default=FIRST_PORT)
+    made.add_argument('--entries', type=int, default=ENTRIES)
+    made.add_argument('--engines', type=int, nargs='+', default=ENGINES)
+    made.add_argument('--pids', type=int, nargs='*', default=[])
+
+
+def site_of(arguments: argparse.Namespace) -> Site:
+    """Return the site that the flags name."""
+    return Site(
+        arguments.first_port,
+        arguments.entries,
+        tuple(arguments.engines),
+    )
+
+
+def main() -> None:
+    """Write a site's settings files."""
+    made = argparse.ArgumentParser(description='Writes settings of a site.')
+    add_site_flags(made)
+    arguments = made.parse_args()
+    site_of(arguments).write(arguments.folder)
+
+
 def _write(path: pathlib.Path, body: Mapping[str, object]) -> None:
     path.write_bytes(orjson.dumps(body, option=orjson.OPT_INDENT_2))
+
+
+if __name__ == '__main__':
+    main()
--- a/primroserudder/programs/soak.py
+++ b/primroserudder/programs/soak.py
@@ -16,16 +16,15 @@
 from .operatorclient import OperatorClient
 from .soakfaults import SoakFaults
 from .soakload import SoakLoad
-from .soakplan import (
-    ENTRIES,
+from .siteplan import (
     FAILURE_DOMAINS,
-    GROUPS_BY_DOMAIN,
     TOKEN,
-    SoakSite,
+    Site,
+    add_site_flags,
+    site_of,
 )
 
 RATE = 40.0
-FIRST_PORT = 12000
 DEFAULT_SECONDS = 600
 SAMPLE_S = 5
 FORMING_TIMEOUT_S = 60
@@ -34,6 +33,8 @@
 THIRDS = 3
 PAGE_KIB = 4
 MAX_SHOWN = 10
+TASK_SAMPLES = 10
+TASK_SAMPLE_S = 0.3
 
 
 @dataclass(slots=True)
@@ -71,7 +72,7 @@
     """One soak of a running site."""
 
     session: aiohttp.ClientSession
-    site: SoakSite
+    site: Site
     pids: Sequence[int]
     seed: int
     samples: Samples = field(default_factory=Samples)
@@ -116,10 +117,13 @@
         client = self._operators(self.site.operators_url(0))
         body = (folder / 'config.json').read_bytes()
         await client.post('/v1/config?base=0&submission=soak', body)
-        wanted = sum(GROUPS_BY_DOMAIN.values())
+        wanted = sum(self.site.groups_by_domain.values())
         for _ in range(FORMING_TIMEOUT_S):
             states = await self._states()
-            if all(_serving(state) == wanted for state in states[:ENTRIES]):
+            if all(
+                _serving(state) == wanted
+                for state in states[: self.site.entries]
+            ):
                 return
             await asyncio.sleep(1)
         sys.stderr.write('the groups did not all come to serve\n')
@@ -131,7 +135,7 @@
 
     async def _states(self) -> list[Mapping[str, Any]]:
         urls = [
-            *map(self.site.operators_url, range(ENTRIES)),
+            *map(self.site.operators_url, range(self.site.entries)),
             *map(self.site.controller_url, range(len(FAILURE_DOMAINS))),
         ]
         return list(
@@ -141,7 +145,13 @@
         )
 
     async def _tasks(self) -> list[int]:
-        return [state['node']['tasks'] for state in await self._states()]
+        # Short tasks come and go; the least of several counts is what stays.
+        counts = []
+        for _ in range(TASK_SAMPLES):
+            states = await self._states()
+            counts.append([state['node']['tasks'] for state in states])
+            await asyncio.sleep(TASK_SAMPLE_S)
+        return list(map(min, zip(*counts, strict=True)))
 
     async def _repeated_runs(self) -> int:
         url = '/'.join((self.site.plain_url, 'runs'))
@@ -178,23 +188,16 @@
 
 
 def main() -> None:
-    """Write a site's settings, or soak the site that runs from them."""
+    """Soak a running site."""
     made = argparse.ArgumentParser(prog='bin/soak')
-    made.add_argument('--folder', type=pathlib.Path, required=True)
-    made.add_argument('--first-port', type=int, default=FIRST_PORT)
-    made.add_argument('--write', action='store_true')
-    made.add_argument('--pids', type=int, nargs='*', default=[])
+    add_site_flags(made)
     made.add_argument('--seconds', type=float, default=DEFAULT_SECONDS)
     made.add_argument('--seed', type=int, default=1)
     arguments = made.parse_args()
-    site = SoakSite(arguments.first_port)
-    if arguments.write:
-        site.write(arguments.folder)
-        return
-    sys.exit(run(_main(arguments, site)))
+    sys.exit(run(_main(arguments, site_of(arguments))))
 
 
-async def _main(arguments: argparse.Namespace, site: SoakSite) -> int:
+async def _main(arguments: argparse.Namespace, site: Site) -> int:
     connector = aiohttp.TCPConnector(limit=0)
     async with aiohttp.ClientSession(connector=connector) as session:
         soak = Soak(session, site, arguments.pids, arguments.seed)
--- a/primroserudder/programs/soakfaults.py
+++ b/primroserudder/programs/soakfaults.py
@@ -10,7 +10,7 @@
 
 import aiohttp
 
-from .soakplan import SoakSite
+from .siteplan import Site
 
 LONGEST_PAUSE_S = 5
 LONGEST_OUTAGE_S = 15
@@ -26,7 +26,7 @@
     """Shows one fault after another until it is cancelled."""
 
     session: aiohttp.ClientSession
-    site: SoakSite
+    site: Site
     rng: random.Random
     pids: Sequence[int]
     shown_by_name: Counter[str] = field(default_factory=Counter)
--- a/primroserudder/programs/soakload.py
+++ b/primroserudder/programs/soakload.py
@@ -10,7 +10,7 @@
 import orjson
 
 from ..standins.engine import token_text
-from .soakplan import ENTRIES, KEY, MODEL, PLAIN, SoakSite
+from .siteplan import KEY, MODEL, PLAIN, Site
 
 STREAM_END = b'data: [DONE]\n\n'
 ERROR_EVENT = b'event: error\n'
@@ -34,7 +34,7 @@
     """Gives requests at a rate until a time is over."""
 
     session: aiohttp.ClientSession
-    site: SoakSite
+    site: Site
     rng: random.Random
     outcomes: SoakOutcomes = field(default_factory=SoakOutcomes)
     requests: int = 0
@@ -113,7 +113,7 @@
         body: object,
         headers: dict[str, str] | None = None,
     ) -> aiohttp.client.ClientResponse:
-        url = self.site.callers_url(index % ENTRIES)
+        url = self.site.callers_url(index % self.site.entries)
         return self.session.post(  # type: ignore[return-value]
             f'{url}{path}',
             data=body if isinstance(body, str) else orjson.dumps(body),
