--- a/primroserudder/connection/keyedhttp.py
+++ b/primroserudder/connection/keyedhttp.py
@@ -17,6 +17,7 @@
 from ..request.keyrouting import KeyRouting
 from ..request.mintedkey import MINTED_LIFETIME_S, is_minted
 from ..request.passage import Passage
+from ..request.plain import check_call
 from ..request.problem import RAN_HEADER, REQUEST_ID_HEADER, problem_event
 from ..request.servicecall import Executor, ServiceCall
 from ..version.holder import VersionHolder
@@ -147,6 +148,8 @@
             arrived_at=self.clock.monotonic(),
             created=int(self.clock.wall()),
         )
+        # A malformed call is refused before its key is claimed.
+        check_call(call, self.holder.current)
         with self.counted(call.request_id):
             if call.key:
                 return await self.serve_keyed(request, call)
--- /dev/null
+++ b/primroserudder/programs/bench/keys.py
@@ -0,0 +1,119 @@
+"""Measures what idempotency keys cost; see docs/design/at-most-once.md.
+
+Explanation
+===========
+Recorded keys: transactions a request and the delay of a claim, by rate and
+gathering time, in virtual time with a platform that takes 5 ms a commit.
+Minted keys: bytes a remembered key, and seconds to mint and check one.
+"""
+
+import argparse
+import asyncio
+import sys
+import time
+import tracemalloc
+from collections.abc import Mapping, Sequence
+
+import orjson
+
+from ...process.clock import LoopClock, SystemClock
+from ...process.metrics import Metrics
+from ...request.keybatch import BatchWriter, RowWrite
+from ...request.keymemory import KeyMemory
+from ...request.mintedkey import Minter
+from ...standins.memory import MemoryPlatform
+from ...testing.virtualtime import VirtualTimeLoop
+
+COMMIT_S = 0.005
+SECONDS = 20
+RATES = (1, 10, 100, 675)
+GATHERINGS_S = (0.001, 0.02, 0.1, 0.5)
+REMEMBERED = 20_000
+MINTINGS = 5000
+DIGEST_CHARACTERS = 64
+
+
+def main() -> None:
+    """Measure and write JSON."""
+    argparse.ArgumentParser(description=__doc__).parse_args()
+    found = {
+        'recorded': [
+            _recorded(rate, gather_s)
+            for rate in RATES
+            for gather_s in GATHERINGS_S
+        ],
+        'minted': _minted(),
+    }
+    text = orjson.dumps(found, option=orjson.OPT_INDENT_2).decode()
+    sys.stdout.write(f'{text}\n')
+
+
+def _recorded(rate: int, gather_s: float) -> Mapping[str, float]:
+    loop = VirtualTimeLoop()
+    platform = MemoryPlatform()
+    platform.faults.delay_s = COMMIT_S
+    metrics = Metrics()
+    writer = BatchWriter(platform, metrics, gather_s)
+    loop.run_until_complete(_claims(writer, metrics, rate))
+    loop.close_all()
+    rows = metrics.value('key_rows')
+    transactions = metrics.value('key_transactions')
+    delay = metrics.latency('claim').summary()
+    return {
+        'claims_per_s': rate,
+        'gather_s': gather_s,
+        'rows_per_transaction': round(rows / transactions, 2),
+        'transactions_per_s': round(transactions / SECONDS, 1),
+        'delay_p50_s': delay['p50_s'],
+        'delay_p99_s': delay['p99_s'],
+    }
+
+
+async def _claims(writer: BatchWriter, metrics: Metrics, rate: int) -> None:
+    claims: list[asyncio.Task[None]] = []
+    for number in range(rate * SECONDS):
+        claims.append(asyncio.create_task(_claim(writer, metrics, number)))
+        await asyncio.sleep(1 / rate)
+    await asyncio.gather(*claims)
+
+
+async def _claim(writer: BatchWriter, metrics: Metrics, number: int) -> None:
+    clock = LoopClock()
+    started_at = clock.monotonic()
+    await writer.write(RowWrite(f'keys/{number}', {}, 0))
+    metrics.latency('claim').record(clock.monotonic() - started_at)
+
+
+def _minted() -> Mapping[str, float]:
+    clock = SystemClock()
+    memory = KeyMemory(clock, max_records=REMEMBERED)
+    tracemalloc.start()
+    before, _ = tracemalloc.get_traced_memory()
+    for nonce in range(REMEMBERED):
+        digest = f'{nonce:0{DIGEST_CHARACTERS}x}'
+        memory.start(nonce, digest)
+    after, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    minter = Minter('x' * 16, 'entry-1', 'i' * 32, '127.0.0.1:9000', clock)
+    keys = _timed_minting(minter)
+    return {
+        'bytes_per_remembered_key': round((after - before) / REMEMBERED),
+        **keys,
+    }
+
+
+def _timed_minting(minter: Minter) -> Mapping[str, float]:
+    started_at = time.process_time()
+    keys: Sequence[str] = [minter.mint('yard') for _ in range(MINTINGS)]
+    minted_at = time.process_time()
+    for key in keys:
+        minter.parse(key, 'yard')
+    checked_at = time.process_time()
+    return {
+        'mint_s': (minted_at - started_at) / MINTINGS,
+        'check_s': (checked_at - minted_at) / MINTINGS,
+    }
+
+
+if __name__ == '__main__':
+    main()
--- a/primroserudder/request/keybatch.py
+++ b/primroserudder/request/keybatch.py
@@ -10,6 +10,7 @@
     Condition,
     Conflict,
     JsonObject,
+    OutcomeUnknown,
     PlatformClient,
     Transaction,
     Write,
@@ -98,6 +99,10 @@
             except RudderError as error:
                 _fail(batch, error)
                 return
+            except Exception as fault:
+                # A fault of the program leaves nobody waiting.
+                _fail(batch, OutcomeUnknown(f'not committed: {fault!r}'))
+                return
             else:
                 _succeed(batch)
                 return
--- a/primroserudder/request/keyed.py
+++ b/primroserudder/request/keyed.py
@@ -21,6 +21,7 @@
 
 KEPT_ANSWER_BYTES = 16_384
 RETRY_AFTER_S = 1
+RECORDING_PATIENCE_S = 10
 
 Settle = Callable[[RudderError | None, Keeper], None]
 
@@ -96,9 +97,17 @@
         await self._deliver(sink, partial(self._run_minted, call, key.nonce))
 
     async def wait_until_idle(self) -> None:
-        """Wait for all runs and for the records of their outcomes."""
-        while self.tasks or self.store.tasks:
-            await asyncio.wait({*self.tasks, *self.store.tasks})
+        """Wait for all runs, and a while for the records of their outcomes.
+
+        Explanation
+        ===========
+        A process that stops in an outage of the platform does not wait for
+        its end; what is not recorded then "may have run" to later repeats.
+        """
+        while self.tasks:
+            await asyncio.wait(self.tasks)
+        if self.store.tasks:
+            await asyncio.wait(self.store.tasks, timeout=RECORDING_PATIENCE_S)
 
     def dump(self) -> Mapping[str, object]:
         """Return the sizes for the state dump."""
--- a/primroserudder/request/keyrecord.py
+++ b/primroserudder/request/keyrecord.py
@@ -111,7 +111,10 @@
         return None
     return {
         'status': answer.head.status,
-        'headers': dict(answer.head.headers),
+        # Names of the HTTP library are a subclass of str.
+        'headers': {
+            str(name): str(given) for name, given in answer.head.headers.items()
+        },
         'body': base64.b64encode(answer.body).decode(),
     }
 
--- a/primroserudder/request/plain.py
+++ b/primroserudder/request/plain.py
@@ -238,6 +238,20 @@
     )
 
 
+def check_call(call: ServiceCall, version: Version) -> None:
+    """Check that a call can be served at all.
+
+    Raises
+    ======
+    UnknownService
+        The workspace has no plain service of that name.
+    BadRequest
+        A header or the path is malformed.
+    """
+    find_target(call, version)
+    deadline_s(call.headers)
+
+
 def _check_path(path: str) -> None:
     segments = unquote(path.partition('?')[0]).split('/')
     if {'.', '..'}.intersection(segments):
@@ -245,9 +259,8 @@
 
 
 def _may_repeat(call: ServiceCall, service: Service, path: str) -> bool:
-    if call.key:
-        return False
-    return is_idempotent(call.headers, service, path.partition('?')[0])
+    may_repeat = is_idempotent(call.headers, service, path.partition('?')[0])
+    return may_repeat and not call.key
 
 
 def end_to_end(headers: Mapping[str, str]) -> Mapping[str, str]:
@@ -265,7 +278,7 @@
         for name in given.split(',')
     }
     return {
-        name: given
+        str(name): given
         for name, given in headers.items()
         if name.lower() not in _NOT_FORWARDED | named
     }
