--- a/primroserudder/programs/bench/keys.py
+++ b/primroserudder/programs/bench/keys.py
@@ -31,6 +31,8 @@
 REMEMBERED = 20_000
 MINTINGS = 5000
 DIGEST_CHARACTERS = 64
+SECRET = 'a-secret-for-this-run'
+INCARNATION = '0123456789abcdef0123456789abcdef'
 
 
 def main() -> None:
@@ -90,11 +92,11 @@
     tracemalloc.start()
     before, _ = tracemalloc.get_traced_memory()
     for nonce in range(REMEMBERED):
-        digest = f'{nonce:0{DIGEST_CHARACTERS}x}'
+        digest = str(nonce).rjust(DIGEST_CHARACTERS, '0')
         memory.start(nonce, digest)
     after, _ = tracemalloc.get_traced_memory()
     tracemalloc.stop()
-    minter = Minter('x' * 16, 'entry-1', 'i' * 32, '127.0.0.1:9000', clock)
+    minter = Minter(SECRET, 'entry-1', INCARNATION, '127.0.0.1:9000', clock)
     keys = _timed_minting(minter)
     return {
         'bytes_per_remembered_key': round((after - before) / REMEMBERED),
