--- a/primroserudder/programs/bench/memory.py
+++ b/primroserudder/programs/bench/memory.py
@@ -74,8 +74,8 @@
     gc.collect()
     after, _ = tracemalloc.get_traced_memory()
     tracemalloc.stop()
-    # The line below also keeps what was made alive until here.
-    return after - before if held is not None else 0
+    # What was made must live until it has been counted.
+    return 0 if held is None else after - before
 
 
 def _cpu_s(work: Callable[[int], object], size: int) -> float:
