Watch attempts and let a lost request wait for a group that takes over

Cause: a silent upstream was noticed after 30 s by a timer that each read set anew; a whole answer of more than 30 s was cut by the same timer; a chunk with events out of order counted tokens that were never sent, so that a resume would have skipped them; refusals by a crashed group used up a request's attempts within one probe interval; an engine that cancelled an attempt ended the stream with its end mark.

A request that was lost waits up to 10 s for a group that can take over. Positions count only for chunks wholly in order. The engine echoes the request id beside the attempt.

--- a/primroserudder/connection/callers.py
+++ b/primroserudder/connection/callers.py
@@ -4,7 +4,6 @@
 from collections.abc import Awaitable, Callable, Iterator
 from contextlib import ExitStack, contextmanager
 from dataclasses import dataclass, field
-from functools import partial
 
 import orjson
 from aiohttp import web
@@ -26,10 +25,10 @@
     RAN_HEADER,
     REQUEST_ID_HEADER,
     problem_body,
-    problem_event,
     problem_headers,
 )
 from ..version.holder import VersionHolder
+from .callerstream import CallerStream
 
 REQUEST_ID = web.RequestKey('request_id', str)
 ARRIVED_AT = web.RequestKey('arrived_at', float)
@@ -139,40 +138,25 @@
         wanted: CallerRequest,
         passage: Passage,
     ) -> web.StreamResponse:
-        response = web.StreamResponse(
-            headers={
-                'Content-Type': 'text/event-stream',
-                'Cache-Control': 'no-cache',
-                RAN_HEADER: Ran.YES.value,
-                REQUEST_ID_HEADER: wanted.request_id,
-            },
+        stream = CallerStream(
+            request,
+            wanted.request_id,
+            self.clock,
+            self.metrics,
+            request[ARRIVED_AT],
         )
-        send = partial(self._send, request, response)
         try:
-            await self.server.stream(wanted, passage, send)
+            await self.server.stream(wanted, passage, stream.send)
         except RudderError as error:
             passage.close(error)
-            if not response.prepared:
+            if not stream.has_begun:
                 raise
-            self.metrics.count('requests', code=error.code)
-            await response.write(problem_event(error, wanted.request_id))
-        await response.write_eof()
-        return response
-
-    async def _send(
-        self,
-        request: web.Request,
-        response: web.StreamResponse,
-        events: bytes,
-    ) -> None:
-        if not response.prepared:
-            self._note_first_token(request)
-            await response.prepare(request)
-        await response.write(events)
-
-    def _note_first_token(self, request: web.Request) -> None:
-        waited = self.clock.monotonic() - request[ARRIVED_AT]
-        self.metrics.latency('time_to_first_token').record(waited)
+            await stream.fail(error)
+        except ConnectionResetError:
+            self.metrics.count('callers_gone')
+        else:
+            await stream.finish()
+        return stream.response
 
     @web.middleware
     async def _problems(
--- a/primroserudder/connection/enginehttp.py
+++ b/primroserudder/connection/enginehttp.py
@@ -7,7 +7,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator, Mapping, Sequence
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 from dataclasses import asdict, dataclass
 from http import HTTPStatus
 
@@ -29,7 +29,7 @@
 
 CONTROL_TIMEOUT_S = 2
 CONNECT_TIMEOUT_S = 1
-SILENCE_TIMEOUT_S = 30
+STREAM_END_WAIT_S = 0.1
 NOT_RUN_HEADER = 'Engine-Not-Run'
 CALL_HEADERS = (
     ('Engine-Request-Id', 'request_id'),
@@ -62,7 +62,7 @@
     async def chunks(self) -> AsyncIterator[bytes]:
         """Yield the body as it arrives."""
         try:
-            async for chunk in self.response.content.iter_any():
+            while chunk := await self.response.content.readany():
                 yield chunk
         except (aiohttp.ClientError, asyncio.TimeoutError) as error:
             raise UpstreamLost(
@@ -96,6 +96,7 @@
         try:
             await _check_answer(response, call)
             yield HttpAnswer(response)
+            await _read_end(response)
         finally:
             # Closing the connection, not returning it to the pool, keeps a
             # late answer from reaching the next request.
@@ -136,10 +137,9 @@
         address: str,
         call: EngineCall,
     ) -> aiohttp.ClientResponse:
-        timeout = aiohttp.ClientTimeout(
-            sock_connect=CONNECT_TIMEOUT_S,
-            sock_read=SILENCE_TIMEOUT_S,
-        )
+        # Silence is watched for all attempts together and not by a timer
+        # that each read sets anew.
+        timeout = aiohttp.ClientTimeout(sock_connect=CONNECT_TIMEOUT_S)
         try:
             return await self.session.post(
                 f'http://{address}{call.path}',
@@ -208,14 +208,26 @@
     if NOT_RUN_HEADER in response.headers:
         reason = await response.text()
         raise UpstreamRefused(f'the engine refused: {reason}')
-    echoed = response.headers.get('Engine-Attempt')
-    if response.status != HTTPStatus.OK or echoed != str(call.attempt):
+    found = (
+        response.status,
+        response.headers.get('Engine-Request-Id'),
+        response.headers.get('Engine-Attempt'),
+    )
+    expected = (HTTPStatus.OK, call.request_id, str(call.attempt))
+    if found != expected:
         raise UpstreamLost(
-            f'got status {response.status} for attempt {echoed}: expected '
-            f'200 for attempt {call.attempt}',
+            f'got status, request and attempt {found}: expected {expected}',
         )
 
 
+async def _read_end(response: aiohttp.ClientResponse) -> None:
+    # The end of the body follows its end mark closely; once it is read, the
+    # connection can be used again.
+    with suppress(aiohttp.ClientError, asyncio.TimeoutError):
+        async with asyncio.timeout(STREAM_END_WAIT_S):
+            await response.content.readany()
+
+
 def _status(found: bytes) -> EngineStatus:
     try:
         fields = orjson.loads(found)
--- a/primroserudder/programs/entrynode.py
+++ b/primroserudder/programs/entrynode.py
@@ -14,6 +14,7 @@
 from ..process.settings import EntrySettings
 from ..request.attempts import Server
 from ..request.routing import Router
+from ..request.watch import WATCH_INTERVAL_S
 from .node import NodeRuntime
 
 GROUP_POLL_S = 1
@@ -84,6 +85,8 @@
             invariants=runtime.invariants,
             max_body_bytes=self.settings.max_body_bytes,
         )
+        watch = self.callers.server.watch
+        runtime.start_step(watch.step, WATCH_INTERVAL_S, 'watch_attempts')
 
     def _register_state(self) -> None:
         state = self.runtime.state
--- a/primroserudder/request/attempts.py
+++ b/primroserudder/request/attempts.py
@@ -1,9 +1,16 @@
 """Serves one request by one or more attempts."""
 
+import asyncio
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from contextlib import (
+    AbstractAsyncContextManager,
+    asynccontextmanager,
+    suppress,
+)
 from dataclasses import dataclass, field
 
+import orjson
+
 from ..errors import RudderError
 from ..process.clock import Clock
 from ..process.engines import (
@@ -19,9 +26,14 @@
 from .caller import CallerRequest
 from .passage import Passage
 from .relay import Send, StreamRelay
-from .routing import Router
+from .routing import NoGroupServes, Router
+from .watch import Watch
 
-MAX_ATTEMPTS = 4
+MAX_RUNS = 4
+MAX_REFUSALS_BEFORE_RUN = 3
+# A request that was lost waits this long for a group that can take over.
+TAKEOVER_WAIT_S = 10
+TAKEOVER_POLL_S = 0.1
 
 
 @dataclass(slots=True)
@@ -32,6 +44,11 @@
     engines: EngineClient
     clock: Clock
     metrics: Metrics
+    watch: Watch = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Watch the attempts by the evidence that the router uses."""
+        self.watch = Watch(self.clock, self.router.evidence, self.metrics)
 
     async def stream(
         self,
@@ -47,10 +64,10 @@
             The answer could not be completed.
         """
         relay = StreamRelay(send)
-        run = _Run(self, request, passage)
+        run = _Run(self, request, passage, relay)
         while not relay.is_complete:
             try:
-                async with run.attempt(relay.position) as answer:
+                async with run.attempt() as answer:
                     await relay.run(answer)
             except (UpstreamLost, UpstreamRefused, UpstreamUnreachable) as lost:
                 run.decide_retry(lost)
@@ -61,11 +78,11 @@
         passage: Passage,
     ) -> bytes:
         """Return the whole answer to a request that is not streamed."""
-        run = _Run(self, request, passage)
+        run = _Run(self, request, passage, StreamRelay(_refuse_events))
         while True:
             try:
-                async with run.attempt(0) as answer:
-                    return b''.join([part async for part in answer.chunks()])
+                async with run.attempt() as answer:
+                    return await _whole_body(answer)
             except (UpstreamLost, UpstreamRefused, UpstreamUnreachable) as lost:
                 run.decide_retry(lost)
 
@@ -77,19 +94,22 @@
     server: Server
     request: CallerRequest
     passage: Passage
+    relay: StreamRelay
     attempts: int = 0
+    losses: int = 0
+    lost_at: float = 0
     tried: set[str] = field(default_factory=set)
 
     @asynccontextmanager
-    async def attempt(self, position: int) -> AsyncIterator[EngineAnswer]:
+    async def attempt(self) -> AsyncIterator[EngineAnswer]:
         """Open the next attempt at a group chosen for it."""
-        group = self.server.router.choose(self.request, self.tried)
+        group = await self._choose()
         self.attempts += 1
         self.tried.add(group.group_id)
         outstanding = self.server.router.outstanding_by_group
         outstanding[group.group_id] += 1
         try:
-            async with self._open(group, position) as answer:
+            async with self._watched(group), self._open(group) as answer:
                 yield answer
         finally:
             outstanding[group.group_id] -= 1
@@ -98,28 +118,61 @@
         """Return if another attempt is allowed, else raise the error."""
         if isinstance(lost, UpstreamRefused | UpstreamUnreachable):
             self.passage.take_back(self.attempts)
+        else:
+            self.losses += 1
+            self.lost_at = self.server.clock.monotonic()
         may_repeat = (
             self.request.is_idempotent or not self.passage.open_attempts
         )
-        is_late = self.server.clock.monotonic() >= self.request.deadline
-        if not may_repeat or is_late or self.attempts >= MAX_ATTEMPTS:
+        if not may_repeat or self._has_given_up():
             raise lost
         self.server.metrics.count('retries', code=lost.code)
 
-    @asynccontextmanager
-    async def _open(
+    def _has_given_up(self) -> bool:
+        now = self.server.clock.monotonic()
+        if now >= self.request.deadline:
+            return True
+        if self.losses:
+            is_late = now >= self.lost_at + TAKEOVER_WAIT_S
+            return is_late or self.losses >= MAX_RUNS
+        return self.attempts >= MAX_REFUSALS_BEFORE_RUN
+
+    async def _choose(self) -> GroupRecord:
+        # The caller may hold a part of the answer, so that it is worth a
+        # short wait until the groups around the lost one are whole again.
+        choose = self.server.router.choose
+        clock = self.server.clock
+        latest = self.lost_at + TAKEOVER_WAIT_S
+        while self.losses and clock.monotonic() < latest:
+            with suppress(NoGroupServes):
+                group = choose(self.request, self.tried)
+                if group.group_id not in self.tried:
+                    return group
+            self.tried.clear()
+            await asyncio.sleep(TAKEOVER_POLL_S)
+        return choose(self.request, self.tried)
+
+    def _watched(
         self,
         group: GroupRecord,
-        position: int,
-    ) -> AsyncIterator[EngineAnswer]:
+    ) -> AbstractAsyncContextManager[None]:
+        return self.server.watch.attempt(
+            group,
+            self.relay,
+            self.request.deadline,
+            can_repeat=self.request.is_idempotent,
+        )
+
+    @asynccontextmanager
+    async def _open(self, group: GroupRecord) -> AsyncIterator[EngineAnswer]:
         self.passage.open(self.attempts)
-        call = self._call(group, position)
+        call = self._call(group)
         leader = group.leader.address
         async with self.server.engines.generate(leader, call) as answer:
             self.passage.note_answer()
             yield answer
 
-    def _call(self, group: GroupRecord, position: int) -> EngineCall:
+    def _call(self, group: GroupRecord) -> EngineCall:
         request = self.request
         return EngineCall(
             request_id=request.request_id,
@@ -131,5 +184,19 @@
             created=request.created,
             priority=request.priority,
             deadline=request.deadline - self.server.clock.monotonic(),
-            resume_from=position,
+            resume_from=self.relay.position,
         )
+
+
+async def _whole_body(answer: EngineAnswer) -> bytes:
+    body = b''.join([part async for part in answer.chunks()])
+    try:
+        orjson.loads(body)
+    except orjson.JSONDecodeError as error:
+        # An answer without a declared length can end early unnoticed.
+        raise UpstreamLost(f'the answer is not whole: {error}') from error
+    return body
+
+
+async def _refuse_events(events: bytes) -> None:
+    raise UpstreamLost('got events of an answer that is not streamed')
--- a/primroserudder/request/relay.py
+++ b/primroserudder/request/relay.py
@@ -23,11 +23,13 @@
     ===========
     ``position`` is the number of tokens delivered to the caller; an attempt
     that takes over resumes from there. Bytes are passed on as they came.
+    ``is_sending`` is true while the caller has yet to take what was sent.
     """
 
     send: Send
     position: int = 0
     is_complete: bool = False
+    is_sending: bool = False
     _tail: bytes = field(default=b'')
 
     async def run(self, answer: EngineAnswer) -> None:
@@ -40,34 +42,42 @@
         """
         self._tail = b''
         async for chunk in answer.chunks():
-            await self._pass_on(chunk)
-        if not self.is_complete:
-            raise UpstreamLost('the stream ended without its end mark')
+            # Nearly every chunk is one whole event, which passes uncopied.
+            if self._tail or not chunk.endswith(EVENT_END):
+                chunk = self._whole_events(chunk)
+            if chunk:
+                await self._pass_on(chunk)
+            if self.is_complete:
+                return
+        raise UpstreamLost('the stream ended without its end mark')
 
-    async def _pass_on(self, chunk: bytes) -> None:
+    async def _pass_on(self, events: bytes) -> None:
+        # Counted only when the whole batch is in order, and before the send,
+        # since what was handed to the transport is delivered.
+        self.position = self._position_after(events)
+        self.is_sending = True
+        await self.send(events)
+        self.is_sending = False
+        self.is_complete = events.endswith(STREAM_END)
+
+    def _whole_events(self, chunk: bytes) -> bytes:
         received = self._tail + chunk
         cut = received.rfind(EVENT_END) + len(EVENT_END)
         if cut < len(EVENT_END):
-            self._keep_tail(received)
-            return
-        events = received[:cut]
-        self._keep_tail(received[cut:])
-        self._check_positions(events)
-        await self.send(events)
-        if events.endswith(STREAM_END):
-            self.is_complete = True
-
-    def _keep_tail(self, tail: bytes) -> None:
-        if len(tail) > MAX_EVENT_BYTES:
+            cut = 0
+        self._tail = received[cut:]
+        if len(self._tail) > MAX_EVENT_BYTES:
             raise UpstreamLost(
                 f'got an event of more than {MAX_EVENT_BYTES} bytes',
             )
-        self._tail = tail
+        return received[:cut]
 
-    def _check_positions(self, events: bytes) -> None:
+    def _position_after(self, events: bytes) -> int:
+        position = self.position
         for found in _POSITION.findall(events):
-            if int(found) != self.position:
+            if int(found) != position:
                 raise UpstreamLost(
-                    f'got token {int(found)}: expected {self.position}',
+                    f'got token {int(found)}: expected {position}',
                 )
-            self.position += 1
+            position += 1
+        return position
--- a/primroserudder/request/tests/test_relay.py
+++ b/primroserudder/request/tests/test_relay.py
@@ -55,3 +55,16 @@
 async def test_events_out_of_order_are_lost(order: tuple[int, ...]) -> None:
     events = [b'id: %d\ndata: {}\n\n' % position for position in order]
     assert (await _relayed(*events)).endswith(b'LOST')
+
+
+async def test_disorder_inside_a_chunk_counts_no_token_as_delivered() -> None:
+    async def _send(events: bytes) -> None:
+        raise AssertionError('got events of a chunk that is out of order')
+
+    async def _body() -> AsyncIterator[bytes]:
+        yield b'id: 0\ndata: {}\n\nid: 2\ndata: {}\n\n'
+
+    relay = StreamRelay(_send)
+    with pytest.raises(UpstreamLost):
+        await relay.run(FakeAnswer(_body()))
+    assert relay.position == 0
--- /dev/null
+++ b/primroserudder/request/tests/test_whole_answer.py
@@ -0,0 +1,135 @@
+"""Tests that every answer is whole, whatever happens to upstreams."""
+
+import asyncio
+import random
+
+import pytest
+
+from ...testing.disturbed import Disturbed
+from ..watch import CALLER_STALL_S, CallerStalled, DeadlinePassed
+
+pytestmark = pytest.mark.looptime
+
+CRASHES = 100
+CALLERS = 12
+KINDS = tuple(
+    (path, is_streamed)
+    for path in ('/v1/completions', '/v1/chat/completions')
+    for is_streamed in (True, False)
+)
+
+
+async def _answer(bench: Disturbed, index: int) -> bytes:
+    path, is_streamed = KINDS[index % len(KINDS)]
+    return await bench.ask(
+        f'prompt {index}',
+        path=path,
+        is_streamed=is_streamed,
+    )
+
+
+async def _ask_until(
+    bench: Disturbed,
+    index: int,
+    over: asyncio.Event,
+) -> list[bytes]:
+    answers = []
+    while not over.is_set():
+        answers.append(await _answer(bench, index))
+    return answers
+
+
+async def _crash_groups(bench: Disturbed, rng: random.Random) -> None:
+    for _ in range(CRASHES):
+        await asyncio.sleep(rng.uniform(0.1, 0.5))
+        victim = rng.choice(bench.running())
+        bench.crash(victim)
+        await asyncio.sleep(rng.uniform(0, 0.2))
+        bench.restore(victim)
+
+
+async def test_hundred_crashes_leave_every_answer_as_undisturbed() -> None:
+    over = asyncio.Event()
+    async with Disturbed(groups=4) as bench:
+        expected = [await _answer(bench, index) for index in range(CALLERS)]
+        callers = [
+            asyncio.create_task(_ask_until(bench, index, over))
+            for index in range(CALLERS)
+        ]
+        await _crash_groups(bench, random.Random(4))
+        over.set()
+        answers = await asyncio.gather(*callers)
+        assert bench.metrics.value('retries', code='engine_crashed') >= CRASHES
+    for wanted, found in zip(expected, answers, strict=True):
+        assert found
+        assert set(found) == {wanted}
+
+
+async def test_paused_engine_that_wakes_reaches_nobody() -> None:
+    async with Disturbed() as bench:
+        undisturbed = await bench.ask()
+        answer = asyncio.create_task(bench.ask())
+        await asyncio.sleep(0.1)
+        group = bench.running()[0]
+        faults = bench.engines.by_address[group.leader.address].faults
+        faults.is_paused = True
+        await asyncio.sleep(4.2)
+        faults.is_paused = False
+        assert await answer == undisturbed
+        assert bench.metrics.value('retries', code='upstream_silent') == 1
+
+
+async def test_silent_engine_with_evidence_is_left_later() -> None:
+    async with Disturbed() as bench:
+        answer = asyncio.create_task(bench.ask())
+        await asyncio.sleep(0.1)
+        group = bench.running()[0]
+        faults = bench.engines.by_address[group.leader.address].faults
+        faults.slowdown = 10_000
+        await asyncio.sleep(4)
+        assert not answer.done()
+        assert (await answer).endswith(b'data: [DONE]\n\n')
+
+
+async def test_lost_request_waits_for_a_group_to_take_over() -> None:
+    async with Disturbed(groups=1) as bench:
+        undisturbed = await bench.ask()
+        answer = asyncio.create_task(bench.ask())
+        await asyncio.sleep(0.1)
+        group = bench.running()[0]
+        bench.crash(group)
+        await asyncio.sleep(5)
+        bench.restore(group)
+        assert await answer == undisturbed
+
+
+async def test_caller_that_stalls_is_cut_and_frees_the_engine() -> None:
+    async with Disturbed() as bench:
+
+        async def _stall(events: bytes) -> None:
+            await asyncio.sleep(10 * CALLER_STALL_S)
+
+        stalled = asyncio.create_task(bench.ask(send=_stall))
+        other = await bench.ask('other')
+        assert other.endswith(b'data: [DONE]\n\n')
+        with pytest.raises(CallerStalled):
+            await stalled
+        assert not bench.running()
+
+
+async def test_deadline_ends_an_answer_with_an_error() -> None:
+    async with Disturbed() as bench:
+        deadline = bench.clock.monotonic() + 0.1
+        with pytest.raises(DeadlinePassed):
+            await bench.ask(deadline=deadline)
+        assert not bench.running()
+
+
+async def test_cancelled_attempt_is_no_whole_answer() -> None:
+    async with Disturbed() as bench:
+        undisturbed = await bench.ask(request_id='req-2')
+        answer = asyncio.create_task(bench.ask(request_id='req-2'))
+        await asyncio.sleep(0.1)
+        leader = bench.running()[0].leader
+        bench.engines.by_address[leader.address].cancel('req-2')
+        assert await answer == undisturbed
--- a/primroserudder/standins/engine.py
+++ b/primroserudder/standins/engine.py
@@ -12,7 +12,7 @@
 import heapq
 import itertools
 from collections import OrderedDict
-from collections.abc import AsyncIterator, Sequence
+from collections.abc import AsyncGenerator, AsyncIterator, Sequence
 from contextlib import ExitStack
 from dataclasses import dataclass, field, replace
 
@@ -121,6 +121,12 @@
     code = 'engine_crashed'
 
 
+class AttemptCancelled(UpstreamLost):
+    """The request was cancelled; its answer has no clean end."""
+
+    code = 'attempt_cancelled'
+
+
 @dataclass(slots=True)
 class Engine:
     """One engine; a crash replaces its incarnation and forgets all."""
@@ -208,7 +214,7 @@
         """Stop all attempts of a request."""
         self.cancelled.add(request_id)
 
-    async def generate(self, wanted: Generation) -> AsyncIterator[str]:
+    async def generate(self, wanted: Generation) -> AsyncGenerator[str, None]:
         """Yield the tokens of an attempt from its position on.
 
         Raises
@@ -245,7 +251,7 @@
         for position in range(wanted.resume_from, wanted.max_tokens):
             await self._pass(self.speed.token_s, incarnation)
             if wanted.request_id in self.cancelled:
-                return
+                raise AttemptCancelled(f'{wanted.request_id} was cancelled')
             yield token_text(wanted.prompt, wanted.seed, position)
 
     async def _pass(self, seconds: float, incarnation: str) -> None:
--- a/primroserudder/standins/enginehttp.py
+++ b/primroserudder/standins/enginehttp.py
@@ -7,9 +7,14 @@
 import orjson
 from aiohttp import web
 
-from ..process.engines import EngineOrder, OrderRefused, UpstreamRefused
+from ..process.engines import (
+    EngineOrder,
+    OrderRefused,
+    UpstreamLost,
+    UpstreamRefused,
+)
 from ..request.caller import prompt_text
-from .engine import Engine, EngineCrashed, Generation
+from .engine import Engine, Generation
 from .faults import change_faults
 from .frames import CHAT_PATH, STREAM_END, token_event, whole_answer
 
@@ -88,7 +93,7 @@
                 text=str(refused),
                 headers={'Engine-Not-Run': 'true'},
             )
-        except EngineCrashed:
+        except UpstreamLost:
             return _break_off(request)
 
     async def change_faults(self, request: web.Request) -> web.Response:
@@ -166,7 +171,10 @@
 
 
 def _headers(call: _Call) -> Mapping[str, str]:
-    return {'Engine-Attempt': str(call.generation.attempt)}
+    return {
+        'Engine-Request-Id': call.generation.request_id,
+        'Engine-Attempt': str(call.generation.attempt),
+    }
 
 
 def _parse(request: web.Request, body: Mapping[str, object]) -> _Call:
--- /dev/null
+++ b/primroserudder/testing/disturbed.py
@@ -0,0 +1,153 @@
+"""A server before fake engines that crash, pause and come back."""
+
+import asyncio
+import itertools
+import random
+from dataclasses import dataclass, field, replace
+
+import orjson
+
+from ..process.clock import LoopClock
+from ..process.evidence import EvidenceBook
+from ..process.groups import GroupDirectory, GroupRecord
+from ..process.invariants import Invariants
+from ..process.metrics import Metrics
+from ..request.attempts import Server
+from ..request.passage import Passage
+from ..request.relay import Send
+from ..request.routing import Router
+from ..request.watch import WATCH_INTERVAL_S
+from . import builders
+from .fakes import FakeEngines, group_of_engines
+
+PROBE_S = 0.5
+
+
+@dataclass(slots=True)
+class Sent:
+    """What a caller got."""
+
+    parts: list[bytes] = field(default_factory=list)
+
+    async def send(self, events: bytes) -> None:
+        """Take events at once."""
+        self.parts.append(events)
+
+
+@dataclass(slots=True)
+class Disturbed:
+    """Groups of fake engines, probed and watched in virtual time."""
+
+    groups: int = 2
+    clock: LoopClock = field(default_factory=LoopClock)
+    engines: FakeEngines = field(default_factory=FakeEngines)
+    directory: GroupDirectory = field(default_factory=GroupDirectory)
+    metrics: Metrics = field(default_factory=Metrics)
+    book: EvidenceBook = field(init=False)
+    server: Server = field(init=False)
+    tasks: list[asyncio.Task[None]] = field(default_factory=list)
+
+    def __post_init__(self) -> None:
+        """Form the groups."""
+        self.book = EvidenceBook(self.clock)
+        for index in range(self.groups):
+            self.directory.learn(
+                group_of_engines(self.engines, self.clock, index),
+            )
+        router = Router(
+            builders.DOMAIN,
+            self.directory,
+            self.book,
+            random.Random(1),
+        )
+        self.server = Server(router, self.engines, self.clock, self.metrics)
+
+    async def __aenter__(self) -> 'Disturbed':
+        """Start to probe and to watch."""
+        self.probe()
+        self.tasks = [
+            asyncio.create_task(self._repeat_probe()),
+            asyncio.create_task(self._repeat_watch()),
+        ]
+        return self
+
+    async def __aexit__(self, *failure: object) -> None:
+        """Stop the tasks."""
+        for task in self.tasks:
+            task.cancel()
+
+    def probe(self) -> None:
+        """Take evidence of every engine that answers."""
+        for engine in self.engines.by_address.values():
+            if not engine.faults.is_dead and not engine.faults.is_paused:
+                self.book.note(engine.status(), self.clock.monotonic())
+
+    def running(self) -> list[GroupRecord]:
+        """Return the groups whose leaders run a request."""
+        return [
+            group
+            for group in self.directory.by_id.values()
+            if self.engines.by_address[group.leader.address].running
+        ]
+
+    def crash(self, group: GroupRecord) -> None:
+        """Crash all engines of a group."""
+        for member in group.members:
+            self.engines.by_address[member.address].crash()
+
+    def restore(self, group: GroupRecord) -> None:
+        """Form a group anew with the engines that took the old one's place."""
+        found = [
+            self.engines.by_address[member.address] for member in group.members
+        ]
+        formed = replace(
+            group,
+            generation=group.generation + 1,
+            members=[
+                replace(member, incarnation=engine.incarnation)
+                for member, engine in zip(group.members, found, strict=True)
+            ],
+        )
+        self.directory.learn(formed)
+        for rank, engine in enumerate(found):
+            fencing = formed.generation
+            engine.take_order(builders.order(formed, rank, fencing))
+            engine.ready_at = self.clock.monotonic()
+        self.probe()
+
+    async def ask(
+        self,
+        prompt: str = 'p',
+        tokens: int = 20,
+        send: Send | None = None,
+        **changes: object,
+    ) -> bytes:
+        """Return the answer to a request, streamed unless it says not."""
+        is_streamed = changes.setdefault('is_streamed', True)
+        body = {
+            'prompt': prompt,
+            'seed': 1,
+            'max_tokens': tokens,
+            'stream': is_streamed,
+        }
+        request = builders.caller_request(
+            body=orjson.dumps(body),
+            prompt=prompt,
+            **changes,
+        )
+        passage = Passage(Invariants(self.metrics), request.request_id)
+        if not is_streamed:
+            return await self.server.whole(request, passage)
+        sent = Sent()
+        await self.server.stream(request, passage, send or sent.send)
+        return b''.join(sent.parts)
+
+    async def _repeat_probe(self) -> None:
+        for _ in itertools.count():
+            self.probe()
+            await asyncio.sleep(PROBE_S)
+
+    async def _repeat_watch(self) -> None:
+        for _ in itertools.count():
+            await self.server.watch.step()
+            await asyncio.sleep(WATCH_INTERVAL_S)
--- a/primroserudder/testing/fakes.py
+++ b/primroserudder/testing/fakes.py
@@ -2,7 +2,7 @@
 
 import itertools
 from collections.abc import AsyncGenerator, AsyncIterator, Mapping, Sequence
-from contextlib import asynccontextmanager
+from contextlib import aclosing, asynccontextmanager
 from dataclasses import dataclass, field
 
 import orjson
@@ -71,10 +71,8 @@
         frames = _frames(engine, call)
         # A refusal comes before the answer's headers.
         first = await anext(frames, b'')
-        body = _rest(first, frames)
-        yield FakeAnswer(body)
-        await body.aclose()
-        await frames.aclose()
+        async with aclosing(frames), aclosing(_rest(first, frames)) as body:
+            yield FakeAnswer(body)
 
     async def cancel(self, address: str, request_id: str) -> None:
         """Stop a request."""
@@ -156,7 +154,14 @@
         yield whole_answer(call.path, call.request_id, 0, 'm', 0, texts)
         return
     positions = itertools.count(call.resume_from)
-    async for text in tokens:
-        position = next(positions)
-        yield token_event(call.path, call.request_id, 0, 'm', position, text)
+    async with aclosing(tokens):
+        async for text in tokens:
+            yield token_event(
+                call.path,
+                call.request_id,
+                0,
+                'm',
+                next(positions),
+                text,
+            )
     yield STREAM_END
