--- /dev/null
+++ b/primroserudder/testing/wired.py
@@ -0,0 +1,81 @@
+"""The callers' port before stand-in engines, all over loopback."""
+
+from contextlib import AsyncExitStack
+from dataclasses import dataclass, field, replace
+
+from aiohttp import ClientSession, web
+
+from ..connection.callers import Callers
+from ..connection.enginehttp import EngineHttp
+from ..connection.http import bound_port, serve
+from ..process.groups import GroupRecord
+from ..process.invariants import Invariants
+from ..process.settings import Listener
+from ..request.attempts import Server
+from ..standins.enginehttp import EngineStandin
+from ..version.holder import VersionHolder
+from . import builders
+from .disturbed import Disturbed
+
+BODY_BYTES = 1_048_576
+
+
+@dataclass(slots=True)
+class Wired:
+    """One entry's data plane and its engines, without a platform."""
+
+    bench: Disturbed = field(default_factory=Disturbed)
+    stack: AsyncExitStack = field(default_factory=AsyncExitStack)
+    callers: Callers = field(init=False)
+    session: ClientSession = field(init=False)
+    url: str = ''
+
+    async def __aenter__(self) -> 'Wired':
+        """Open all ports."""
+        for group in tuple(self.bench.directory.by_id.values()):
+            await self._wire(group)
+        await self.stack.enter_async_context(self.bench)
+        self.session = await self.stack.enter_async_context(
+            ClientSession(
+                headers={'Authorization': f'Bearer {builders.KEY}'},
+            ),
+        )
+        self.bench.server = Server(
+            self.bench.server.router,
+            EngineHttp(self.session),
+            self.bench.clock,
+            self.bench.metrics,
+        )
+        holder = VersionHolder()
+        holder.offer(builders.version())
+        self.callers = Callers(
+            server=self.bench.server,
+            holder=holder,
+            clock=self.bench.clock,
+            metrics=self.bench.metrics,
+            invariants=Invariants(self.bench.metrics),
+            max_body_bytes=BODY_BYTES,
+        )
+        address = await self._listen(self.callers.app())
+        self.url = f'http://{address}'
+        return self
+
+    async def __aexit__(self, *failure: object) -> None:
+        """Close all ports."""
+        await self.stack.aclose()
+
+    async def _wire(self, group: GroupRecord) -> None:
+        engines = self.bench.engines.by_address
+        members = []
+        for member in group.members:
+            engine = engines.pop(member.address)
+            address = await self._listen(EngineStandin(engine).app())
+            engines[address] = engine
+            members.append(replace(member, address=address))
+        self.bench.directory.learn(replace(group, members=tuple(members)))
+
+    async def _listen(self, app: web.Application) -> str:
+        runner = await serve(app, Listener(port=0), 'test')
+        self.stack.push_async_callback(runner.cleanup)
+        port = bound_port(runner)
+        return f'127.0.0.1:{port}'
