Settle lost answers of submissions and spread versions through relays

Cause: a submission whose answers were lost was settled by one read, which a slow transaction can overtake; every node polled the head row, and a version that a process could not read was fetched again at each poll. Change: the same transaction is repeated until it is won or in conflict, the head is read before the submission's row, history rows are kept; the accepting node pushes to its own failure domain and to two relays of each other one, two nodes of a domain poll; versions travel as a delta of the one before; a version that cannot be read is kept as refused. test_lost_answer asserted that one lost answer ends the submission as unknown; it is replaced by tests over all scripts of five faults at the writes (3,125) and at the two reads (25), where each answer has to be the truth. Conclusion: what a submitter is told holds under every scripted loss.

--- a/primroserudder/connection/operators.py
+++ b/primroserudder/connection/operators.py
@@ -2,7 +2,7 @@
 
 import hmac
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
+from dataclasses import asdict, dataclass, field
 from http import HTTPStatus
 
 from aiohttp import web
@@ -15,11 +15,14 @@
 from ..version.holder import Version, VersionHolder
 from ..version.store import VersionStore
 from .callers import json_response
+from .site import Site
 
+HISTORY_SHOWN = 20
+MAX_HISTORY_SHOWN = 1000
 OPEN_PATHS = frozenset(('/healthz', '/readyz'))
 
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
-Publish = Callable[[Version], Awaitable[None]]
+Publish = Callable[[Version], None]
 
 
 class WrongToken(RudderError):
@@ -42,6 +45,7 @@
     store: VersionStore
     is_ready: Callable[[], bool]
     publish: Publish
+    site: Site
     routes: list[web.RouteDef] = field(default_factory=list)
 
     def app(self) -> web.Application:
@@ -53,7 +57,9 @@
                 web.get('/readyz', self.ready),
                 web.get('/metrics', self.show_metrics),
                 web.get('/state', self.dump),
+                web.get('/v1/site', self.show_site),
                 web.get('/v1/config', self.show_version),
+                web.get('/v1/config/history', self.show_history),
                 web.post('/v1/config', self.apply),
                 web.get('/v1/config/submissions/{id}', self.show_submission),
                 *self.routes,
@@ -99,9 +105,27 @@
     async def show_submission(self, request: web.Request) -> web.Response:
         """Tell whether a submission was accepted."""
         submission = request.match_info['id']
-        number = await self.store.accepted_number(submission)
+        accepted = await self.store.find_submission(submission)
+        number = None if accepted is None else accepted.number
         return json_response({'submission': submission, 'number': number})
 
+    async def show_history(self, request: web.Request) -> web.Response:
+        """Return the last accepted versions, the newest first."""
+        limit = request.query.get('limit', str(HISTORY_SHOWN))
+        if not limit.isdecimal():
+            raise ConfigurationError(
+                f'limit: got {limit!r}: expected a whole number',
+                remedy='ask with limit=20',
+            )
+        wanted = min(int(limit), MAX_HISTORY_SHOWN)
+        history = await self.store.history(wanted)
+        return json_response([asdict(accepted) for accepted in history])
+
+    async def show_site(self, request: web.Request) -> web.Response:
+        """Return sections of the state of each known node."""
+        sections = request.query.get('sections', 'node').split(',')
+        return json_response(await self.site.collect(sections))
+
     async def apply(self, request: web.Request) -> web.Response:
         """Accept a configuration as the successor of a base version."""
         base = request.query.get('base', '')
@@ -113,7 +137,7 @@
         body = await request.read()
         version = await self.store.submit(body, int(base), submission)
         self.holder.offer(version)
-        await self.publish(version)
+        self.publish(version)
         return json_response({'number': version.number})
 
     @web.middleware
--- a/primroserudder/programs/entrynode.py
+++ b/primroserudder/programs/entrynode.py
@@ -56,8 +56,10 @@
 
     def is_ready(self) -> bool:
         """Return whether the balancer may send new work."""
-        is_configured = self.runtime.holder.current.number > 0
-        return is_configured and not self.runtime.is_draining
+        runtime = self.runtime
+        is_configured = runtime.holder.current.number > 0
+        is_current = is_configured and runtime.spread.is_caught_up()
+        return is_current and not runtime.is_draining
 
     async def stop(self) -> None:
         """Take no new work, let requests in flight finish, then close."""
--- a/primroserudder/programs/node.py
+++ b/primroserudder/programs/node.py
@@ -10,15 +10,12 @@
 import aiohttp
 from grpc import aio
 
-from ..connection.exchange import (
-    MembershipService,
-    PeerClient,
-    VersionsService,
-)
+from ..connection import Operators, PlatformHttp
+from ..connection.exchange import MembershipService, PeerClient
 from ..connection.http import bound_port, serve
-from ..connection.operators import Operators
 from ..connection.peers import PeerChannels, bind, peer_server
-from ..connection.platformhttp import PlatformHttp
+from ..connection.site import Site, StateService
+from ..connection.versions import VersionClient, VersionsService
 from ..errors import RudderError
 from ..process.clock import Clock, SystemClock
 from ..process.invariants import Invariants
@@ -32,11 +29,10 @@
 from ..process.metrics import Metrics
 from ..process.settings import Listener, NodeSettings
 from ..process.state import StateDump
-from ..version.holder import Version, VersionHolder
-from ..version.store import VersionStore
-from ..wire import peers_pb2_grpc
+from ..version import VersionHolder, VersionStore
+from ..version.spread import HEAD_POLL_S, VersionSpread
+from ..wire import nodes_pb2_grpc, peers_pb2_grpc, versions_pb2_grpc
 
-HEAD_POLL_S = 2
 EXCHANGE_S = 1
 REGISTRATION_S = 5
 STEP_JITTER = 0.1
@@ -64,10 +60,12 @@
     peer_server: aio.Server = field(init=False)
     membership: Membership = field(init=False)
     peers: PeerClient = field(init=False)
+    spread: VersionSpread = field(init=False)
 
     def __post_init__(self) -> None:
         """Make what needs no running loop."""
         self.invariants = Invariants(self.metrics)
+        self.holder.invariants = self.invariants
         self.channels = PeerChannels(self.settings.peers.tls)
 
     async def open_clients(self) -> None:
@@ -103,13 +101,18 @@
             self.holder,
             lambda: self.is_draining,
         )
-        self.peers = PeerClient(self.channels, service)
+        self._open_spread()
+        self.peers = PeerClient(self.channels, service, self.spread.hear)
         peers_pb2_grpc.add_MembershipServicer_to_server(
             service,
             self.peer_server,
         )
-        peers_pb2_grpc.add_VersionsServicer_to_server(
-            VersionsService(self.holder),
+        versions_pb2_grpc.add_VersionsServicer_to_server(
+            VersionsService(self.holder, self.spread.relay),
+            self.peer_server,
+        )
+        nodes_pb2_grpc.add_StateServicer_to_server(
+            StateService(self.state),
             self.peer_server,
         )
 
@@ -130,7 +133,8 @@
             holder=self.holder,
             store=self.store,
             is_ready=is_ready,
-            publish=self.publish,
+            publish=self.spread.publish,
+            site=Site(self.state, self.membership, self.channels),
         )
         app = operators.app()
         return await self.listen_http(app, self.settings.operators, 'operators')
@@ -149,7 +153,7 @@
     def start_common_steps(self) -> None:
         """Start the steps that every process repeats."""
         self._register_state()
-        self.start_step(self._poll_head, HEAD_POLL_S, 'poll_head')
+        self.start_step(self.spread.poll, HEAD_POLL_S, 'poll_head')
         self.start_step(self._exchange, EXCHANGE_S, 'exchange')
         self.start_step(self._register, REGISTRATION_S, 'register')
 
@@ -170,10 +174,16 @@
         await asyncio.gather(*self.tasks, return_exceptions=True)
         await self.stack.aclose()
 
-    async def publish(self, version: Version) -> None:
-        """Push a version to the living peers."""
-        addresses = [peer.node.address for peer in self.membership.living()]
-        await self.peers.push(addresses, version)
+    def _open_spread(self) -> None:
+        self.spread = VersionSpread(
+            holder=self.holder,
+            store=self.store,
+            membership=self.membership,
+            peers=VersionClient(self.channels, self.holder),
+            clock=self.clock,
+            metrics=self.metrics,
+        )
+        self.stack.push_async_callback(self.spread.close)
 
     def _register_state(self) -> None:
         own = self.membership.own
@@ -193,12 +203,6 @@
         self.state.register('metrics', self.metrics.dump)
         self.state.register('invariants', self.invariants.dump)
 
-    async def _poll_head(self) -> None:
-        head = await self.store.read_head()
-        if head.number > self.holder.current.number:
-            body = await self.store.fetch(head.digest)
-            self.holder.offer_body(head.number, head.digest, body)
-
     async def _register(self) -> None:
         await register(self.platform, self.membership.own)
         self.membership.learn(await listed_nodes(self.platform))
@@ -209,6 +213,7 @@
         await asyncio.gather(
             *(self._exchange_with(address) for address in addresses),
         )
+        self.spread.has_asked_peers = True
 
     async def _exchange_with(self, address: str) -> None:
         try:
--- /dev/null
+++ b/primroserudder/testing/sites.py
@@ -0,0 +1,106 @@
+"""Nodes that spread versions to each other inside one test."""
+
+import asyncio
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from ..connection.peers import PeerUnreachable
+from ..connection.versions import held, make_update, take_update
+from ..process.clock import LoopClock
+from ..process.membership import Membership, Node
+from ..process.metrics import Metrics
+from ..standins.memory import MemoryPlatform
+from ..version.holder import Version, VersionHolder
+from ..version.spread import VersionSpread
+from ..version.store import VersionStore
+from .faulty import FaultyPlatform
+
+PEER_DELAY_S = 0.002
+
+
+@dataclass(slots=True)
+class SiteNode:
+    """One process's parts that have to do with versions."""
+
+    node: Node
+    platform: FaultyPlatform
+    membership: Membership
+    holder: VersionHolder
+    store: VersionStore
+    spread: VersionSpread
+
+
+@dataclass(slots=True)
+class DirectPeers:
+    """Versions of peers without a network; cut pairs hear nothing."""
+
+    site: 'VersionSite'
+    own: str
+
+    async def push(self, address: str, version: Version, relay: bool) -> None:
+        """Give a peer a version."""
+        peer = await self.site.reach(self.own, address)
+        update = make_update(version)
+        if take_update(peer.holder, update) and relay:
+            peer.spread.relay(peer.holder.current)
+
+    async def fetch(self, address: str) -> None:
+        """Offer the own holder the version in force at a peer."""
+        peer = await self.site.reach(self.own, address)
+        own = self.site.by_id[self.own].holder
+        base = peer.holder.held_body(held(own).digest)
+        take_update(
+            own, make_update(peer.holder.current, base, held(own).digest)
+        )
+
+
+@dataclass(slots=True)
+class VersionSite:
+    """All nodes of a site, by node id, which is the address too."""
+
+    memory: MemoryPlatform = field(default_factory=MemoryPlatform)
+    by_id: dict[str, SiteNode] = field(default_factory=dict)
+    cut: set[str] = field(default_factory=set)
+
+    def start(self, node_id: str, failure_domain: str = 'fd-1') -> SiteNode:
+        """Start a process that knows nothing; it replaces one of that id."""
+        node = Node(node_id, 'i1', failure_domain, 'entry', node_id)
+        membership = Membership(node, LoopClock())
+        platform = FaultyPlatform(self.memory)
+        holder = VersionHolder()
+        store = VersionStore(platform)
+        spread = VersionSpread(
+            holder=holder,
+            store=store,
+            membership=membership,
+            peers=DirectPeers(self, node_id),
+            clock=LoopClock(),
+            metrics=Metrics(),
+        )
+        made = SiteNode(node, platform, membership, holder, store, spread)
+        self.by_id[node_id] = made
+        return made
+
+    def introduce(self) -> None:
+        """Let all nodes hear of each other."""
+        for one in self.by_id.values():
+            for other in self.by_id.values():
+                one.membership.hear(other.node, other.holder.current.number)
+
+    async def reach(self, own: str, address: str) -> SiteNode:
+        """Return the node at an address after the way there."""
+        await asyncio.sleep(PEER_DELAY_S)
+        if {own, address} & self.cut:
+            raise PeerUnreachable(f'{address}: cut off')
+        return self.by_id[address]
+
+    async def exchange(self, own: str, other: str) -> None:
+        """Let a node hear which version a peer has, as an exchange does."""
+        peer = await self.reach(own, other)
+        number = peer.holder.current.number
+        await self.by_id[own].spread.hear(other, number)
+
+    def numbers(self, node_ids: Iterable[str] = ()) -> set[int]:
+        """Return the versions in force at some nodes or at all."""
+        wanted = tuple(node_ids) or tuple(self.by_id)
+        return {self.by_id[name].holder.current.number for name in wanted}
--- a/primroserudder/version/holder.py
+++ b/primroserudder/version/holder.py
@@ -1,14 +1,19 @@
 """The configuration version in force in a process."""
 
 import hashlib
+from collections import deque
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass, field
+from dataclasses import asdict, dataclass, field
 
 from loguru import logger
 
+from ..process.invariants import Invariants
+from ..process.metrics import Metrics
 from .document import ConfigurationError, parse_document
 from .render import Rendered, render_document
 
+RECENT_VERSIONS = 4
+
 
 @dataclass(frozen=True, slots=True)
 class Version:
@@ -20,6 +25,15 @@
     rendered: Rendered
 
 
+@dataclass(frozen=True, slots=True)
+class RefusedVersion:
+    """An accepted version that this program cannot put in force."""
+
+    number: int
+    digest: str
+    reason: str
+
+
 def make_version(number: int, body: bytes, source: str = 'document') -> Version:
     """Return a checked version.
 
@@ -46,6 +60,10 @@
 EMPTY_DOCUMENT = b'{"format": 1}'
 
 
+def _invariants() -> Invariants:
+    return Invariants(Metrics())
+
+
 @dataclass(slots=True)
 class VersionHolder:
     """Holds the version in force, whose number only rises."""
@@ -53,13 +71,28 @@
     current: Version = field(
         default_factory=lambda: make_version(0, EMPTY_DOCUMENT),
     )
+    invariants: Invariants = field(default_factory=_invariants)
     listeners: list[Callable[[Version], None]] = field(default_factory=list)
+    refused: RefusedVersion | None = None
+    recent: deque[Version] = field(
+        default_factory=lambda: deque(maxlen=RECENT_VERSIONS),
+    )
+
+    def wants(self, number: int) -> bool:
+        """Return whether a version is newer and was not refused here."""
+        refused = 0 if self.refused is None else self.refused.number
+        return number > max(self.current.number, refused)
 
     def offer(self, version: Version) -> bool:
         """Put a version in force if it is newer; return whether it was."""
+        self._check_same(version.number, version.digest)
         if version.number <= self.current.number:
             return False
+        self.recent.append(self.current)
         self.current = version
+        if self.refused and self.refused.number <= version.number:
+            self.refused = None
+        self.invariants.metrics.count('versions_in_force')
         logger.info('configuration version {} in force', version.number)
         for listener in self.listeners:
             listener(version)
@@ -68,12 +101,19 @@
     def offer_body(self, number: int, digest: str, body: bytes) -> bool:
         """Check a body against its digest and offer it.
 
+        Explanation
+        ===========
+        A document that this program cannot read, for example one written for
+        a newer program, leaves the version in force as it is. It is kept as
+        refused, so that it is shown and not fetched again and again.
+
         Raises
         ======
         ConfigurationError
             The body is not the one that the digest names.
         """
-        if number <= self.current.number:
+        self._check_same(number, digest)
+        if not self.wants(number):
             return False
         found = body_digest(body)
         if found != digest:
@@ -81,8 +121,44 @@
                 f'version {number}: got a body with digest {found}: '
                 f'expected {digest}',
             )
-        return self.offer(make_version(number, body))
+        try:
+            version = make_version(number, body, f'version {number}')
+        except ConfigurationError as error:
+            self._refuse(RefusedVersion(number, digest, str(error)))
+            return False
+        return self.offer(version)
+
+    def held_body(self, digest: str) -> bytes | None:
+        """Return the body of the version in force or of one before it."""
+        held = (self.current, *self.recent)
+        return next(
+            (version.body for version in held if version.digest == digest),
+            None,
+        )
 
     def dump(self) -> Mapping[str, object]:
-        """Return number and digest for the state dump."""
-        return {'number': self.current.number, 'digest': self.current.digest}
+        """Return number, digest and what was refused for the state dump."""
+        return {
+            'number': self.current.number,
+            'digest': self.current.digest,
+            'refused': self.refused and asdict(self.refused),
+        }
+
+    def _check_same(self, number: int, digest: str) -> None:
+        expected = self.current.digest
+        self.invariants.require(
+            number != self.current.number or digest == expected,
+            'one_document_per_version',
+            f'version {number}: got digest {digest}: expected {expected}',
+        )
+
+    def _refuse(self, refused: RefusedVersion) -> None:
+        self.refused = refused
+        self.invariants.metrics.count('versions_refused')
+        logger.error(
+            'configuration version {} cannot be used: {}; version {} stays '
+            'in force',
+            refused.number,
+            refused.reason,
+            self.current.number,
+        )
--- a/primroserudder/version/tests/test_store.py
+++ b/primroserudder/version/tests/test_store.py
@@ -1,15 +1,51 @@
 """Tests of the acceptance of versions."""
 
+import asyncio
+import itertools
+from collections.abc import Sequence
+
 import pytest
 
+from ...process.platform import PlatformUnavailable
 from ...standins.memory import MemoryPlatform
 from ...testing import builders
-from ..holder import VersionHolder
-from ..store import VersionConflict, VersionStore
+from ...testing.faulty import Fault, FaultyPlatform
+from .. import store as store_module
+from ..holder import VersionHolder, body_digest
+from ..store import (
+    SubmissionReused,
+    SubmissionUnknown,
+    VersionConflict,
+    VersionStore,
+)
 
 BODY = builders.document_body()
+OTHER_BODY = builders.document_body(workspaces={})
+# Head, submission and body pass, as a rule.
+READS = (Fault.NONE, Fault.NONE)
+BEFORE_COMMIT = (*READS, Fault.NONE)
+_WRITES = itertools.product(Fault, repeat=5)
+_SCRIPTS = (
+    *itertools.product(Fault, repeat=2),
+    *((*READS, *writes) for writes in _WRITES),
+)
+
+
+async def _outcome(store: VersionStore) -> int | None:
+    """Return the version, ``None`` if the change is said to be refused."""
+    try:
+        return (await store.submit(BODY, 0, 'first')).number
+    except PlatformUnavailable:
+        return None
+    except SubmissionUnknown:
+        return (await store.submit(BODY, 0, 'first')).number
+
+
+def _outage(operations: int) -> Sequence[Fault]:
+    return list(itertools.repeat(Fault.DOWN, operations))
 
 
+@pytest.mark.looptime
 async def test_second_change_of_one_base_hears_of_the_conflict() -> None:
     store = VersionStore(MemoryPlatform())
     await store.submit(BODY, 0, 'first')
@@ -18,18 +54,60 @@
     assert (await store.read_head()).number == 1
 
 
-async def test_lost_answer_is_settled_by_reading_back() -> None:
-    platform = MemoryPlatform()
+@pytest.mark.looptime
+async def test_one_of_two_racing_changes_wins() -> None:
+    memory = MemoryPlatform()
+    memory.faults.delay_s = 0.01
+    store = VersionStore(memory)
+    outcomes = await asyncio.gather(
+        store.submit(BODY, 0, 'first'),
+        store.submit(OTHER_BODY, 0, 'second'),
+        return_exceptions=True,
+    )
+    kinds = sorted(type(outcome).__name__ for outcome in outcomes)
+    assert kinds == ['Version', 'VersionConflict']
+    assert len(await store.history(5)) == 1
+
+
+@pytest.mark.looptime
+async def test_answer_is_true_whatever_the_platform_loses() -> None:
+    for script in _SCRIPTS:
+        memory = MemoryPlatform()
+        platform = FaultyPlatform(memory, list(script))
+        store = VersionStore(platform)
+        number = await _outcome(store)
+        platform.fail(())
+        await platform.settle()
+        accepted = await store.find_submission('first')
+        found = None if accepted is None else accepted.number
+        assert found == number, script
+        assert (await store.read_head()).number == (number or 0), script
+
+
+@pytest.mark.looptime
+async def test_lost_answers_of_every_attempt_are_said_to_be_unknown() -> None:
+    platform = FaultyPlatform(MemoryPlatform())
     store = VersionStore(platform)
-    # The object's and the commit's answers are lost in turn.
-    await store.submit(BODY, 0, 'first')
-    await platform.put_object('config/warm', b'')
-    platform.faults.lose_answers = 1
-    with pytest.raises(Exception, match='lost'):
-        await store.submit(BODY, 1, 'second')
-    assert (await store.submit(BODY, 1, 'second')).number == 2
+    platform.fail((*BEFORE_COMMIT, Fault.LATE, *_outage(8)))
+    with pytest.raises(SubmissionUnknown):
+        await store.submit(BODY, 0, 'first')
+    platform.fail(())
+    assert (await store.submit(BODY, 0, 'first')).number == 1
+
 
+@pytest.mark.looptime
+async def test_unreadable_row_after_a_conflict_is_said_to_be_unknown() -> None:
+    platform = FaultyPlatform(MemoryPlatform())
+    store = VersionStore(platform)
+    platform.fail((*BEFORE_COMMIT, Fault.LOST, Fault.NONE, *_outage(5)))
+    with pytest.raises(SubmissionUnknown):
+        await store.submit(BODY, 0, 'first')
+    accepted = await store.find_submission('first')
+    assert accepted is not None
+    assert accepted.number == 1
 
+
+@pytest.mark.looptime
 async def test_repeated_submission_is_accepted_once() -> None:
     store = VersionStore(MemoryPlatform())
     assert (await store.submit(BODY, 0, 'first')).number == 1
@@ -37,6 +115,29 @@
     assert (await store.read_head()).number == 1
 
 
+async def test_submission_id_stands_for_one_document() -> None:
+    store = VersionStore(MemoryPlatform())
+    await store.submit(BODY, 0, 'first')
+    with pytest.raises(SubmissionReused):
+        await store.submit(OTHER_BODY, 1, 'first')
+    assert (await store.read_head()).digest == body_digest(BODY)
+
+
+async def test_history_names_the_newest_first_and_old_rows_go(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(store_module, 'HISTORY_VERSIONS', 3)
+    memory = MemoryPlatform()
+    store = VersionStore(memory)
+    for base in range(5):
+        await store.submit(BODY, base, f's{base}')
+    history = await store.history(10)
+    names: Sequence[str] = [accepted.submission for accepted in history]
+    assert names == ['s4', 's3', 's2']
+    # The head, three history rows and three submissions are left.
+    assert len(memory.rows_by_key) == 7
+
+
 def test_version_in_force_never_reverts() -> None:
     holder = VersionHolder()
     assert holder.offer(builders.version(9))
