Show versions, submissions and the state of the whole site in rudderctl

Cause: rudderctl showed what one process knew, a submission could not be looked up, and a template that no workspace used was not checked.

--- a/primroserudder/programs/ctl.py
+++ b/primroserudder/programs/ctl.py
@@ -8,7 +8,14 @@
 
 from ..errors import RudderError
 from . import ctlconfig, ctlstate
-from .common import EXIT_REFUSED, EXIT_UNREACHABLE, complain, parser, run
+from .common import (
+    EXIT_FAILED,
+    EXIT_REFUSED,
+    EXIT_UNREACHABLE,
+    complain,
+    parser,
+    run,
+)
 from .operatorclient import OperatorClient, ProcessUnreachable
 from .outcome import show
 
@@ -18,6 +25,12 @@
 """
 
 
+class InternalFault(RudderError):
+    """A fault of ``rudderctl`` itself."""
+
+    default_remedy = 'report this line with the command'
+
+
 def main() -> None:
     """Run one operator's command."""
     arguments = make_parser().parse_args()
@@ -57,5 +70,9 @@
         except RudderError as error:
             complain(error)
             return EXIT_REFUSED
+        except Exception as fault:
+            kind = type(fault).__name__
+            complain(InternalFault(f'{kind}: {fault}'))
+            return EXIT_FAILED
     show(outcome, as_json=arguments.json)
     return int(outcome.exit_code)
--- a/primroserudder/programs/ctlconfig.py
+++ b/primroserudder/programs/ctlconfig.py
@@ -10,6 +10,7 @@
 from ..version.holder import Version, make_version
 from .operatorclient import OperatorClient
 from .outcome import Commands, Outcome, table
+from .sitestate import node_versions
 
 EXIT_TIMED_OUT = 5
 WAIT_POLL_S = 0.2
@@ -26,8 +27,7 @@
         made.add_argument('file', type=pathlib.Path)
         made.set_defaults(command=command)
     _add_apply(commands)
-    made = commands.add_parser('versions', help='versions in force by node')
-    made.set_defaults(command=versions)
+    _add_questions(commands)
 
 
 def _add_apply(commands: Commands) -> None:
@@ -42,6 +42,20 @@
     made.set_defaults(command=apply)
 
 
+def _add_questions(commands: Commands) -> None:
+    made = commands.add_parser('versions', help='versions in force by node')
+    made.add_argument(
+        '--history',
+        type=int,
+        metavar='COUNT',
+        help='show the last accepted versions instead',
+    )
+    made.set_defaults(command=versions)
+    made = commands.add_parser('submission', help='what a submission became')
+    made.add_argument('submission', metavar='ID')
+    made.set_defaults(command=submission)
+
+
 async def check(
     client: OperatorClient,
     arguments: argparse.Namespace,
@@ -82,11 +96,11 @@
     base = arguments.base
     if base is None:
         base = (await client.get('/v1/config'))['number']
-    submission = arguments.submission or uuid.uuid4().hex
-    path = f'/v1/config?base={base}&submission={submission}'
+    name = arguments.submission or uuid.uuid4().hex
+    path = f'/v1/config?base={base}&submission={name}'
     number = (await client.post(path, body))['number']
-    found = {'number': number, 'submission': submission}
-    line = f'version {number} accepted (submission {submission})'
+    found = {'number': number, 'submission': name}
+    line = f'version {number} accepted (submission {name})'
     if not arguments.wait:
         return Outcome(found, (line,))
     return await _wait(client, number, arguments.timeout, line)
@@ -97,13 +111,48 @@
     arguments: argparse.Namespace,
 ) -> Outcome:
     """Show the version in force on each node and which nodes lag."""
-    numbers = await _numbers(client)
-    newest = max(numbers.values())
+    if arguments.history is not None:
+        return await _history(client, arguments.history)
+    held = await node_versions(client)
+    newest = max(version.number or 0 for version in held)
     rows = [
-        (node, number, '' if number == newest else 'lags')
-        for node, number in sorted(numbers.items())
+        (version.node_id, _shown(version.number), version.note(newest))
+        for version in held
     ]
-    return Outcome(numbers, table([('node', 'version', ''), *rows]))
+    body = {
+        version.node_id: {
+            'number': version.number,
+            'lags': version.lags(newest),
+            'note': version.note(newest),
+        }
+        for version in held
+    }
+    return Outcome(body, table([('node', 'version', 'note'), *rows]))
+
+
+async def submission(
+    client: OperatorClient,
+    arguments: argparse.Namespace,
+) -> Outcome:
+    """Tell whether a submission was accepted."""
+    name = arguments.submission
+    found = await client.get(f'/v1/config/submissions/{name}')
+    number = found['number']
+    line = (
+        f'submission {name} is not accepted; apply it again under this id'
+        if number is None
+        else f'submission {name} was accepted as version {number}'
+    )
+    return Outcome(found, (line,))
+
+
+async def _history(client: OperatorClient, limit: int) -> Outcome:
+    found = await client.get(f'/v1/config/history?limit={limit}')
+    rows = [
+        (accepted['number'], accepted['submission'], accepted['digest'])
+        for accepted in found
+    ]
+    return Outcome(found, table([('version', 'submission', 'digest'), *rows]))
 
 
 async def _wait(
@@ -113,31 +162,28 @@
     line: str,
 ) -> Outcome:
     began = time.monotonic()
-    while time.monotonic() - began < timeout_s:
-        numbers = await _numbers(client)
-        if min(numbers.values()) >= number:
-            return Outcome(
-                {'number': number, 'nodes': numbers},
-                (line, f'in force on {len(numbers)} nodes'),
-            )
+    behind = await _behind(client, number)
+    while behind and time.monotonic() - began < timeout_s:
         await asyncio.sleep(WAIT_POLL_S)
-    behind = sorted(node for node, held in numbers.items() if held < number)
+        behind = await _behind(client, number)
+    if not behind:
+        found = {'number': number, 'lagging': []}
+        return Outcome(found, (line, 'in force on all known nodes'))
     named = ', '.join(behind)
     return Outcome(
         {'number': number, 'lagging': behind},
-        (line, f'not yet in force on {named}'),
+        (line, f'not yet in force on {named}; see rudderctl versions'),
         EXIT_TIMED_OUT,
     )
 
 
-async def _numbers(client: OperatorClient) -> dict[str, int]:
-    state = await client.get('/state')
-    peers = {
-        node: peer['version']
-        for node, peer in state['peers'].items()
-        if peer['heard_s_ago'] is not None
-    }
-    return {state['node']['node_id']: state['version']['number'], **peers}
+async def _behind(client: OperatorClient, number: int) -> list[str]:
+    held = await node_versions(client)
+    return [version.node_id for version in held if version.lags(number)]
+
+
+def _shown(number: int | None) -> str:
+    return '-' if number is None else str(number)
 
 
 def _read(path: pathlib.Path) -> Version:
--- a/primroserudder/programs/ctlstate.py
+++ b/primroserudder/programs/ctlstate.py
@@ -1,11 +1,20 @@
 """Commands of ``rudderctl`` about the state of processes."""
 
 import argparse
+from collections.abc import Mapping, Sequence
 
 import orjson
 
 from .operatorclient import OperatorClient
 from .outcome import Commands, Outcome, table
+from .sitestate import (
+    UNREACHABLE,
+    Sections,
+    collect,
+    merge_groups,
+    sum_counters,
+    violations,
+)
 
 
 def add_commands(
@@ -13,7 +22,7 @@
 ) -> None:
     """Add the commands to a parser."""
     for name, command, text in (
-        ('status', status, 'show groups and peers as one process sees them'),
+        ('status', status, 'show all nodes and groups of the site'),
         ('dump', dump, 'show the whole state of one process'),
     ):
         made = commands.add_parser(name, help=text)
@@ -24,9 +33,45 @@
     client: OperatorClient,
     arguments: argparse.Namespace,
 ) -> Outcome:
-    """Show the groups that a process knows."""
-    state = await client.get('/state')
-    groups = state.get('groups', {})
+    """Show nodes and groups as all nodes together see them."""
+    nodes = await collect(client, 'node', 'version', 'groups', 'metrics')
+    groups = merge_groups(nodes.values())
+    rows = [_node_row(node_id, found) for node_id, found in nodes.items()]
+    header = (
+        'node', 'role', 'failure domain', 'version', 'violations', 'note',
+    )  # fmt: skip
+    lines = [*table([header, *rows]), '', *_group_lines(groups)]
+    body = {
+        'nodes': {
+            node_id: {
+                'node': found.get('node'),
+                'version': found.get('version'),
+                UNREACHABLE: found.get(UNREACHABLE),
+                'violations': violations(found),
+            }
+            for node_id, found in nodes.items()
+        },
+        'groups': groups,
+        'counters': sum_counters(nodes.values()),
+    }
+    return Outcome(body, lines)
+
+
+def _node_row(node_id: str, found: Sections) -> Sequence[object]:
+    node = found.get('node')
+    if node is None:
+        return [node_id, '-', '-', '-', '-', 'no answer']
+    return [
+        node_id,
+        node['role'],
+        node['failure_domain'],
+        found['version']['number'],
+        violations(found),
+        'draining' if node['draining'] else '',
+    ]
+
+
+def _group_lines(groups: Mapping[str, Sections]) -> Sequence[str]:
     rows = [
         (
             group_id,
@@ -36,19 +81,13 @@
             group['model_version'],
             group['state'],
         )
-        for group_id, group in sorted(groups.items())
+        for group_id, group in groups.items()
     ]
     header = (
         'group', 'deployment', 'failure domain', 'generation', 'version',
         'state',
     )  # fmt: skip
-    found = {
-        'node': state['node'],
-        'version': state['version'],
-        'groups': groups,
-        'peers': state['peers'],
-    }
-    return Outcome(found, table([header, *rows]))
+    return table([header, *rows])
 
 
 async def dump(
--- a/primroserudder/programs/operatorclient.py
+++ b/primroserudder/programs/operatorclient.py
@@ -11,7 +11,8 @@
 
 from ..errors import RudderError
 
-CALL_TIMEOUT_S = 10
+# A submission repeats what the platform does not answer for about 12 s.
+CALL_TIMEOUT_S = 30
 
 
 class ProcessUnreachable(RudderError):
@@ -76,9 +77,15 @@
 
 async def _answer(response: aiohttp.ClientResponse) -> Any:
     answer = await response.read()
-    if response.status == HTTPStatus.OK:
+    if response.status != HTTPStatus.OK:
+        raise Refused(_problem(answer))
+    try:
         return orjson.loads(answer)
-    raise Refused(_problem(answer))
+    except orjson.JSONDecodeError as error:
+        raise ProcessUnreachable(
+            f'{response.url}: got an answer that is not JSON',
+            remedy="check that --url names the operators' port",
+        ) from error
 
 
 def _problem(answer: bytes) -> Mapping[str, Any]:
--- a/primroserudder/testing/sites.py
+++ b/primroserudder/testing/sites.py
@@ -1,6 +1,7 @@
 """Nodes that spread versions to each other inside one test."""
 
 import asyncio
+from collections import Counter
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
@@ -13,6 +14,7 @@
 from ..version.holder import Version, VersionHolder
 from ..version.spread import VersionSpread
 from ..version.store import VersionStore
+from ..wire.versions_pb2 import VersionUpdate
 from .faulty import FaultyPlatform
 
 PEER_DELAY_S = 0.002
@@ -40,9 +42,14 @@
     async def push(self, address: str, version: Version, relay: bool) -> None:
         """Give a peer a version."""
         peer = await self.site.reach(self.own, address)
-        update = make_update(version)
-        if take_update(peer.holder, update) and relay:
-            peer.spread.relay(peer.holder.current)
+        recent = self.site.by_id[self.own].holder.recent
+        if recent:
+            base = recent[-1]
+            self._give(
+                peer, make_update(version, base.body, base.digest), relay
+            )
+        if peer.holder.current.number < version.number:
+            self._give(peer, make_update(version), relay)
 
     async def fetch(self, address: str) -> None:
         """Offer the own holder the version in force at a peer."""
@@ -53,6 +60,12 @@
             own, make_update(peer.holder.current, base, held(own).digest)
         )
 
+    def _give(self, peer: SiteNode, update: VersionUpdate, relay: bool) -> None:
+        self.site.sent_bytes[self.own] += update.ByteSize()
+        self.site.received_bytes[peer.node.address] += update.ByteSize()
+        if take_update(peer.holder, update) and relay:
+            peer.spread.relay(peer.holder.current)
+
 
 @dataclass(slots=True)
 class VersionSite:
@@ -61,6 +74,8 @@
     memory: MemoryPlatform = field(default_factory=MemoryPlatform)
     by_id: dict[str, SiteNode] = field(default_factory=dict)
     cut: set[str] = field(default_factory=set)
+    sent_bytes: Counter[str] = field(default_factory=Counter)
+    received_bytes: Counter[str] = field(default_factory=Counter)
 
     def start(self, node_id: str, failure_domain: str = 'fd-1') -> SiteNode:
         """Start a process that knows nothing; it replaces one of that id."""
--- a/primroserudder/version/render.py
+++ b/primroserudder/version/render.py
@@ -51,6 +51,8 @@
         A reference is unknown or a value is not acceptable.
     """
     _check_pools(document, source)
+    for template_name, template in document.templates.items():
+        _check_template(template, f'{source}: templates.{template_name}')
     services_by_workspace = {
         name: {
             service: _render_binding(
@@ -77,6 +79,16 @@
             )
 
 
+def _check_template(template: Template, at: str) -> None:
+    # Templates that no workspace uses yet are checked all the same.
+    for name, spec in template.parameters.items():
+        place = f'{at}.parameters'
+        if spec.default is not None:
+            _value(spec, spec.default, place, name)
+    examples = dict.fromkeys(template.parameters, 0)
+    _substitute(template.service, examples, f'{at}.service')
+
+
 def _render_binding(document: Document, binding: Binding, at: str) -> Service:
     template = document.templates.get(binding.template)
     if template is None:
