Stop entries without cutting a request

Cause: an entry that stopped slept only if something was in flight, cancelled its own steps first and closed after ten minutes whatever was running; the balancer's open connections were not told. Change: a drain in three stages: notice (readiness fails, every answer says Connection: close, new work is taken), finishing (new work is refused as not run), drained; the steps go on until the last request has ended. Conclusion: a stop of an entry cuts nothing that ends within its limit.

--- a/primroserudder/process/settings.py
+++ b/primroserudder/process/settings.py
@@ -9,6 +9,8 @@
 
 HIGHEST_PORT = 65535
 DEFAULT_BODY_BYTES = 4_194_304
+# A balancer that checks every two seconds sees the failing check by then.
+DRAIN_NOTICE_S = 5
 SHOWN_CHARACTERS = 80
 Identifier = Annotated[str, Field(pattern='^[a-z0-9][a-z0-9-]{0,62}$')]
 Port = Annotated[int, Field(ge=0, le=HIGHEST_PORT)]
@@ -82,6 +84,7 @@
     """Settings of ``rudder-entry``."""
 
     callers: Listener
+    drain_notice_s: float = Field(default=DRAIN_NOTICE_S, ge=0)
     max_body_bytes: int = Field(default=DEFAULT_BODY_BYTES, gt=0)
 
 
--- a/primroserudder/programs/entrynode.py
+++ b/primroserudder/programs/entrynode.py
@@ -1,9 +1,9 @@
 """An entry: takes callers' requests to whole groups."""
 
-import asyncio
 from dataclasses import dataclass, field
 
 from ..connection.callers import Callers
+from ..connection.drain import Drain
 from ..connection.enginehttp import EngineHttp
 from ..connection.http import bound_port
 from ..process.evidence import PROBE_INTERVAL_S, EvidenceBook, Prober
@@ -18,7 +18,6 @@
 from .node import NodeRuntime
 
 GROUP_POLL_S = 1
-DRAIN_NOTICE_S = 3
 SWEEP_S = 1
 
 
@@ -30,6 +29,7 @@
     runtime: NodeRuntime = field(init=False)
     directory: GroupDirectory = field(default_factory=GroupDirectory)
     callers: Callers = field(init=False)
+    drain: Drain = field(init=False)
     prober: Prober = field(init=False)
     callers_port: int = 0
     operators_port: int = 0
@@ -37,6 +37,7 @@
     def __post_init__(self) -> None:
         """Make the common parts."""
         self.runtime = NodeRuntime(self.settings, 'entry')
+        self.drain = Drain(self.runtime.metrics, self.settings.drain_notice_s)
 
     async def start(self) -> None:
         """Open the ports and start the steps."""
@@ -60,7 +61,8 @@
     async def stop(self) -> None:
         """Take no new work, let requests in flight finish, then close."""
         self.runtime.is_draining = True
-        await asyncio.sleep(DRAIN_NOTICE_S if self.callers.in_flight else 0)
+        if self.callers_port:
+            await self.drain.run()
         await self.runtime.close()
 
     async def _listen(self) -> None:
@@ -70,7 +72,7 @@
         )
         guard = self.callers.guard
         runner = await self.runtime.listen_http(
-            self.callers.app(),
+            self.drain.attach(self.callers.app()),
             self.settings.callers,
             'callers',
         )
@@ -102,6 +104,7 @@
         state = self.runtime.state
         state.register('groups', self.directory.dump)
         state.register('evidence', self.prober.book.dump)
+        state.register('drain', self.drain.dump)
         state.register('in_flight', lambda: sorted(self.callers.in_flight))
 
     async def _poll_groups(self) -> None:
--- a/primroserudder/programs/local.py
+++ b/primroserudder/programs/local.py
@@ -84,6 +84,7 @@
                 operators_token=LOCAL_TOKEN,
                 peers=any_port,
                 callers=any_port,
+                drain_notice_s=0,
             ),
         )
         await entry.start()
