--- a/primroserudder/programs/entrynode.py
+++ b/primroserudder/programs/entrynode.py
@@ -1,9 +1,9 @@
 """An entry: takes callers' requests to whole groups."""
 
-import asyncio
 from dataclasses import dataclass, field
 
 from ..connection.callers import Callers
+from ..connection.drain import Drain
 from ..connection.enginehttp import EngineHttp
 from ..connection.http import bound_port
 from ..process.evidence import PROBE_INTERVAL_S, EvidenceBook, Prober
@@ -19,7 +19,6 @@
 from .node import NodeRuntime
 
 GROUP_POLL_S = 1
-DRAIN_NOTICE_S = 3
 SWEEP_S = 1
 
 
@@ -31,6 +30,7 @@
     runtime: NodeRuntime = field(init=False)
     directory: GroupDirectory = field(default_factory=GroupDirectory)
     callers: Callers = field(init=False)
+    drain: Drain = field(init=False)
     prober: Prober = field(init=False)
     callers_port: int = 0
     operators_port: int = 0
@@ -38,6 +38,7 @@
     def __post_init__(self) -> None:
         """Make the common parts."""
         self.runtime = NodeRuntime(self.settings, 'entry')
+        self.drain = Drain(self.runtime.metrics, self.settings.drain_notice_s)
 
     async def start(self) -> None:
         """Open the ports and start the steps."""
@@ -53,13 +54,16 @@
 
     def is_ready(self) -> bool:
         """Return whether the balancer may send new work."""
-        is_configured = self.runtime.holder.current.number > 0
-        return is_configured and not self.runtime.is_draining
+        runtime = self.runtime
+        is_configured = runtime.holder.current.number > 0
+        is_current = is_configured and runtime.spread.is_caught_up()
+        return is_current and not runtime.is_draining
 
     async def stop(self) -> None:
         """Take no new work, let requests in flight finish, then close."""
         self.runtime.is_draining = True
-        await asyncio.sleep(DRAIN_NOTICE_S if self.callers.in_flight else 0)
+        if self.callers_port:
+            await self.drain.run()
         await self.runtime.close()
 
     async def _listen(self) -> None:
@@ -69,7 +73,7 @@
         )
         guard = self.callers.guard
         runner = await self.runtime.listen_http(
-            self.callers.app(),
+            self.drain.attach(self.callers.app()),
             self.settings.callers,
             'callers',
         )
@@ -103,6 +107,7 @@
         state = self.runtime.state
         state.register('groups', self.directory.dump)
         state.register('evidence', self.prober.book.dump)
+        state.register('drain', self.drain.dump)
         state.register('in_flight', lambda: sorted(self.callers.in_flight))
 
     async def _poll_groups(self) -> None:
