--- /dev/null
+++ b/primroserudder/programs/bench/collect.py
@@ -0,0 +1,72 @@
+"""Collects the parts' measurements into one file of slopes."""
+
+import argparse
+import pathlib
+from collections.abc import Sequence
+
+from pydantic import TypeAdapter
+
+from .rest import RestReport
+from .slope import Point, Slope, fit, read_slopes, write_slopes
+
+COMMAND = 'bin/bench'
+_REPORT = TypeAdapter(RestReport)
+
+# Each part: the slope's name, the field of the report, and its unit.
+BY_ENTRIES = (
+    ('entry_cpu_by_entry', 'entry_cpu_share', 'cores'),
+    ('entry_rss_by_entry', 'entry_rss_bytes', 'bytes'),
+    ('controller_cpu_by_entry', 'controller_cpu_share', 'cores'),
+    ('platform_reads_by_entry', 'platform_reads_per_s', 'reads a second'),
+    ('platform_writes_by_entry', 'platform_writes_per_s', 'writes a second'),
+)
+BY_ENGINES = (
+    ('entry_cpu_by_engine', 'entry_cpu_share', 'cores'),
+    ('entry_rss_by_engine', 'entry_rss_bytes', 'bytes'),
+    ('controller_cpu_by_engine', 'controller_cpu_share', 'cores'),
+    ('controller_rss_by_engine', 'controller_rss_bytes', 'bytes'),
+    ('platform_reads_by_engine', 'platform_reads_per_s', 'reads a second'),
+)
+
+
+def main() -> None:
+    """Write the slopes of all parts to one file."""
+    made = argparse.ArgumentParser(description='Collects slopes.')
+    made.add_argument('--slopes', type=pathlib.Path, nargs='+', required=True)
+    made.add_argument('--by-entries', type=pathlib.Path, nargs='+')
+    made.add_argument('--by-engines', type=pathlib.Path, nargs='+')
+    made.add_argument('--out', type=pathlib.Path, required=True)
+    arguments = made.parse_args()
+    slopes = [
+        slope
+        for path in arguments.slopes
+        for slope in read_slopes(path).values()
+    ]
+    slopes += _rest_slopes(arguments.by_entries, BY_ENTRIES, 'entries')
+    slopes += _rest_slopes(arguments.by_engines, BY_ENGINES, 'engines')
+    write_slopes(arguments.out, slopes)
+
+
+def _rest_slopes(
+    paths: Sequence[pathlib.Path],
+    wanted: Sequence[tuple[str, str, str]],
+    size: str,
+) -> Sequence[Slope]:
+    reports = [_REPORT.validate_json(path.read_bytes()) for path in paths]
+    return [
+        fit(
+            name,
+            unit,
+            size,
+            COMMAND,
+            [
+                Point(getattr(report, size), getattr(report, field))
+                for report in reports
+            ],
+        )
+        for name, field, unit in wanted
+    ]
+
+
+if __name__ == '__main__':
+    main()
--- a/primroserudder/programs/bench/inflight.py
+++ b/primroserudder/programs/bench/inflight.py
@@ -43,12 +43,14 @@
             fit(
                 'request_bytes',
                 'bytes',
+                'open request',
                 COMMAND,
                 [Point(size, rss) for size, rss, _ in points],
             ),
             fit(
                 'stream_cpu',
                 'CPU seconds a second',
+                'open request',
                 COMMAND,
                 [Point(size, share) for size, _, share in points],
             ),
--- a/primroserudder/programs/bench/memory.py
+++ b/primroserudder/programs/bench/memory.py
@@ -35,17 +35,17 @@
     write_slopes(
         arguments.out,
         [
-            _bytes_slope('peer_bytes', PEERS, _membership),
-            _bytes_slope('engine_bytes', GROUPS, _groups, GROUP_SIZE),
-            _bytes_slope('workspace_bytes', WORKSPACES, _version),
-            _cpu_slope('hello_cpu', PEERS, _take_over),
-            _cpu_slope('render_cpu', WORKSPACES, _version),
+            _bytes_slope('peer', PEERS, _membership),
+            _bytes_slope('engine', GROUPS, _groups, GROUP_SIZE),
+            _bytes_slope('workspace', WORKSPACES, _version),
+            _cpu_slope('hello_cpu', 'known node', PEERS, _take_over),
+            _cpu_slope('render_cpu', 'workspace', WORKSPACES, _version),
         ],
     )
 
 
 def _bytes_slope(
-    name: str,
+    each: str,
     sizes: Sequence[int],
     make: Callable[[int], object],
     units_each: int = 1,
@@ -53,16 +53,17 @@
     points = [
         Point(size * units_each, _held_bytes(make, size)) for size in sizes
     ]
-    return fit(name, 'bytes', COMMAND, points)
+    return fit(f'{each}_bytes', 'bytes', each, COMMAND, points)
 
 
 def _cpu_slope(
     name: str,
+    each: str,
     sizes: Sequence[int],
     work: Callable[[int], object],
 ) -> Slope:
     points = [Point(size, _cpu_s(work, size)) for size in sizes]
-    return fit(name, 'CPU seconds', COMMAND, points)
+    return fit(name, 'CPU seconds', each, COMMAND, points)
 
 
 def _held_bytes(make: Callable[[int], object], size: int) -> int:
--- a/primroserudder/programs/bench/slope.py
+++ b/primroserudder/programs/bench/slope.py
@@ -25,7 +25,9 @@
     name : str
         What was measured.
     unit : str
-        Unit of what was seen, for one unit of size.
+        Unit of what was seen.
+    each : str
+        Unit of size.
     command : str
         The command that measured it.
     points : sequence of Point
@@ -36,6 +38,7 @@
 
     name: str
     unit: str
+    each: str
     command: str
     points: Sequence[Point]
     per_unit: float
@@ -45,6 +48,7 @@
 def fit(
     name: str,
     unit: str,
+    each: str,
     command: str,
     points: Sequence[Point],
 ) -> Slope:
@@ -52,7 +56,7 @@
 
     Examples
     ========
-    >>> line = fit('rows', 'bytes', 'cmd', [Point(1, 5), Point(3, 9)])
+    >>> line = fit('rows', 'bytes', 'row', 'cmd', [Point(1, 5), Point(3, 9)])
     >>> line.per_unit, line.at_zero
     (2.0, 3.0)
     """
@@ -67,6 +71,7 @@
     return Slope(
         name=name,
         unit=unit,
+        each=each,
         command=command,
         points=tuple(points),
         per_unit=per_unit,
