--- /dev/null
+++ b/primroserudder/programs/crashes.py
@@ -0,0 +1,134 @@
+"""Crashes replicas of the embedded default and has them formed anew."""
+
+import asyncio
+import random
+from dataclasses import dataclass, replace
+
+import aiohttp
+
+from ..process.engines import EngineOrder
+from ..process.groups import (
+    GROUP_PREFIX,
+    GroupRecord,
+    group_from_fields,
+    group_to_fields,
+)
+from ..process.platform import Transaction, Write
+from ..standins.engine import Engine
+from .demo import EXAMPLE
+from .entrynode import EntryNode
+from .local import FAILURE_DOMAINS, LOCAL_TOKEN, Local
+from .operatorclient import OperatorClient
+
+POLL_S = 0.05
+READY_TIMEOUT_S = 30
+PAUSE_S = 0.5
+ORDER_LIFETIME_S = 5
+
+
+async def ready_local(session: aiohttp.ClientSession, local: Local) -> None:
+    """Apply the example and wait until every entry sees all groups serve."""
+    operators = local.ports()['operators'][FAILURE_DOMAINS[0]]
+    client = OperatorClient(
+        session,
+        f'http://127.0.0.1:{operators}',
+        LOCAL_TOKEN,
+    )
+    body = EXAMPLE.read_bytes()
+    await client.post('/v1/config?base=0&submission=drill', body)
+    async with asyncio.timeout(READY_TIMEOUT_S):
+        await wait_until_whole(local)
+
+
+async def wait_until_whole(local: Local) -> None:
+    """Wait until each entry may use every group that the table lists."""
+    entries = local.entries_by_domain.values()
+    while not all(_sees_all(local, entry) for entry in entries):
+        await asyncio.sleep(POLL_S)
+
+
+def listed_groups(local: Local) -> list[GroupRecord]:
+    """Return the groups as they stand in the table."""
+    rows = local.standins.platform.rows_by_key
+    return [
+        group_from_fields(row.fields)
+        for key, row in rows.items()
+        if key.startswith(GROUP_PREFIX)
+    ]
+
+
+@dataclass(slots=True)
+class Crasher:
+    """Crashes whole replicas in the middle of their streams."""
+
+    local: Local
+    rng: random.Random
+    crashes: int = 0
+    streams_cut: int = 0
+
+    async def crash_many(self, count: int) -> None:
+        """Crash replicas one after the other."""
+        while self.crashes < count:
+            await wait_until_whole(self.local)
+            await asyncio.sleep(self.rng.uniform(0, PAUSE_S))
+            busy = list(filter(self._load, listed_groups(self.local)))
+            if busy:
+                await self._crash(self.rng.choice(busy))
+
+    def _load(self, group: GroupRecord) -> int:
+        return self._engines(group)[0].running
+
+    def _engines(self, group: GroupRecord) -> list[Engine]:
+        by_vm = self.local.standins.engines_by_vm
+        return [by_vm[member.vm_id] for member in group.members]
+
+    async def _crash(self, group: GroupRecord) -> None:
+        self.crashes += 1
+        self.streams_cut += self._load(group)
+        engines = self._engines(group)
+        for engine in engines:
+            engine.crash()
+        await asyncio.sleep(self.rng.uniform(0, PAUSE_S))
+        await self._restore(group, engines)
+
+    async def _restore(
+        self,
+        group: GroupRecord,
+        engines: list[Engine],
+    ) -> None:
+        # In the place of a controller, so that the drill needs no minutes.
+        formed = replace(
+            group,
+            generation=group.generation + 1,
+            members=tuple(
+                replace(member, incarnation=engine.incarnation)
+                for member, engine in zip(group.members, engines, strict=True)
+            ),
+        )
+        for rank, engine in enumerate(engines):
+            engine.take_order(_order(formed, rank))
+        write = Write(formed.key, group_to_fields(formed))
+        await self.local.standins.platform.commit(Transaction((), (write,)))
+
+
+def _order(group: GroupRecord, rank: int) -> EngineOrder:
+    return EngineOrder(
+        group_id=group.group_id,
+        generation=group.generation,
+        model=group.model,
+        model_version=group.model_version,
+        members=tuple(member.vm_id for member in group.members),
+        rank=rank,
+        fencing=group.generation,
+        valid_for=ORDER_LIFETIME_S,
+    )
+
+
+def _sees_all(local: Local, entry: EntryNode) -> bool:
+    groups = listed_groups(local)
+    known = entry.directory.by_id
+    book = entry.prober.book
+    return bool(groups) and all(
+        known.get(group.group_id) == group and book.is_serving(group)
+        for group in groups
+    )
