--- a/primroserudder/connection/__init__.py
+++ b/primroserudder/connection/__init__.py
@@ -5,6 +5,7 @@
 from .operators import Operators
 from .peers import PeerChannels
 from .platformhttp import PlatformHttp
+from .stopsapi import make_stops_api
 
 __all__ = (
     'Callers',
@@ -12,4 +13,5 @@
     'Operators',
     'PeerChannels',
     'PlatformHttp',
+    'make_stops_api',
 )
--- a/primroserudder/process/controller.py
+++ b/primroserudder/process/controller.py
@@ -1,14 +1,15 @@
 """Forms the groups of one failure domain."""
 
 import asyncio
+import itertools
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, replace
 
 from loguru import logger
 
-from ..errors import RudderError
 from ..version.document import ModelDeployment, PlainDeployment
 from ..version.holder import VersionHolder
+from .drains import LeaseLost
 from .engines import EngineClient, EngineOrder, EngineStatus
 from .evidence import holds_order
 from .groups import (
@@ -21,6 +22,7 @@
     group_to_fields,
 )
 from .lease import Lease
+from .leaving import Leaving, Steering
 from .placement import choose_members
 from .platform import (
     Condition,
@@ -44,6 +46,7 @@
     holder: VersionHolder
     lease: Lease
     directory: GroupDirectory
+    leaving: Leaving
 
     @property
     def failure_domain(self) -> str:
@@ -61,39 +64,38 @@
         for row, group in zip(rows, groups, strict=True):
             if group.state is GroupState.FORMING:
                 await self._complete(group, row.revision)
+        steering = await self.leaving.step(rows)
         document = self.holder.current.rendered.document
         for name, deployment in document.deployments.items():
             if not isinstance(deployment, PlainDeployment):
-                await self._form_missing(name, deployment, groups)
+                await self._form_missing(name, deployment, groups, steering)
 
     async def _form_missing(
         self,
         name: str,
         deployment: ModelDeployment,
         groups: Iterable[GroupRecord],
+        steering: Steering,
     ) -> None:
-        wanted = deployment.groups_by_failure_domain.get(
-            self.failure_domain,
-            0,
-        )
-        indexes = {
-            group.group_id for group in groups if group.deployment == name
-        }
-        for index in range(wanted):
-            group_id = f'{name}-{self.failure_domain}-{index}'
-            if group_id not in indexes:
-                await self._form(group_id, name, deployment)
+        taken = {group.group_id for group in groups}
+        prefix = f'{name}-{self.failure_domain}'
+        ids = (f'{prefix}-{index}' for index in itertools.count())
+        free = (group_id for group_id in ids if group_id not in taken)
+        wanted = steering.plans_by_deployment[name].form
+        for group_id in itertools.islice(free, wanted):
+            await self._form(group_id, name, deployment, steering)
 
     async def _form(
         self,
         group_id: str,
         name: str,
         deployment: ModelDeployment,
+        steering: Steering,
     ) -> None:
         claims = await self._claims()
         vms = choose_members(
             self._own_vms(await self.platform.list_vms()),
-            claims,
+            {*claims, *steering.excluded},
             deployment.pool,
             deployment.group_size,
         )
@@ -161,14 +163,6 @@
         return await self.engines.order(group.members[rank].address, order)
 
 
-class LeaseLost(RudderError):
-    """The lease is no longer held, so that no order may be given."""
-
-    code = 'lease_lost'
-    status = 503
-    default_remedy = 'another controller acts for the failure domain'
-
-
 def _member(vm: VmListing, status: EngineStatus) -> Member:
     return Member(vm.vm_id, vm.address, status.incarnation)
 
--- /dev/null
+++ b/primroserudder/process/leaving.py
@@ -0,0 +1,242 @@
+"""Carries out planned stops and roll-outs in one failure domain."""
+
+from collections.abc import Collection, Mapping, Sequence
+from dataclasses import dataclass, field, replace
+
+from loguru import logger
+
+from ..errors import RudderError
+from ..version.document import ModelDeployment
+from ..version.holder import VersionHolder
+from .drains import GroupDrainer
+from .groups import GroupRecord, GroupState, group_to_fields
+from .invariants import Invariants
+from .platform import (
+    Condition,
+    PlatformClient,
+    Row,
+    Transaction,
+    Write,
+)
+from .rollout import DeploymentPlan, DeploymentView, plan_deployment
+from .rolloutrows import RolloutRows
+from .sight import Sight, look
+from .stops import (
+    Stop,
+    StopState,
+    hit_groups,
+    spare_groups,
+    stop_to_fields,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Steering:
+    """What the controller has to heed when it forms groups."""
+
+    excluded: Collection[str] = ()
+    plans_by_deployment: Mapping[str, DeploymentPlan] = field(
+        default_factory=dict,
+    )
+
+
+@dataclass(slots=True)
+class Leaving:
+    """Part of a controller; all that must last stands in the rows."""
+
+    platform: PlatformClient
+    holder: VersionHolder
+    drainer: GroupDrainer
+    invariants: Invariants
+    rollouts: RolloutRows
+    notes_by_deployment: dict[str, str] = field(default_factory=dict)
+
+    @property
+    def failure_domain(self) -> str:
+        """Return the failure domain that is steered."""
+        return self.drainer.lease.failure_domain
+
+    async def step(self, rows: Sequence[Row]) -> Steering:
+        """Bring stops and roll-outs one step on and steer the forming."""
+        sight = await look(self.platform, self.failure_domain, rows)
+        plans = {
+            name: await self._plan(name, sight) for name in self._names(sight)
+        }
+        resumed: set[str] = set()
+        for name, plan in plans.items():
+            self.notes_by_deployment[name] = plan.note
+            resumed.update(group.group_id for group in plan.resume)
+            await self._follow(plan, sight)
+        for group in sight.draining():
+            if group.group_id not in resumed:
+                await self._drain(group, sight)
+        for row, stop in sight.stop_rows:
+            await self._tell(row, stop, sight)
+        return Steering(sight.excluded, plans)
+
+    def dump(self) -> Mapping[str, object]:
+        """Return drains and roll-outs for the state dump."""
+        return {
+            'drains': self.drainer.dump(),
+            'rollouts': {
+                name: note
+                for name, note in self.notes_by_deployment.items()
+                if note
+            },
+        }
+
+    async def _follow(self, plan: DeploymentPlan, sight: Sight) -> None:
+        for leaving in plan.drain:
+            if await self._change(leaving, GroupState.DRAINING, sight):
+                # The engines hear of it at once; the next step goes on.
+                await self.drainer.step(leaving, ())
+        for back in plan.resume:
+            if await self.drainer.resume(back):
+                await self._change(back, GroupState.SERVING, sight)
+
+    def _names(self, sight: Sight) -> Sequence[str]:
+        configured = self.holder.current.rendered.document.deployments
+        models = {
+            name
+            for name, deployment in configured.items()
+            if isinstance(deployment, ModelDeployment)
+        }
+        return sorted(models | {group.deployment for group in sight.groups})
+
+    async def _plan(self, name: str, sight: Sight) -> DeploymentPlan:
+        document = self.holder.current.rendered.document
+        deployment = document.deployments.get(name)
+        groups = [group for group in sight.groups if group.deployment == name]
+        if not isinstance(deployment, ModelDeployment):
+            # The deployment was removed, so that all its groups leave.
+            return DeploymentPlan(
+                drain=[
+                    group
+                    for group in groups
+                    if group.state is not GroupState.DRAINING
+                ],
+            )
+        view = self._view(deployment, groups, sight)
+        flags = await self.rollouts.judge(name, view, self.drainer.clock)
+        plan = plan_deployment(
+            replace(
+                view,
+                is_halted=flags.is_halted,
+                is_in_place=flags.is_in_place,
+            ),
+        )
+        failed = flags.failed
+        return plan if failed is None else replace(plan, drain=(failed,))
+
+    def _view(
+        self,
+        deployment: ModelDeployment,
+        groups: Sequence[GroupRecord],
+        sight: Sight,
+    ) -> DeploymentView:
+        hit_by_stop = [
+            (stop, hit_groups(groups, sight.covered_by_stop[stop.stop_id]))
+            for stop in sight.active
+        ]
+        claimed = {row.key.rpartition('/')[2] for row in sight.claims}
+        spares = spare_groups(
+            sight.listed,
+            claimed.union(sight.excluded),
+            deployment.pool,
+            deployment.group_size,
+        )
+        by_domain = deployment.groups_by_failure_domain
+        return DeploymentView(
+            deployment=deployment,
+            wanted=by_domain.get(self.failure_domain, 0),
+            groups=groups,
+            hit={group.group_id for _, hit in hit_by_stop for group in hit},
+            accepts_loss=all(
+                stop.accepts_loss for stop, hit in hit_by_stop if hit
+            ),
+            has_spares=spares > 0,
+        )
+
+    async def _change(
+        self,
+        group: GroupRecord,
+        state: GroupState,
+        sight: Sight,
+    ) -> bool:
+        row = sight.rows_by_group[group.group_id]
+        changed = replace(group, state=state)
+        transaction = Transaction(
+            (Condition(row.key, row.revision),),
+            (Write(row.key, group_to_fields(changed)),),
+        )
+        is_changed = await self._commit(transaction, 'group_changes')
+        if is_changed:
+            logger.info('group {} is {}', group.group_id, state.value)
+        return is_changed
+
+    async def _drain(self, group: GroupRecord, sight: Sight) -> None:
+        gone = {member.vm_id for member in group.members} - {
+            vm.vm_id for vm in sight.listed
+        }
+        if not await self.drainer.step(group, gone):
+            return
+        row = sight.rows_by_group[group.group_id]
+        held = [
+            claim
+            for claim in sight.claims
+            if claim.fields['group_id'] == group.group_id
+            and claim.fields['generation'] == group.generation
+        ]
+        self.invariants.require(
+            group.state is GroupState.DRAINING,
+            'only_drained_groups_retire',
+            f'group {group.group_id} is retired without a drain',
+        )
+        transaction = Transaction(
+            (
+                Condition(row.key, row.revision),
+                *(Condition(claim.key, claim.revision) for claim in held),
+            ),
+            (
+                Write(row.key, None),
+                *(Write(claim.key, None) for claim in held),
+            ),
+        )
+        if await self._commit(transaction, 'groups_retired'):
+            self.drainer.forget(group)
+            logger.info('group {} is retired', group.group_id)
+
+    async def _tell(self, row: Row, stop: Stop, sight: Sight) -> None:
+        told = self._progress(stop, sight)
+        if told == stop:
+            return
+        transaction = Transaction(
+            (Condition(row.key, row.revision),),
+            (Write(row.key, stop_to_fields(told)),),
+        )
+        if await self._commit(transaction, 'stop_changes'):
+            logger.info('stop {} is {}', stop.stop_id, told.state.value)
+
+    def _progress(self, stop: Stop, sight: Sight) -> Stop:
+        left = hit_groups(sight.groups, sight.covered_by_stop[stop.stop_id])
+        names = ', '.join(group.group_id for group in left)
+        draining = [
+            group for group in left if group.state is GroupState.DRAINING
+        ]
+        if not left:
+            return replace(stop, state=StopState.SAFE, note='')
+        if draining:
+            return replace(stop, state=StopState.DRAINING, note=names)
+        if stop in sight.active:
+            return replace(stop, state=StopState.REPLACING, note=names)
+        return replace(stop, state=StopState.WAITING, note=names)
+
+    async def _commit(self, transaction: Transaction, counter: str) -> bool:
+        try:
+            await self.platform.commit(transaction)
+        except RudderError as error:
+            # The next step reads the rows and sees what took effect.
+            self.invariants.metrics.count('failed_commits', code=error.code)
+            return False
+        self.invariants.metrics.count(counter)
+        return True
--- /dev/null
+++ b/primroserudder/process/sight.py
@@ -0,0 +1,84 @@
+"""What a controller reads before it steers what leaves."""
+
+import math
+from collections.abc import Collection, Mapping, Sequence
+from dataclasses import dataclass
+
+from .groups import GroupRecord, GroupState, group_from_fields
+from .platform import PlatformClient, Row, VmListing
+from .stops import (
+    STOP_PREFIX,
+    Stop,
+    StopKind,
+    stop_from_row,
+    under_budget,
+)
+
+CLAIM_PREFIX = 'claims/'
+# Groups of a failure domain that stops may take out at once.
+BUDGET_SHARE = 0.25
+
+
+@dataclass(frozen=True, slots=True)
+class Sight:
+    """What the platform says of one failure domain at one step."""
+
+    rows_by_group: Mapping[str, Row]
+    groups: Sequence[GroupRecord]
+    listed: Sequence[VmListing]
+    claims: Sequence[Row]
+    stop_rows: Sequence[tuple[Row, Stop]]
+    covered_by_stop: Mapping[str, Collection[str]]
+    active: Sequence[Stop]
+
+    @property
+    def excluded(self) -> Collection[str]:
+        """Return all VMs that stops keep out."""
+        return frozenset().union(*self.covered_by_stop.values())
+
+    def draining(self) -> Sequence[GroupRecord]:
+        """Return the groups that were draining when the step began."""
+        return [
+            group for group in self.groups if group.state is GroupState.DRAINING
+        ]
+
+
+async def look(
+    platform: PlatformClient,
+    failure_domain: str,
+    rows: Sequence[Row],
+) -> Sight:
+    """Read what a step needs besides the rows of the groups."""
+    groups = [group_from_fields(row.fields) for row in rows]
+    listed = [
+        vm
+        for vm in await platform.list_vms()
+        if vm.failure_domain == failure_domain
+    ]
+    stop_rows = await _stop_rows(platform, failure_domain)
+    covered = {stop.stop_id: stop.covered(listed) for _, stop in stop_rows}
+    budget = max(1, math.floor(len(groups) * BUDGET_SHARE))
+    stops = [stop for _, stop in stop_rows]
+    return Sight(
+        rows_by_group={
+            group.group_id: row for row, group in zip(rows, groups, strict=True)
+        },
+        groups=groups,
+        listed=listed,
+        claims=await platform.scan(f'{CLAIM_PREFIX}{failure_domain}/'),
+        stop_rows=stop_rows,
+        covered_by_stop=covered,
+        active=under_budget(stops, groups, covered, budget),
+    )
+
+
+async def _stop_rows(
+    platform: PlatformClient,
+    failure_domain: str,
+) -> Sequence[tuple[Row, Stop]]:
+    rows = await platform.scan(f'{STOP_PREFIX}{failure_domain}/')
+    found = [(row, stop_from_row(row)) for row in rows]
+    # An entry carries out its own stop.
+    return [
+        (row, stop) for row, stop in found if stop.kind is not StopKind.ENTRY
+    ]
--- a/primroserudder/programs/controllernode.py
+++ b/primroserudder/programs/controllernode.py
@@ -7,6 +7,7 @@
 from ..process.groups import GroupDirectory
 from ..process.lease import LEASE_RENEWAL_S, Lease
 from ..process.settings import ControllerSettings
+from .leavingparts import make_leaving
 from .node import NodeRuntime
 
 RECONCILE_S = 0.5
@@ -60,7 +61,9 @@
             holder=runtime.holder,
             lease=lease,
             directory=GroupDirectory(),
+            leaving=make_leaving(runtime, lease),
         )
+        runtime.state.register('leaving', self.controller.leaving.dump)
         runtime.state.register(
             'lease',
             lambda: {
--- a/primroserudder/programs/ctl.py
+++ b/primroserudder/programs/ctl.py
@@ -7,7 +7,7 @@
 import aiohttp
 
 from ..errors import RudderError
-from . import ctlconfig, ctlstate
+from . import ctlconfig, ctlstate, ctlstops
 from .common import (
     EXIT_FAILED,
     EXIT_REFUSED,
@@ -56,6 +56,7 @@
     commands = made.add_subparsers(required=True, metavar='COMMAND')
     ctlconfig.add_commands(commands)
     ctlstate.add_commands(commands)
+    ctlstops.add_commands(commands)
     return made
 
 
--- a/primroserudder/programs/node.py
+++ b/primroserudder/programs/node.py
@@ -10,7 +10,7 @@
 from aiohttp import ClientSession, TCPConnector, web
 from grpc import aio
 
-from ..connection import Operators, PlatformHttp
+from ..connection import Operators, PlatformHttp, make_stops_api
 from ..connection.exchange import MembershipService, PeerClient
 from ..connection.http import bound_port, serve
 from ..connection.peers import PeerChannels, bind, peer_server
@@ -126,6 +126,11 @@
         is_ready: Callable[[], bool],
     ) -> int:
         """Start the operators' port and return it."""
+        stops = make_stops_api(
+            self.platform,
+            self.holder,
+            self.membership.nodes,
+        )
         operators = Operators(
             token=self.settings.operators_token,
             metrics=self.metrics,
@@ -135,6 +140,7 @@
             is_ready=is_ready,
             publish=self.spread.publish,
             site=Site(self.state, self.membership, self.channels),
+            routes=list(stops.routes()),
         )
         app = operators.app()
         runner = await self.listen_http(
--- a/primroserudder/version/store.py
+++ b/primroserudder/version/store.py
@@ -1,11 +1,8 @@
 """Accepts configuration versions through the platform."""
 
 import asyncio
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Sequence
 from dataclasses import dataclass
-from typing import TypeVar
-
-from loguru import logger
 
 from ..errors import Ran, RudderError
 from ..process.platform import (
@@ -19,18 +16,16 @@
     Transaction,
     Write,
 )
+from ..process.retries import insist
 from .holder import Version, make_version
 
 HEAD_KEY = 'config/head'
 OBJECT_PREFIX = 'config/'
-RETRY_PAUSES_S = (0.1, 0.2, 0.4, 0.8)
 # Older rows are removed as newer versions are accepted; a day of the largest
 # site that is planned for has 17,000 changes.
 HISTORY_VERSIONS = 40_000
 HISTORY_DIGITS = 12
 
-_Answer = TypeVar('_Answer')
-
 
 class VersionConflict(RudderError):
     """Another operator's change was accepted from the same base."""
@@ -157,7 +152,7 @@
     async def _store_body(self, version: Version) -> None:
         name = f'{OBJECT_PREFIX}{version.digest}'
         try:
-            await _insist(lambda: self.platform.put_object(name, version.body))
+            await insist(lambda: self.platform.put_object(name, version.body))
         except OutcomeUnknown as unknown:
             raise PlatformUnavailable(
                 f'the document could not be stored: {unknown}',
@@ -205,7 +200,7 @@
         try:
             # Repeating it is harmless: its conditions hold only once. A read
             # alone would not do, as a slow transaction may still take effect.
-            await _insist(lambda: self.platform.commit(transaction))
+            await insist(lambda: self.platform.commit(transaction))
         except Conflict as conflict:
             return await self._settle(version, submission, conflict)
         except OutcomeUnknown as unknown:
@@ -221,7 +216,7 @@
         conflict: Conflict,
     ) -> Version:
         try:
-            known = await _insist(lambda: self.find_submission(submission))
+            known = await insist(lambda: self.find_submission(submission))
         except RudderError as unreadable:
             raise SubmissionUnknown(
                 f'submission {submission}: the answer was lost',
@@ -235,23 +230,6 @@
         ) from conflict
 
 
-async def _insist(call: Callable[[], Awaitable[_Answer]]) -> _Answer:
-    """Repeat a call whose answer is lost; say unknown if one ever was."""
-    unknown: OutcomeUnknown | None = None
-    for pause_s in RETRY_PAUSES_S:
-        try:
-            return await call()
-        except OutcomeUnknown as lost:
-            unknown = lost
-        except PlatformUnavailable as unavailable:
-            logger.debug('the platform is asked again: {}', unavailable)
-        await asyncio.sleep(pause_s)
-    try:
-        return await call()
-    except PlatformUnavailable as unavailable:
-        raise unknown or unavailable from unavailable
-
-
 def _as_accepted(known: Accepted, version: Version) -> Version:
     if known.digest != version.digest:
         submission = known.submission
