--- a/primroserudder/process/drains.py
+++ b/primroserudder/process/drains.py
@@ -12,7 +12,7 @@
 """
 
 import asyncio
-from collections.abc import Collection, Mapping
+from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass, field
 from typing import Protocol
 
@@ -125,6 +125,15 @@
             for answer in answers
         )
 
+    def keep(self, draining: Iterable[GroupRecord]) -> None:
+        """Drop the progress of all other groups; names are used again."""
+        kept = {(group.group_id, group.generation) for group in draining}
+        self.progress_by_group = {
+            key: progress
+            for key, progress in self.progress_by_group.items()
+            if key in kept
+        }
+
     def forget(self, group: GroupRecord) -> None:
         """Drop what is known of a drain that has ended."""
         self.progress_by_group.pop((group.group_id, group.generation), None)
--- a/primroserudder/process/leaving.py
+++ b/primroserudder/process/leaving.py
@@ -62,6 +62,7 @@
         plans = {
             name: await self._plan(name, sight) for name in self._names(sight)
         }
+        self.drainer.keep(sight.draining())
         resumed: set[str] = set()
         for name, plan in plans.items():
             self.notes_by_deployment[name] = plan.note
--- a/primroserudder/process/rolloutrows.py
+++ b/primroserudder/process/rolloutrows.py
@@ -1,5 +1,6 @@
 """The rows by which roll-outs are halted, resumed or done in place."""
 
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 
 from loguru import logger
@@ -44,7 +45,9 @@
 
     platform: PlatformClient
     failure_domain: str
-    forming_since: dict[tuple[str, int], float] = field(default_factory=dict)
+    forming_since_by_deployment: dict[str, dict[str, float]] = field(
+        default_factory=dict,
+    )
 
     async def judge(
         self,
@@ -59,15 +62,16 @@
         A row holds for one model version only, so that the next change of
         the configuration begins a new roll-out.
         """
+        overdue = self._overdue(deployment, view, clock.monotonic())
         if all(is_current(group, view.deployment) for group in view.groups):
             return RolloutFlags()
         key = rollout_key(self.failure_domain, deployment)
         row = await self.platform.read(key)
         version = view.deployment.model_version
         flags = _flags(row, version)
-        failed = self._overdue(view, clock.monotonic())
-        if failed is None or flags.is_halted:
+        if not overdue or flags.is_halted:
             return flags
+        failed = overdue[0]
         reason = f'group {failed.group_id} did not come to serve'
         fields = {
             'model_version': version,
@@ -88,30 +92,27 @@
 
     def _overdue(
         self,
+        deployment: str,
         view: DeploymentView,
         now: float,
-    ) -> GroupRecord | None:
+    ) -> Sequence[GroupRecord]:
         forming = [
             group
             for group in view.groups
             if group.state is GroupState.FORMING
             and is_current(group, view.deployment)
         ]
+        known = self.forming_since_by_deployment.get(deployment, {})
+        # Only those that form now are kept, as names are used again.
         since = {
-            (group.group_id, group.generation): self.forming_since.get(
-                (group.group_id, group.generation),
-                now,
-            )
-            for group in forming
+            group.group_id: known.get(group.group_id, now) for group in forming
         }
-        self.forming_since.update(since)
-        overdue = (
+        self.forming_since_by_deployment[deployment] = since
+        return [
             group
             for group in forming
-            if now - since[(group.group_id, group.generation)]
-            > ROLLOUT_PATIENCE_S
-        )
-        return next(overdue, None)
+            if now - since[group.group_id] > ROLLOUT_PATIENCE_S
+        ]
 
 
 def _flags(row: Row | None, version: str) -> RolloutFlags:
--- a/primroserudder/process/tests/test_stops.py
+++ b/primroserudder/process/tests/test_stops.py
@@ -75,6 +75,7 @@
     await asyncio.sleep(1)
     await site.plan(group.group_id, StopKind.GROUP)
     await site.until(lambda: site.is_safe(group.group_id))
+    assert running.done()
     assert await running == tokens
     assert site.clock.monotonic() - began >= tokens * TOKEN_S
 
--- a/primroserudder/testing/builders.py
+++ b/primroserudder/testing/builders.py
@@ -2,12 +2,14 @@
 
 import json
 from collections.abc import Mapping
+from dataclasses import replace
 
 from ..process.engines import EngineOrder, EngineStatus
 from ..process.groups import GroupRecord, GroupState, Member
 from ..process.platform import VmListing, VmState
 from ..request.caller import Arrival, CallerRequest
 from ..request.identity import hash_secret
+from ..standins.engine import EngineSpeed
 from ..version.document import Service
 from ..version.holder import Version, make_version
 
@@ -168,3 +170,8 @@
         arrived_at=0,
         created=0,
     )
+
+
+def speed(**changes: float) -> EngineSpeed:
+    """Return the speed of an engine."""
+    return replace(EngineSpeed(), **changes)  # type: ignore[arg-type]
