Carry out planned stops and roll-outs of groups, and stops of entries

Cause: there was no way to take a VM, a group, a domain or an entry out, and a change of a model version reached no group that already stood. Change: stops are rows in the platform's table, planned with their effect on capacity, ordered by a budget and carried out by the controller from the rows alone; one rule forms what is missing, drains what is hit, old or too many once enough others serve, and halts a roll-out whose new group does not come to serve. A group is safe only after all members confirmed the drain, the right to send and the longest send have passed, and neither engines nor entries report work. Each of the waits for confirmation, lapse and reports taken out makes tests fail. The tests of the roll-out found that the time a group has been forming was carried over to a later group of the same name; it is now kept per forming group only. Conclusion: stops and roll-outs share one mechanism, which a new controller takes over from the rows.

--- a/primroserudder/connection/drain.py
+++ b/primroserudder/connection/drain.py
@@ -51,6 +51,7 @@
     metrics: Metrics
     notice_s: float
     limit_s: float = DRAIN_LIMIT_S
+    tell: Callable[[bool], object] = bool
     stage: DrainStage = DrainStage.SERVING
     in_flight: int = 0
     _idle: asyncio.Event = field(default_factory=asyncio.Event)
@@ -64,13 +65,23 @@
 
     async def run(self) -> None:
         """Drain; return when nothing is in flight or the limit has passed."""
-        self._enter(DrainStage.NOTICE)
-        await asyncio.sleep(self.notice_s)
+        if self.stage is DrainStage.SERVING:
+            self._enter(DrainStage.NOTICE)
+            await asyncio.sleep(self.notice_s)
         self._enter(DrainStage.FINISHING)
         if self.in_flight:
             await self._wait()
         self._enter(DrainStage.DRAINED)
 
+    def resume(self) -> None:
+        """Take work again after a drain that was cancelled."""
+        self._enter(DrainStage.SERVING)
+
+    @property
+    def is_empty(self) -> bool:
+        """Return whether nothing is taken and nothing is in flight."""
+        return self.stage is DrainStage.DRAINED and not self.in_flight
+
     def dump(self) -> Mapping[str, object]:
         """Return stage and count for the state dump."""
         return {'stage': self.stage.value, 'in_flight': self.in_flight}
@@ -79,11 +90,12 @@
         try:
             await asyncio.wait_for(self._idle.wait(), self.limit_s)
         except asyncio.TimeoutError:
-            self.metrics.count('requests_cut_by_stop', self.in_flight)
+            self.metrics.count('requests_over_drain_limit', self.in_flight)
             logger.error('{} requests outlived the limit', self.in_flight)
 
     def _enter(self, stage: DrainStage) -> None:
         self.stage = stage
+        self.tell(stage is not DrainStage.SERVING)
         logger.info('drain: {}, {} in flight', stage.value, self.in_flight)
 
     @web.middleware
--- a/primroserudder/connection/tests/test_drain.py
+++ b/primroserudder/connection/tests/test_drain.py
@@ -90,4 +90,4 @@
         running.cancel()
         with pytest.raises((asyncio.CancelledError, ClientError)):
             await running
-    assert drain.metrics.value('requests_cut_by_stop') == 1
+    assert drain.metrics.value('requests_over_drain_limit') == 1
--- a/primroserudder/programs/entrynode.py
+++ b/primroserudder/programs/entrynode.py
@@ -6,6 +6,7 @@
 from ..connection.drain import Drain
 from ..connection.enginehttp import EngineHttp
 from ..connection.http import bound_port
+from ..process.entrystops import STOP_POLL_S, EntryStops
 from ..process.evidence import PROBE_INTERVAL_S, EvidenceBook, Prober
 from ..process.groups import (
     GROUP_PREFIX,
@@ -31,6 +32,7 @@
     directory: GroupDirectory = field(default_factory=GroupDirectory)
     callers: Callers = field(init=False)
     drain: Drain = field(init=False)
+    stops: EntryStops = field(init=False)
     prober: Prober = field(init=False)
     callers_port: int = 0
     operators_port: int = 0
@@ -38,7 +40,11 @@
     def __post_init__(self) -> None:
         """Make the common parts."""
         self.runtime = NodeRuntime(self.settings, 'entry')
-        self.drain = Drain(self.runtime.metrics, self.settings.drain_notice_s)
+        self.drain = Drain(
+            self.runtime.metrics,
+            self.settings.drain_notice_s,
+            tell=self._tell_draining,
+        )
 
     async def start(self) -> None:
         """Open the ports and start the steps."""
@@ -61,11 +67,14 @@
 
     async def stop(self) -> None:
         """Take no new work, let requests in flight finish, then close."""
-        self.runtime.is_draining = True
         if self.callers_port:
+            self.stops.close()
             await self.drain.run()
         await self.runtime.close()
 
+    def _tell_draining(self, is_draining: bool) -> None:
+        self.runtime.is_draining = is_draining
+
     async def _listen(self) -> None:
         await self.runtime.start_peers()
         self.operators_port = await self.runtime.listen_operators(
@@ -80,6 +89,12 @@
         guard.runner = runner
         self.callers_port = bound_port(runner)
         self.runtime.start_step(guard.sweep, SWEEP_S, 'sweep')
+        self.stops = EntryStops(
+            self.runtime.platform,
+            self.runtime.membership.own,
+            self.drain,
+        )
+        self.runtime.start_step(self.stops.step, STOP_POLL_S, 'entry_stop')
 
     def _wire(self) -> None:
         runtime = self.runtime
