--- a/primroserudder/connection/enginehttp.py
+++ b/primroserudder/connection/enginehttp.py
@@ -10,15 +10,16 @@
 from contextlib import asynccontextmanager, suppress
 from dataclasses import asdict, dataclass
 from http import HTTPStatus
+from typing import TypeVar
 
 import aiohttp
 import orjson
+from pydantic import TypeAdapter, ValidationError
 
 from ..process.engines import (
     CacheEvent,
     EngineAnswer,
     EngineCall,
-    EngineLoad,
     EngineOrder,
     EngineStatus,
     OrderRefused,
@@ -26,7 +27,11 @@
     UpstreamRefused,
     UpstreamUnreachable,
 )
+from ..process.settings import describe
 
+_STATUS = TypeAdapter(EngineStatus)
+_CACHE_EVENTS = TypeAdapter(list[CacheEvent])
+_Answer = TypeVar('_Answer')
 CONTROL_TIMEOUT_S = 2
 CONNECT_TIMEOUT_S = 1
 STREAM_END_WAIT_S = 0.1
@@ -117,7 +122,7 @@
     ) -> Sequence[CacheEvent]:
         """Return the events of the prefix cache after a number."""
         found = await self._control(address, 'GET', f'/cache?after={after}')
-        return [CacheEvent(**event) for event in orjson.loads(found)]
+        return _parse(found, _CACHE_EVENTS)
 
     async def export_cache(self, address: str, request_id: str) -> bytes:
         """Return the KV cache of a request."""
@@ -229,11 +234,13 @@
 
 
 def _status(found: bytes) -> EngineStatus:
+    return _parse(found, _STATUS)
+
+
+def _parse(found: bytes, kind: TypeAdapter[_Answer]) -> _Answer:
     try:
-        fields = orjson.loads(found)
-        load = EngineLoad(**fields.pop('load'))
-        return EngineStatus(load=load, **fields)
-    except (orjson.JSONDecodeError, TypeError, KeyError) as error:
+        return kind.validate_json(found)
+    except ValidationError as invalid:
         raise UpstreamUnreachable(
-            f'the engine sent a malformed status: {error}',
-        ) from error
+            f'the engine sent a malformed answer: {describe(invalid)}',
+        ) from invalid
