Recognise requests that crash replicas and run suspects in isolation

Cause: a request that crashed its replica was retried on the next one and sent again by its caller to every entry, and each run cost a replica.

Change: requests are recognised by a digest of deployment, adapter and the fields that decide on the work. All that ran on a replica that was lost are suspects, which run one at a time on a replica and once at a time site-wide by permits of one entry. A second loss, in isolation and near the first, or three at once without any completion, condemns a content for 600 s; a completion or an operator clears it. Losses of other groups of the fabric domain within 5 s void a strike. Strikes are told to all entries before the caller hears or a retry begins.

--- a/primroserudder/programs/entrynode.py
+++ b/primroserudder/programs/entrynode.py
@@ -17,6 +17,7 @@
 from ..request.routing import Router
 from ..request.watch import WATCH_INTERVAL_S
 from .node import NodeRuntime
+from .suspectnode import share_suspects
 
 GROUP_POLL_S = 1
 SWEEP_S = 1
@@ -102,6 +103,7 @@
         )
         watch = self.callers.server.watch
         runtime.start_step(watch.step, WATCH_INTERVAL_S, 'watch_attempts')
+        share_suspects(runtime, self.callers.server.isolation)
 
     def _register_state(self) -> None:
         state = self.runtime.state
--- a/primroserudder/programs/node.py
+++ b/primroserudder/programs/node.py
@@ -52,6 +52,7 @@
     stack: AsyncExitStack = field(default_factory=AsyncExitStack)
     is_draining: bool = False
     tasks: list[asyncio.Task[None]] = field(default_factory=list)
+    operator_routes: list[web.RouteDef] = field(default_factory=list)
     invariants: Invariants = field(init=False)
     channels: PeerChannels = field(init=False)
     session: ClientSession = field(init=False)
@@ -134,6 +135,7 @@
             store=self.store,
             is_ready=is_ready,
             publish=self.spread.publish,
+            routes=list(self.operator_routes),
             site=Site(self.state, self.membership, self.channels),
         )
         app = operators.app()
