--- a/primroserudder/programs/node.py
+++ b/primroserudder/programs/node.py
@@ -140,9 +140,8 @@
             store=self.store,
             is_ready=is_ready,
             publish=self.spread.publish,
-            routes=list(self.operator_routes),
             site=Site(self.state, self.membership, self.channels),
-            routes=list(stops.routes()),
+            routes=[*stops.routes(), *self.operator_routes],
         )
         app = operators.app()
         runner = await self.listen_http(
