--- a/primroserudder/programs/common.py
+++ b/primroserudder/programs/common.py
@@ -8,7 +8,7 @@
 import sys
 from collections.abc import Awaitable, Callable
 from importlib.metadata import version
-from typing import Protocol, TypeVar
+from typing import NoReturn, Protocol, TypeVar
 
 import uvloop
 from loguru import logger
@@ -56,9 +56,18 @@
     return await main
 
 
+class OneLineParser(argparse.ArgumentParser):
+    """Tells wrong use in one line that names the remedy."""
+
+    def error(self, message: str) -> NoReturn:
+        """Write the fault and end."""
+        program = self.prog
+        self.exit(EXIT_USAGE, f'wrong_use: {message}; see {program} --help\n')
+
+
 def parser(program: str, description: str) -> argparse.ArgumentParser:
     """Return a parser with the flags of all programs."""
-    made = argparse.ArgumentParser(prog=program, description=description)
+    made = OneLineParser(prog=program, description=description)
     made.add_argument(
         '--version',
         action='version',
@@ -88,9 +97,10 @@
     return made
 
 
-def complain(error: RudderError) -> None:
+def complain(error: RudderError, told_code: str = '') -> None:
     """Write one line that names the fault and the remedy."""
-    sys.stderr.write(f'{error.code}: {error}; {error.remedy}\n')
+    code = told_code or error.code
+    sys.stderr.write(f'{code}: {error}; {error.remedy}\n')
 
 
 def serve_from_settings(
