--- a/primroserudder/programs/ctl.py
+++ b/primroserudder/programs/ctl.py
@@ -3,20 +3,37 @@
 import argparse
 import os
 import sys
+from functools import singledispatch
 
 import aiohttp
 
 from ..errors import RudderError
-from . import ctlconfig, ctlkeys, ctlstate
-from .common import EXIT_REFUSED, EXIT_UNREACHABLE, complain, parser, run
-from .operatorclient import OperatorClient, ProcessUnreachable
+from . import ctlconfig, ctlkeys, ctlstate, ctlstops
+from .common import (
+    EXIT_FAILED,
+    EXIT_REFUSED,
+    EXIT_UNREACHABLE,
+    complain,
+    parser,
+    run,
+)
+from .operatorclient import OperatorClient, ProcessUnreachable, Refused
 from .outcome import show
 
 EPILOG = """\
 exit codes: 0 done; 1 internal fault; 2 wrong use; 3 refused, nothing
-changed; 4 the process gave no answer; 5 not reached before --timeout
+changed; 4 the process gave no answer; 5 not reached before --timeout;
+6 not known whether it took effect: give the same command again with its id
 """
 
+EXIT_UNDECIDED = 6
+
+
+class InternalFault(RudderError):
+    """A fault of ``rudderctl`` itself."""
+
+    default_remedy = 'report this line with the command'
+
 
 def main() -> None:
     """Run one operator's command."""
@@ -43,20 +60,39 @@
     commands = made.add_subparsers(required=True, metavar='COMMAND')
     ctlconfig.add_commands(commands)
     ctlstate.add_commands(commands)
+    ctlstops.add_commands(commands)
     ctlkeys.add_commands(commands)
     return made
 
 
+@singledispatch
+def _ended_by(error: RudderError) -> int:
+    complain(error)
+    return EXIT_REFUSED
+
+
+@_ended_by.register
+def _(error: ProcessUnreachable) -> int:
+    complain(error)
+    return EXIT_UNREACHABLE
+
+
+@_ended_by.register
+def _(error: Refused) -> int:
+    complain(error, error.told_code)
+    return EXIT_UNDECIDED if error.is_undecided else EXIT_REFUSED
+
+
 async def _run(arguments: argparse.Namespace) -> int:
     async with aiohttp.ClientSession() as session:
         client = OperatorClient(session, arguments.url, arguments.token)
         try:
             outcome = await arguments.command(client, arguments)
-        except ProcessUnreachable as error:
-            complain(error)
-            return EXIT_UNREACHABLE
         except RudderError as error:
-            complain(error)
-            return EXIT_REFUSED
+            return _ended_by(error)
+        except Exception as fault:
+            kind = type(fault).__name__
+            complain(InternalFault(f'{kind}: {fault}'))
+            return EXIT_FAILED
     show(outcome, as_json=arguments.json)
     return int(outcome.exit_code)
--- a/primroserudder/programs/entrynode.py
+++ b/primroserudder/programs/entrynode.py
@@ -1,11 +1,12 @@
 """An entry: takes callers' requests to whole groups."""
 
-import asyncio
 from dataclasses import dataclass, field
 
 from ..connection.callers import Callers
+from ..connection.drain import Drain
 from ..connection.enginehttp import EngineHttp
 from ..connection.http import bound_port
+from ..process.entrystops import STOP_POLL_S, EntryStops
 from ..process.evidence import PROBE_INTERVAL_S, EvidenceBook, Prober
 from ..process.groups import (
     GROUP_PREFIX,
@@ -16,11 +17,12 @@
 from ..request.attempts import Server
 from ..request.keyed import KeyedRequests
 from ..request.routing import Router
+from ..request.watch import WATCH_INTERVAL_S
 from .keyedparts import wire_keyed
 from .node import NodeRuntime
+from .suspectnode import share_suspects
 
 GROUP_POLL_S = 1
-DRAIN_NOTICE_S = 3
 SWEEP_S = 1
 
 
@@ -32,6 +34,8 @@
     runtime: NodeRuntime = field(init=False)
     directory: GroupDirectory = field(default_factory=GroupDirectory)
     callers: Callers = field(init=False)
+    drain: Drain = field(init=False)
+    stops: EntryStops = field(init=False)
     prober: Prober = field(init=False)
     keyed: KeyedRequests = field(init=False)
     callers_port: int = 0
@@ -40,6 +44,11 @@
     def __post_init__(self) -> None:
         """Make the common parts."""
         self.runtime = NodeRuntime(self.settings, 'entry')
+        self.drain = Drain(
+            self.runtime.metrics,
+            self.settings.drain_notice_s,
+            tell=self._tell_draining,
+        )
 
     async def start(self) -> None:
         """Open the ports and start the steps."""
@@ -55,15 +64,21 @@
 
     def is_ready(self) -> bool:
         """Return whether the balancer may send new work."""
-        is_configured = self.runtime.holder.current.number > 0
-        return is_configured and not self.runtime.is_draining
+        runtime = self.runtime
+        is_configured = runtime.holder.current.number > 0
+        is_current = is_configured and runtime.spread.is_caught_up()
+        return is_current and not runtime.is_draining
 
     async def stop(self) -> None:
         """Take no new work, let requests in flight finish, then close."""
-        self.runtime.is_draining = True
-        await asyncio.sleep(DRAIN_NOTICE_S if self.callers.in_flight else 0)
+        if self.callers_port:
+            self.stops.close()
+            await self.drain.run()
         await self.runtime.close()
 
+    def _tell_draining(self, is_draining: bool) -> None:
+        self.runtime.is_draining = is_draining
+
     async def _listen(self) -> None:
         await self.runtime.start_peers()
         # Runs under a key go on without their callers: wait for them.
@@ -73,13 +88,19 @@
         )
         guard = self.callers.guard
         runner = await self.runtime.listen_http(
-            self.callers.app(),
+            self.drain.attach(self.callers.app()),
             self.settings.callers,
             'callers',
         )
         guard.runner = runner
         self.callers_port = bound_port(runner)
         self.runtime.start_step(guard.sweep, SWEEP_S, 'sweep')
+        self.stops = EntryStops(
+            self.runtime.platform,
+            self.runtime.membership.own,
+            self.drain,
+        )
+        self.runtime.start_step(self.stops.step, STOP_POLL_S, 'entry_stop')
 
     async def _wire(self) -> None:
         runtime = self.runtime
@@ -100,6 +121,9 @@
             invariants=runtime.invariants,
             max_body_bytes=self.settings.max_body_bytes,
         )
+        watch = self.callers.server.watch
+        runtime.start_step(watch.step, WATCH_INTERVAL_S, 'watch_attempts')
+        share_suspects(runtime, self.callers.server.isolation)
         await self._wire_keyed()
 
     async def _wire_keyed(self) -> None:
@@ -118,6 +142,7 @@
         state = self.runtime.state
         state.register('groups', self.directory.dump)
         state.register('evidence', self.prober.book.dump)
+        state.register('drain', self.drain.dump)
         state.register('in_flight', lambda: sorted(self.callers.in_flight))
 
     async def _poll_groups(self) -> None:
--- a/primroserudder/programs/operatorclient.py
+++ b/primroserudder/programs/operatorclient.py
@@ -11,7 +11,12 @@
 
 from ..errors import RudderError
 
-CALL_TIMEOUT_S = 10
+# A submission repeats what the platform does not answer for about 12 s.
+CALL_TIMEOUT_S = 30
+
+UNDECIDED_CODES = frozenset(
+    ('submission_unknown', 'stop_undecided', 'platform_outcome_unknown'),
+)
 
 
 class ProcessUnreachable(RudderError):
@@ -35,6 +40,12 @@
             remedy=str(problem.get('remedy', '')),
         )
         self.problem = problem
+        self.told_code = str(problem.get('code', self.code))
+
+    @property
+    def is_undecided(self) -> bool:
+        """Return whether the order may have taken effect all the same."""
+        return self.told_code in UNDECIDED_CODES
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,9 +87,15 @@
 
 async def _answer(response: aiohttp.ClientResponse) -> Any:
     answer = await response.read()
-    if response.status == HTTPStatus.OK:
+    if response.status != HTTPStatus.OK:
+        raise Refused(_problem(answer))
+    try:
         return orjson.loads(answer)
-    raise Refused(_problem(answer))
+    except orjson.JSONDecodeError as error:
+        raise ProcessUnreachable(
+            f'{response.url}: got an answer that is not JSON',
+            remedy="check that --url names the operators' port",
+        ) from error
 
 
 def _problem(answer: bytes) -> Mapping[str, Any]:
--- a/primroserudder/request/attempts.py
+++ b/primroserudder/request/attempts.py
@@ -1,8 +1,17 @@
 """Serves one request by one or more attempts."""
 
-from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+import asyncio
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import (
+    AbstractAsyncContextManager,
+    AsyncExitStack,
+    asynccontextmanager,
+    suppress,
+)
 from dataclasses import dataclass, field
+from typing import TypeVar
+
+import orjson
 
 from ..errors import RudderError
 from ..process.clock import Clock
@@ -17,11 +26,26 @@
 from ..process.groups import GroupRecord
 from ..process.metrics import Metrics
 from .caller import CallerRequest
+from .fingerprint import fingerprint
+from .isolation import (
+    SUSPECT_POLL_S,
+    SUSPECT_WAIT_S,
+    Isolation,
+    SuspectMustWait,
+)
 from .passage import Passage
+from .permits import PermitOutcome, PermitWish
 from .relay import Send, StreamRelay
-from .routing import Router
+from .routing import NoGroupServes, Router
+from .watch import Watch
 
-MAX_ATTEMPTS = 4
+MAX_RUNS = 8
+MAX_REFUSALS_BEFORE_RUN = 3
+# A request that was lost waits this long for a group that can take over.
+TAKEOVER_WAIT_S = 10
+TAKEOVER_POLL_S = 0.1
+_Used = TypeVar('_Used')
+LOSSES = (UpstreamLost, UpstreamRefused, UpstreamUnreachable)
 
 
 @dataclass(slots=True)
@@ -32,6 +56,13 @@
     engines: EngineClient
     clock: Clock
     metrics: Metrics
+    watch: Watch = field(init=False)
+    isolation: Isolation = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Watch the attempts by the evidence that the router uses."""
+        self.watch = Watch(self.clock, self.router.evidence, self.metrics)
+        self.isolation = Isolation(self.clock, self.engines, self.metrics)
 
     async def stream(
         self,
@@ -47,13 +78,11 @@
             The answer could not be completed.
         """
         relay = StreamRelay(send)
-        run = _Run(self, request, passage)
-        while not relay.is_complete:
-            try:
-                async with run.attempt(relay.position) as answer:
-                    await relay.run(answer)
-            except (UpstreamLost, UpstreamRefused, UpstreamUnreachable) as lost:
-                run.decide_retry(lost)
+        run = _Run(self, request, passage, relay)
+        async with run.permits:
+            while not relay.is_complete:
+                await run.try_once(relay.run)
+            await self.isolation.note_complete(run.fingerprint)
 
     async def whole(
         self,
@@ -61,13 +90,13 @@
         passage: Passage,
     ) -> bytes:
         """Return the whole answer to a request that is not streamed."""
-        run = _Run(self, request, passage)
-        while True:
-            try:
-                async with run.attempt(0) as answer:
-                    return b''.join([part async for part in answer.chunks()])
-            except (UpstreamLost, UpstreamRefused, UpstreamUnreachable) as lost:
-                run.decide_retry(lost)
+        run = _Run(self, request, passage, StreamRelay(_refuse_events))
+        body = None
+        async with run.permits:
+            while body is None:
+                body = await run.try_once(_whole_body)
+            await self.isolation.note_complete(run.fingerprint)
+        return body
 
 
 @dataclass(slots=True)
@@ -77,49 +106,152 @@
     server: Server
     request: CallerRequest
     passage: Passage
+    relay: StreamRelay
     attempts: int = 0
+    losses: int = 0
+    lost_at: float = 0
     tried: set[str] = field(default_factory=set)
+    permits: AsyncExitStack = field(default_factory=AsyncExitStack)
+    is_isolated: bool = False
+    fingerprint: str = field(init=False)
+    group: GroupRecord = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Recognise the request by its content."""
+        self.fingerprint = fingerprint(self.request)
+
+    async def try_once(
+        self,
+        use: Callable[[EngineAnswer], Awaitable[_Used]],
+    ) -> _Used | None:
+        """Use the answer of one attempt, or return if another may follow."""
+        try:
+            async with self.attempt() as answer:
+                return await use(answer)
+        except LOSSES as lost:
+            await self.decide_retry(lost)
+        return None
 
     @asynccontextmanager
-    async def attempt(self, position: int) -> AsyncIterator[EngineAnswer]:
+    async def attempt(self) -> AsyncIterator[EngineAnswer]:
         """Open the next attempt at a group chosen for it."""
-        group = self.server.router.choose(self.request, self.tried)
+        self.server.isolation.admit(self.fingerprint)
+        # A permit is given back only now, when a loss has been told.
+        await self.permits.aclose()
+        group = await self._isolate(await self._choose())
         self.attempts += 1
+        self.group = group
         self.tried.add(group.group_id)
         outstanding = self.server.router.outstanding_by_group
         outstanding[group.group_id] += 1
         try:
-            async with self._open(group, position) as answer:
-                yield answer
+            with self.server.isolation.running(self.fingerprint):
+                async with self._watched(group), self._open(group) as answer:
+                    yield answer
         finally:
             outstanding[group.group_id] -= 1
 
-    def decide_retry(self, lost: RudderError) -> None:
+    async def decide_retry(self, lost: RudderError) -> None:
         """Return if another attempt is allowed, else raise the error."""
         if isinstance(lost, UpstreamRefused | UpstreamUnreachable):
             self.passage.take_back(self.attempts)
+        else:
+            await self._note_loss()
         may_repeat = (
             self.request.is_idempotent or not self.passage.open_attempts
         )
-        is_late = self.server.clock.monotonic() >= self.request.deadline
-        if not may_repeat or is_late or self.attempts >= MAX_ATTEMPTS:
+        if not may_repeat or self._has_given_up():
             raise lost
         self.server.metrics.count('retries', code=lost.code)
 
-    @asynccontextmanager
-    async def _open(
+    async def _note_loss(self) -> None:
+        isolation = self.server.isolation
+        self.losses += 1
+        await isolation.note_loss(
+            self.fingerprint,
+            self.group,
+            self.relay.position,
+            is_isolated=self.is_isolated,
+        )
+        self.lost_at = self.server.clock.monotonic()
+        isolation.admit(self.fingerprint)
+
+    async def _isolate(self, group: GroupRecord) -> GroupRecord:
+        # A suspect needs a permit; all others run where they were placed.
+        server = self.server
+        latest = server.clock.monotonic() + SUSPECT_WAIT_S
+        taken: set[str] = set()
+        self.is_isolated = False
+        while server.isolation.book.is_suspect(self.fingerprint):
+            wish = PermitWish(
+                self.fingerprint,
+                group.group_id,
+                self.request.request_id,
+            )
+            outcome = await server.isolation.ask(wish)
+            if outcome is PermitOutcome.GRANTED:
+                await self.permits.enter_async_context(
+                    server.isolation.held(wish),
+                )
+                self.is_isolated = True
+                break
+            if server.clock.monotonic() > latest:
+                raise SuspectMustWait(
+                    'found no replica free for a run in isolation',
+                    retry_after=SUSPECT_WAIT_S,
+                )
+            taken.add(group.group_id)
+            group = server.router.choose(self.request, self.tried | taken)
+            if group.group_id in taken or outcome is PermitOutcome.REQUEST_RUNS:
+                taken.clear()
+                await asyncio.sleep(SUSPECT_POLL_S)
+        return group
+
+    def _has_given_up(self) -> bool:
+        now = self.server.clock.monotonic()
+        if now >= self.request.deadline:
+            return True
+        if self.losses:
+            is_late = now >= self.lost_at + TAKEOVER_WAIT_S
+            return is_late or self.losses >= MAX_RUNS
+        return self.attempts >= MAX_REFUSALS_BEFORE_RUN
+
+    async def _choose(self) -> GroupRecord:
+        # The caller may hold a part of the answer, so that it is worth a
+        # short wait until the groups around the lost one are whole again.
+        choose = self.server.router.choose
+        clock = self.server.clock
+        latest = self.lost_at + TAKEOVER_WAIT_S
+        while self.losses and clock.monotonic() < latest:
+            with suppress(NoGroupServes):
+                group = choose(self.request, self.tried)
+                if group.group_id not in self.tried:
+                    return group
+            self.tried.clear()
+            await asyncio.sleep(TAKEOVER_POLL_S)
+        return choose(self.request, self.tried)
+
+    def _watched(
         self,
         group: GroupRecord,
-        position: int,
-    ) -> AsyncIterator[EngineAnswer]:
+    ) -> AbstractAsyncContextManager[None]:
+        return self.server.watch.attempt(
+            group,
+            self.relay,
+            self.request.deadline,
+            can_repeat=self.request.is_idempotent,
+        )
+
+    @asynccontextmanager
+    async def _open(self, group: GroupRecord) -> AsyncIterator[EngineAnswer]:
         self.passage.open(self.attempts)
-        call = self._call(group, position)
+        call = self._call(group)
         leader = group.leader.address
         async with self.server.engines.generate(leader, call) as answer:
             self.passage.note_answer()
             yield answer
 
-    def _call(self, group: GroupRecord, position: int) -> EngineCall:
+    def _call(self, group: GroupRecord) -> EngineCall:
         request = self.request
         return EngineCall(
             request_id=request.request_id,
@@ -131,5 +263,19 @@
             created=request.created,
             priority=request.priority,
             deadline=request.deadline - self.server.clock.monotonic(),
-            resume_from=position,
+            resume_from=self.relay.position,
         )
+
+
+async def _whole_body(answer: EngineAnswer) -> bytes:
+    body = b''.join([part async for part in answer.chunks()])
+    try:
+        orjson.loads(body)
+    except orjson.JSONDecodeError as error:
+        # An answer without a declared length can end early unnoticed.
+        raise UpstreamLost(f'the answer is not whole: {error}') from error
+    return body
+
+
+async def _refuse_events(events: bytes) -> None:
+    raise UpstreamLost('got events of an answer that is not streamed')
