Say "not run" of a keyed request only where it holds for its key

Cause: a repeat that was refused for the moment's load or state, such as entry_stopping or a rate limit, heard `ran: no` although an earlier attempt with its key had run; its caller could have taken a new key and doubled it.

Change: refusals with status 429 or 5xx that come before the key was checked say `unknown` when the request carries a key. The fuzzing's bench keeps replaced entries, whose tasks were collected half-way in a longer run; that was a fault of the bench, and the check that found it stays.

Conclusion: `ran: no` now is safe to act upon with and without a key.

--- a/primroserudder/connection/callers.py
+++ b/primroserudder/connection/callers.py
@@ -4,6 +4,7 @@
 from collections.abc import Awaitable, Callable, Iterator
 from contextlib import ExitStack, contextmanager
 from dataclasses import dataclass, field
+from http import HTTPStatus
 
 import orjson
 from aiohttp import web
@@ -27,13 +28,15 @@
     problem_body,
     problem_headers,
 )
-from ..request.servicecall import ServiceCall, keyed_call
+from ..request.servicecall import KEY_HEADER, ServiceCall, keyed_call
 from ..version.holder import VersionHolder
 from .callerstream import CallerStream
 from .guard import ConnectionGuard, read_body
 
 REQUEST_ID = web.RequestKey('request_id', str)
 ARRIVED_AT = web.RequestKey('arrived_at', float)
+# Set once what is told of a request holds for its idempotency key as well.
+KEY_SETTLED = web.RequestKey('key_settled', bool)
 
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 KeyedHandler = Callable[
@@ -207,6 +210,8 @@
         error: RudderError,
     ) -> web.Response:
         self.metrics.count('requests', code=error.code)
+        if not request.get(KEY_SETTLED) and is_of_attempt(request, error):
+            error.ran = Ran.UNKNOWN
         request_id = request[REQUEST_ID]
         return web.Response(
             status=error.status,
@@ -215,6 +220,21 @@
         )
 
 
+def is_of_attempt(request: web.Request, error: RudderError) -> bool:
+    """Return whether a refusal tells nothing of earlier attempts.
+
+    Explanation
+    ===========
+    A repeat may be refused for the load or the state of this moment although
+    an earlier attempt with its key ran; "not run" would mislead its caller.
+    """
+    is_of_moment = (
+        error.status == HTTPStatus.TOO_MANY_REQUESTS
+        or error.status >= HTTPStatus.INTERNAL_SERVER_ERROR
+    )
+    return is_of_moment and KEY_HEADER in request.headers
+
+
 class _HttpRefusal(RudderError):
     """A refusal of the HTTP library, with its own status."""
 
--- a/primroserudder/connection/keyedhttp.py
+++ b/primroserudder/connection/keyedhttp.py
@@ -21,7 +21,7 @@
 from ..request.problem import RAN_HEADER, REQUEST_ID_HEADER, problem_event
 from ..request.servicecall import Executor, ServiceCall
 from ..version.holder import VersionHolder
-from .callers import REQUEST_ID, json_response
+from .callers import KEY_SETTLED, REQUEST_ID, json_response
 from .guard import read_body
 
 EVENT_STREAM = 'text/event-stream'
@@ -89,6 +89,7 @@
         """End an answer that began so that its caller sees the fault."""
         response = self.response
         if response is None:
+            self.request[KEY_SETTLED] = True
             raise error
         if response.content_type == EVENT_STREAM:
             request_id = self.request[REQUEST_ID]
--- a/primroserudder/programs/tests/test_keyed_site.py
+++ b/primroserudder/programs/tests/test_keyed_site.py
@@ -8,6 +8,7 @@
 import aiohttp
 import pytest
 
+from ...connection.drain import DrainStage
 from ...process.settings import EntrySettings
 from ...standins.fleet import Standins
 from ...standins.settings import PlainService
@@ -88,6 +89,8 @@
             await entry.start()
             stack.push_async_callback(entry.stop)
             entry.runtime.holder.offer(version)
+            # No balancer needs to notice that the entry stops.
+            entry.drain.notice_s = 0
         session = await stack.enter_async_context(aiohttp.ClientSession())
         yield Site(standins, entries, session)
 
@@ -130,6 +133,22 @@
     assert site.runs() == 0
 
 
+@pytest.mark.parametrize(
+    ('headers', 'expected'),
+    [({}, 'no'), ({'Idempotency-Key': 'k'}, 'unknown')],
+)
+async def test_refusal_of_a_repeat_is_not_taken_for_not_run(
+    site: Site,
+    headers: dict[str, str],
+    expected: str,
+) -> None:
+    await site.post(0, headers)
+    site.entries[0].drain.stage = DrainStage.FINISHING
+    status, ran, body = await site.post(0, headers)
+    assert (status, b'"entry_stopping"' in body) == (503, True)
+    assert ran == expected
+
+
 async def test_other_body_under_the_key_is_refused_through_a_peer(
     site: Site,
 ) -> None:
--- a/primroserudder/testing/keyedbench.py
+++ b/primroserudder/testing/keyedbench.py
@@ -172,6 +172,7 @@
     upstream: RecordingUpstream = field(default_factory=RecordingUpstream)
     entries_by_id: dict[str, BenchEntry] = field(default_factory=dict)
     is_network_cut: bool = False
+    dead: list[BenchEntry] = field(default_factory=list)
     numbers: 'itertools.count[int]' = field(default_factory=itertools.count)
 
     def start_entry(self, node_id: str) -> BenchEntry:
@@ -179,6 +180,8 @@
         former = self.entries_by_id.get(node_id)
         if former is not None:
             former.kill()
+            # What it sent is on its way and must not be collected.
+            self.dead.append(former)
         incarnation = f'{node_id}#{next(self.numbers)}'
         entry = BenchEntry(self, node_id, incarnation)
         self.entries_by_id[node_id] = entry
