--- /dev/null
+++ b/primroserudder/connection/tests/test_suspectpeers.py
@@ -0,0 +1,115 @@
+"""Tests that entries share suspects and permits over gRPC."""
+
+import random
+from contextlib import AsyncExitStack
+
+from ...process.clock import SystemClock
+from ...process.membership import Membership, Node
+from ...process.settings import Listener
+from ...request.permits import PermitOutcome, PermitTable, PermitWish
+from ...request.suspects import Strike, SuspectBook
+from ...testing import builders
+from ...wire import suspects_pb2_grpc
+from ..peers import PeerChannels, bind, peer_server
+from ..suspectpeers import GrpcSuspectPeers, SuspectsService
+
+WISH = PermitWish('k', 'g0', 'r1')
+
+
+class Entry:
+    """What one entry knows of suspects."""
+
+    def __init__(self, name: str, stack: AsyncExitStack) -> None:
+        clock = SystemClock()
+        self.server = peer_server()
+        port = bind(self.server, Listener(port=0))
+        self.node = Node(name, '1', 'fd-1', 'entry', f'127.0.0.1:{port}')
+        self.membership = Membership(self.node, clock)
+        self.book = SuspectBook(clock)
+        permits = PermitTable(clock)
+        channels = PeerChannels()
+        stack.push_async_callback(channels.close)
+        self.peers = GrpcSuspectPeers(
+            clock,
+            self.membership,
+            channels,
+            permits,
+            random.Random(1),
+        )
+        suspects_pb2_grpc.add_SuspectsServicer_to_server(
+            SuspectsService(clock, self.book, permits),
+            self.server,
+        )
+
+
+async def _entries(stack: AsyncExitStack, count: int) -> list[Entry]:
+    entries = [Entry(f'entry-{index}', stack) for index in range(count)]
+    for entry in entries:
+        await entry.server.start()
+        stack.push_async_callback(entry.server.stop, 0)
+        for other in entries:
+            entry.membership.hear(other.node)
+    return entries
+
+
+def _lose(entry: Entry, index: int, *, is_isolated: bool) -> Strike:
+    loss = entry.book.note_loss(
+        builders.group(index, fabric_domain=f'f{index}'),
+    )
+    strike = Strike('k', loss, 0, is_isolated)
+    entry.book.strike(strike)
+    return strike
+
+
+async def test_strikes_of_one_entry_condemn_at_all_until_cleared() -> None:
+    async with AsyncExitStack() as stack:
+        entries = await _entries(stack, 3)
+        for index in range(2):
+            strike = _lose(entries[0], index, is_isolated=bool(index))
+            await entries[0].peers.tell(entries[0].book, [strike])
+        assert all(entry.book.condemned_for_s('k') > 0 for entry in entries)
+        await entries[1].peers.tell_cleared('k')
+        assert not entries[2].book.is_suspect('k')
+
+
+async def test_entry_tells_that_a_suspect_runs_there() -> None:
+    async with AsyncExitStack() as stack:
+        entries = await _entries(stack, 2)
+        strike = _lose(entries[0], 0, is_isolated=False)
+        entries[1].book.running['k'] += 1
+        found = await entries[0].peers.tell(entries[0].book, [strike])
+        assert found == {'k'}
+
+
+async def test_late_entry_is_reminded_of_what_is_condemned() -> None:
+    async with AsyncExitStack() as stack:
+        entries = await _entries(stack, 2)
+        for index in range(2):
+            _lose(entries[0], index, is_isolated=bool(index))
+        condemned = entries[0].book.condemned()
+        await entries[0].peers.remind(entries[0].book, condemned)
+        assert entries[1].book.condemned_for_s('k') > 0
+
+
+async def test_permits_exclude_each_other_at_all_entries() -> None:
+    async with AsyncExitStack() as stack:
+        entries = await _entries(stack, 3)
+        assert await entries[0].peers.ask(WISH) is PermitOutcome.GRANTED
+        for entry in entries[1:]:
+            other = PermitWish('k', 'g1', entry.node.node_id)
+            outcome = await entry.peers.ask(other)
+            assert outcome is PermitOutcome.REQUEST_RUNS
+        await entries[0].peers.release(WISH)
+        other = PermitWish('k', 'g1', 'r2')
+        assert await entries[1].peers.ask(other) is PermitOutcome.GRANTED
+
+
+async def test_entry_without_reachable_peers_gives_its_own_permits() -> None:
+    async with AsyncExitStack() as stack:
+        entries = await _entries(stack, 3)
+        for entry in entries[1:]:
+            await entry.server.stop(0)
+        assert await entries[0].peers.ask(WISH) is PermitOutcome.GRANTED
+        other = PermitWish('k', 'g1', 'r2')
+        outcome = await entries[0].peers.ask(other)
+        assert outcome is PermitOutcome.REQUEST_RUNS
--- a/primroserudder/request/permits.py
+++ b/primroserudder/request/permits.py
@@ -73,6 +73,9 @@
     async def tell(self, book: SuspectBook, strikes: list[Strike]) -> set[str]:
         """Tell strikes; return the contents among them that run elsewhere."""
 
+    async def remind(self, book: SuspectBook, strikes: list[Strike]) -> None:
+        """Tell strikes to one entry."""
+
     async def tell_cleared(self, fingerprint: str) -> None:
         """Tell that a content was cleared."""
 
@@ -93,6 +96,9 @@
         """Tell nobody."""
         return set()
 
+    async def remind(self, book: SuspectBook, strikes: list[Strike]) -> None:
+        """Tell nobody."""
+
     async def tell_cleared(self, fingerprint: str) -> None:
         """Tell nobody."""
 
--- a/primroserudder/request/suspects.py
+++ b/primroserudder/request/suspects.py
@@ -141,6 +141,14 @@
             if strike.fingerprint in fingerprints
         ]
 
+    def condemned(self) -> list[Strike]:
+        """Return the strikes of all contents that are refused."""
+        return [
+            strike
+            for strike in self.strikes_by_key.values()
+            if self.condemned_for_s(strike.fingerprint) > 0
+        ]
+
     def expire(self) -> None:
         """Drop what is too old, and the oldest beyond the bound."""
         earliest = self.clock.monotonic() - QUARANTINE_S
