Pass over groups that crashed a moment ago

Cause: with three of six groups lost at once, 3 of 210 innocent requests of bin/killer-drill --at-once were refused: each had met three groups in turn whose loss its entry had not yet seen.

Change: up to eight groups may refuse before a request that has not run is given up; refusals take no processing.

The new test fails with the bound at three.

--- a/primroserudder/request/attempts.py
+++ b/primroserudder/request/attempts.py
@@ -40,7 +40,7 @@
 from .watch import Watch
 
 MAX_RUNS = 8
-MAX_REFUSALS_BEFORE_RUN = 3
+MAX_REFUSALS_BEFORE_RUN = 8
 # A request that was lost waits this long for a group that can take over.
 TAKEOVER_WAIT_S = 10
 TAKEOVER_POLL_S = 0.1
--- a/primroserudder/request/tests/test_whole_answer.py
+++ b/primroserudder/request/tests/test_whole_answer.py
@@ -133,3 +133,11 @@
         leader = bench.running()[0].leader
         bench.engines.by_address[leader.address].cancel('req-2')
         assert await answer == undisturbed
+
+
+async def test_request_passes_over_groups_that_crashed_just_now() -> None:
+    async with Disturbed(groups=6) as bench:
+        undisturbed = await bench.ask()
+        for group_id in ('g0', 'g1', 'g2', 'g3', 'g4'):
+            bench.crash(bench.directory.by_id[group_id])
+        assert await bench.ask() == undisturbed
