--- a/primroserudder/request/tests/test_whole_answer.py
+++ b/primroserudder/request/tests/test_whole_answer.py
@@ -135,9 +135,10 @@
         assert await answer == undisturbed
 
 
-async def test_request_passes_over_groups_that_crashed_just_now() -> None:
+async def test_requests_pass_over_groups_that_crashed_just_now() -> None:
     async with Disturbed(groups=6) as bench:
         undisturbed = await bench.ask()
         for group_id in ('g0', 'g1', 'g2', 'g3', 'g4'):
             bench.crash(bench.directory.by_id[group_id])
-        assert await bench.ask() == undisturbed
+        answers = await asyncio.gather(*(bench.ask() for _ in range(8)))
+        assert set(answers) == {undisturbed}
