--- a/primroserudder/request/suspects.py
+++ b/primroserudder/request/suspects.py
@@ -223,10 +223,15 @@
         )
         if len(strikes) >= STRIKES_WITHOUT_ISOLATION and not is_known_good:
             return True
-        return any(
-            later.is_isolated
-            and later.key != first.key
-            and later.position <= first.position + NEAR_TOKENS
+        pointing = [
+            later
             for later in strikes
-            for first in strikes
-        )
+            if later.is_isolated
+            and any(
+                later.key != first.key
+                and later.position <= first.position + NEAR_TOKENS
+                for first in strikes
+            )
+        ]
+        # What was seen complete is condemned by no coincidence alone.
+        return len(pointing) > is_known_good
--- a/primroserudder/request/tests/test_suspects.py
+++ b/primroserudder/request/tests/test_suspects.py
@@ -105,6 +105,17 @@
     assert not bench.is_condemned('innocent')
 
 
+async def test_content_seen_complete_needs_two_losses_in_isolation() -> None:
+    bench = Bench()
+    bench.book.clear('k', 0.1)
+    await asyncio.sleep(1)
+    bench.lose(0, 'k')
+    bench.lose(1, 'k', is_isolated=True)
+    assert not bench.is_condemned('k')
+    bench.lose(2, 'k', is_isolated=True)
+    assert bench.is_condemned('k')
+
+
 async def test_permits_part_contents_and_replicas() -> None:
     table = PermitTable(LoopClock())
     wish = PermitWish('a', 'g0', 'r1')
