--- a/primroserudder/connection/suspectpeers.py
+++ b/primroserudder/connection/suspectpeers.py
@@ -1,6 +1,7 @@
 """How entries tell each other of suspects and share permits."""
 
 import asyncio
+import random
 from collections.abc import Iterable
 from dataclasses import dataclass
 
@@ -90,23 +91,24 @@
     membership: Membership
     channels: PeerChannels
     permits: PermitTable
+    rng: random.Random
 
     async def tell(self, book: SuspectBook, strikes: list[Strike]) -> set[str]:
         """Tell all living entries at once; return what runs at any."""
-        now = self.clock.monotonic()
-        message = suspects_pb2.Suspicions(
-            strikes=[_strike_to_message(strike, now) for strike in strikes],
-            losses=[
-                _loss_to_message(loss, now)
-                for loss in book.losses_by_key.values()
-            ],
-        )
-        return await self._tell_all(message)
+        message = self._message(book, strikes)
+        return await self._tell_all(message, self._entries().values())
+
+    async def remind(self, book: SuspectBook, strikes: list[Strike]) -> None:
+        """Tell one entry at random, which may have started lately."""
+        addresses = list(self._entries().values())
+        chosen = self.rng.sample(addresses, min(1, len(addresses)))
+        await self._tell_all(self._message(book, strikes), chosen)
 
     async def tell_cleared(self, fingerprint: str) -> None:
         """Tell all living entries that a content is cleared."""
         cleared = suspects_pb2.Cleared(fingerprint=fingerprint)
-        await self._tell_all(suspects_pb2.Suspicions(cleared=[cleared]))
+        message = suspects_pb2.Suspicions(cleared=[cleared])
+        await self._tell_all(message, self._entries().values())
 
     async def ask(self, wish: PermitWish) -> PermitOutcome:
         """Ask the first arbiter that can be reached."""
@@ -134,13 +136,31 @@
             call = ask(stub.Release(request, timeout=PEER_TIMEOUT_S), address)
             await asyncio.gather(call, return_exceptions=True)
 
-    async def _tell_all(self, message: suspects_pb2.Suspicions) -> set[str]:
+    def _message(
+        self,
+        book: SuspectBook,
+        strikes: list[Strike],
+    ) -> suspects_pb2.Suspicions:
+        now = self.clock.monotonic()
+        return suspects_pb2.Suspicions(
+            strikes=[_strike_to_message(strike, now) for strike in strikes],
+            losses=[
+                _loss_to_message(loss, now)
+                for loss in book.losses_by_key.values()
+            ],
+        )
+
+    async def _tell_all(
+        self,
+        message: suspects_pb2.Suspicions,
+        addresses: Iterable[str],
+    ) -> set[str]:
         calls = [
             ask(
                 self._stub(address).Tell(message, timeout=PEER_TIMEOUT_S),
                 address,
             )
-            for address in self._entries().values()
+            for address in addresses
         ]
         heard = await asyncio.gather(*calls, return_exceptions=True)
         return {
--- a/primroserudder/programs/common.py
+++ b/primroserudder/programs/common.py
@@ -2,6 +2,7 @@
 
 import argparse
 import asyncio
+import gc
 import os
 import pathlib
 import signal
@@ -24,6 +25,7 @@
 EXIT_USAGE = 2
 EXIT_REFUSED = 3
 EXIT_UNREACHABLE = 4
+YOUNG_OBJECTS = 20_000
 
 # The brief rules out io_uring, which libuv would use if it is not told.
 _LIBUV_SETTING = 'UV_USE_IO_URING'
@@ -146,6 +148,7 @@
         complain(error)
         await service.stop()
         return EXIT_FAILED
+    _calm_collector()
     logger.info('started')
     await wait_until_stopped()
     logger.info('stopping')
@@ -153,6 +156,14 @@
     return EXIT_OK
 
 
+def _calm_collector() -> None:
+    # What was made until now lives on, so that the collector need not look
+    # at it; a request makes little garbage that holds itself.
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(YOUNG_OBJECTS)
+
+
 async def wait_until_stopped() -> None:
     """Wait for SIGTERM or SIGINT."""
     stopped = asyncio.Event()
--- a/primroserudder/programs/suspectnode.py
+++ b/primroserudder/programs/suspectnode.py
@@ -16,6 +16,7 @@
         runtime.membership,
         runtime.channels,
         isolation.permits,
+        runtime.rng,
     )
     suspects_pb2_grpc.add_SuspectsServicer_to_server(
         SuspectsService(runtime.clock, isolation.book, isolation.permits),
--- a/primroserudder/request/isolation.py
+++ b/primroserudder/request/isolation.py
@@ -157,8 +157,11 @@
         return was_known
 
     async def step(self) -> None:
-        """Forget what is too old."""
+        """Forget what is too old and remind an entry of what is condemned."""
         self.book.expire()
+        condemned = self.book.condemned()
+        if condemned:
+            await self.peers.remind(self.book, condemned)
 
     async def _renew(self, wish: PermitWish) -> None:
         while True:
