--- a/primroserudder/testing/stopfuzz.py
+++ b/primroserudder/testing/stopfuzz.py
@@ -39,8 +39,9 @@
 ACTION_S = 2
 TICK_S = 0.25
 PROBE_TICKS = 4
-LONGEST_TOKENS = 1500
-HEAL_S = 400
+LONGEST_TOKENS = 1000
+DEAF_S = 5
+DEAF_STREAMS = 10
 
 Action = Callable[[], Coroutine[None, None, None]]
 
@@ -56,6 +57,7 @@
     site: StopSite
     book: EvidenceBook
     is_over: bool = False
+    deaf_until: float = 0
 
     def stops(self) -> Sequence[Stop]:
         """Return the stops of the table."""
@@ -88,6 +90,8 @@
 
     def _probe(self) -> None:
         now = self.site.clock.monotonic()
+        if now < self.deaf_until:
+            return
         for engine in self.site.engines.by_address.values():
             self.book.note(engine.status(), now)
 
@@ -190,6 +194,14 @@
         cut = self.rng.choice(engines).faults.cut_parties
         cut.update(self.platforms)
 
+    async def plan_unheard(self) -> None:
+        """Plan a stop of which the entry hears nothing, and go on sending."""
+        self.oracle.deaf_until = self.site.clock.monotonic() + DEAF_S
+        await self.plan()
+        for _ in range(DEAF_STREAMS):
+            await self.stream()
+            await asyncio.sleep(DEAF_S / DEAF_STREAMS)
+
     async def stream(self) -> None:
         """Begin a request at a group to which the entry may send."""
         # The entry does not read the rows of the groups; a member's own
@@ -217,7 +229,7 @@
 
     def _actions(self) -> Sequence[Action]:
         usual = (self.stream, self.stream, self.stream)
-        stops = (self.plan, self.plan, self.cancel)
+        stops = (self.plan, self.plan_unheard, self.cancel)
         faults = (self.cut, self.lose_answers, self.replace_controller)
         return (*usual, *stops, *faults)
 
