--- a/primroserudder/testing/stopfuzz.py
+++ b/primroserudder/testing/stopfuzz.py
@@ -21,7 +21,7 @@
 
 from ..errors import RudderError
 from ..process.evidence import EvidenceBook
-from ..process.groups import GroupRecord, GroupState
+from ..process.groups import GroupRecord
 from ..process.stops import (
     STOP_PREFIX,
     Stop,
@@ -58,6 +58,7 @@
     book: EvidenceBook
     is_over: bool = False
     deaf_until: float = 0
+    heard: Sequence[GroupRecord] = ()
 
     def stops(self) -> Sequence[Stop]:
         """Return the stops of the table."""
@@ -92,6 +93,7 @@
         now = self.site.clock.monotonic()
         if now < self.deaf_until:
             return
+        self.heard = self.site.groups()
         for engine in self.site.engines.by_address.values():
             self.book.note(engine.status(), now)
 
@@ -204,15 +206,10 @@
 
     async def stream(self) -> None:
         """Begin a request at a group to which the entry may send."""
-        # The entry does not read the rows of the groups; a member's own
-        # status is all that it has.
+        # The entry goes by what it heard last, be it out of date.
+        oracle = self.oracle
         serving = [
-            group
-            for group in self.site.groups(
-                GroupState.SERVING,
-                GroupState.DRAINING,
-            )
-            if self.oracle.book.is_whole(group)
+            group for group in oracle.heard if oracle.book.is_whole(group)
         ]
         if serving:
             self._send(self.rng.choice(serving))
