Send short requests at every group while the entry of the random runs is deaf

Cause: streams of ten seconds kept each leaving group busy past the lapse, so that a missing wait could not show. Change: forty short requests in the five seconds after a stop that the entry does not hear of, by the records that it heard last.

--- a/primroserudder/testing/stopfuzz.py
+++ b/primroserudder/testing/stopfuzz.py
@@ -41,7 +41,8 @@
 PROBE_TICKS = 4
 LONGEST_TOKENS = 1000
 DEAF_S = 5
-DEAF_STREAMS = 10
+DEAF_STREAMS = 40
+SHORT_TOKENS = 10
 
 Action = Callable[[], Coroutine[None, None, None]]
 
@@ -201,23 +202,26 @@
         self.oracle.deaf_until = self.site.clock.monotonic() + DEAF_S
         await self.plan()
         for _ in range(DEAF_STREAMS):
-            await self.stream()
+            self._send_any(SHORT_TOKENS)
             await asyncio.sleep(DEAF_S / DEAF_STREAMS)
 
     async def stream(self) -> None:
         """Begin a request at a group to which the entry may send."""
+        self._send_any(LONGEST_TOKENS)
+
+    def _send_any(self, longest: int) -> None:
         # The entry goes by what it heard last, be it out of date.
         oracle = self.oracle
         serving = [
             group for group in oracle.heard if oracle.book.is_whole(group)
         ]
         if serving:
-            self._send(self.rng.choice(serving))
+            self._send(self.rng.choice(serving), longest)
 
-    def _send(self, group: GroupRecord) -> None:
+    def _send(self, group: GroupRecord, longest: int) -> None:
         safe = self.oracle.safe_vms()
         _require(group.leader.vm_id not in safe, 'new work after safe')
-        tokens = self.rng.randint(1, LONGEST_TOKENS)
+        tokens = self.rng.randint(1, longest)
         engine = self.site.engine(group.leader.vm_id)
         is_refused = engine.checks_generation and engine.status().draining
         if not is_refused:
@@ -225,7 +229,7 @@
             self.streams.append(self.site.generate(group, tokens))
 
     def _actions(self) -> Sequence[Action]:
-        usual = (self.stream, self.stream, self.stream)
+        usual = (self.stream,)
         stops = (self.plan, self.plan_unheard, self.cancel)
         faults = (self.cut, self.lose_answers, self.replace_controller)
         return (*usual, *stops, *faults)
