--- a/primroserudder/programs/ctl.py
+++ b/primroserudder/programs/ctl.py
@@ -8,7 +8,7 @@
 import aiohttp
 
 from ..errors import RudderError
-from . import ctlconfig, ctlstate, ctlstops
+from . import ctlconfig, ctlkeys, ctlstate, ctlstops
 from .common import (
     EXIT_FAILED,
     EXIT_REFUSED,
@@ -61,6 +61,7 @@
     ctlconfig.add_commands(commands)
     ctlstate.add_commands(commands)
     ctlstops.add_commands(commands)
+    ctlkeys.add_commands(commands)
     return made
 
 
