--- a/primroserudder/connection/enginehttp.py
+++ b/primroserudder/connection/enginehttp.py
@@ -16,6 +16,7 @@
 
 from ..process.engines import (
     CacheEvent,
+    ConnectionRefused,
     EngineAnswer,
     EngineCall,
     EngineLoad,
@@ -176,11 +177,17 @@
             ) as response:
                 return await _control_answer(response)
         except (aiohttp.ClientError, asyncio.TimeoutError) as error:
-            raise UpstreamUnreachable(
+            raise _unreachable(error)(
                 f'{address}: {method} {path}: {type(error).__name__}',
             ) from error
 
 
+def _unreachable(error: Exception) -> type[UpstreamUnreachable]:
+    cause = getattr(error, 'os_error', None)
+    is_refused = isinstance(cause, ConnectionRefusedError)
+    return ConnectionRefused if is_refused else UpstreamUnreachable
+
+
 async def _control_answer(response: aiohttp.ClientResponse) -> bytes:
     found = await response.read()
     if response.status == HTTPStatus.CONFLICT:
--- a/primroserudder/process/engines.py
+++ b/primroserudder/process/engines.py
@@ -33,6 +33,12 @@
     default_remedy = 'repeat the request'
 
 
+class ConnectionRefused(UpstreamUnreachable):
+    """The VM answers, but nothing listens at the engine's port."""
+
+    code = 'upstream_connection_refused'
+
+
 class UpstreamLost(RudderError):
     """The connection failed after bytes of the request were sent."""
 
--- a/primroserudder/process/evidence.py
+++ b/primroserudder/process/evidence.py
@@ -1,75 +1,74 @@
 """Evidence that VMs are alive and hold the order of their group."""
 
-import asyncio
-from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
-from ..errors import RudderError
-from .clock import Clock
-from .engines import EngineClient, EngineStatus
+from .digest import NEVER, Right
+from .engines import EngineStatus
 from .groups import GroupRecord, GroupState, Member
-
-EVIDENCE_LIFETIME_S = 3
-PROBE_INTERVAL_S = 1
+from .testimonies import EVIDENCE_LIFETIME_S, Testimonies
 
 
 @dataclass(frozen=True, slots=True)
-class Evidence:
-    """The last sign of life of a VM, on this process's own clock."""
+class _Granted:
+    """A group's right to be sent to, as worked out at one state."""
 
-    status: EngineStatus
-    seen_at: float
+    group: GroupRecord
+    changes: int
+    until: float
 
 
 @dataclass(slots=True)
-class EvidenceBook:
-    """The latest evidence of each VM, by its id."""
-
-    clock: Clock
-    by_vm: dict[str, Evidence] = field(default_factory=dict)
+class EvidenceBook(Testimonies):
+    """Judges groups by the evidence of their members."""
 
-    def note(self, status: EngineStatus, seen_at: float) -> None:
-        """Keep evidence unless newer evidence is known."""
-        known = self.by_vm.get(status.vm_id)
-        if known is None or known.seen_at <= seen_at:
-            self.by_vm[status.vm_id] = Evidence(status, seen_at)
-
-    def forget(self, vm_id: str) -> None:
-        """Drop what is known of a VM that refuses connections."""
-        self.by_vm.pop(vm_id, None)
+    _granted_by_group: dict[str, _Granted] = field(default_factory=dict)
 
     def is_whole(self, group: GroupRecord) -> bool:
         """Return whether all members hold the order and were seen lately."""
-        return all(
-            self._is_confirmed(group, member) for member in group.members
-        )
+        now = self.clock.monotonic()
+        granted = self._granted_by_group.get(group.group_id)
+        if granted is not None and granted.group is group:
+            if granted.changes == self.changes and now <= granted.until:
+                return True
+        granted = _Granted(group, self.changes, self.whole_until(group))
+        self._granted_by_group[group.group_id] = granted
+        return now <= granted.until
+
+    def whole_until(self, group: GroupRecord) -> float:
+        """Return the time until which the evidence holds a group whole."""
+        seen_at = min(self._confirmed_at(group, each) for each in group.members)
+        right = self.evidence(right_name(group.group_id))
+        if right is not None and right.found == Right(group.generation):
+            seen_at = max(seen_at, right.seen_at)
+        return seen_at + EVIDENCE_LIFETIME_S
 
     def is_serving(self, group: GroupRecord) -> bool:
         """Return whether the group may be given a request now."""
         return group.state is GroupState.SERVING and self.is_whole(group)
 
-    def dump(self) -> Mapping[str, object]:
-        """Return ages in seconds and generations for the state dump."""
-        now = self.clock.monotonic()
-        return {
-            vm_id: {
-                'age_s': round(now - evidence.seen_at, 3),
-                'incarnation': evidence.status.incarnation,
-                'group_id': evidence.status.group_id,
-                'generation': evidence.status.generation,
-                'ready': evidence.status.ready,
-            }
-            for vm_id, evidence in self.by_vm.items()
-        }
-
-    def _is_confirmed(self, group: GroupRecord, member: Member) -> bool:
-        evidence = self.by_vm.get(member.vm_id)
-        if evidence is None:
-            return False
-        age = self.clock.monotonic() - evidence.seen_at
-        if age > EVIDENCE_LIFETIME_S:
-            return False
-        return holds_order(evidence.status, group, member)
+    def is_draining(self, group: GroupRecord) -> bool:
+        """Return whether the group leaves, by its record or by a member."""
+        if group.state in {GroupState.DRAINING, GroupState.RETIRED}:
+            return True
+        found = (self.evidence(member.vm_id) for member in group.members)
+        return any(
+            known is not None
+            and isinstance(known.found, EngineStatus)
+            and known.found.draining
+            for known in found
+        )
+
+    def _confirmed_at(self, group: GroupRecord, member: Member) -> float:
+        known = self.evidence(member.vm_id)
+        if known is None or not isinstance(known.found, EngineStatus):
+            return NEVER
+        is_held = holds_order(known.found, group, member)
+        return known.seen_at if is_held else NEVER
+
+
+def right_name(group_id: str) -> str:
+    """Return the name under which the right to a group is told."""
+    return f'right/{group_id}'
 
 
 def holds_order(
@@ -86,25 +85,3 @@
     wanted = (group.group_id, group.generation, group.model_version)
     members = [member.vm_id for member in group.members]
     return held == wanted and list(status.members) == members
-
-
-@dataclass(slots=True)
-class Prober:
-    """Asks VMs for their status and keeps the answers as evidence."""
-
-    clock: Clock
-    engines: EngineClient
-    book: EvidenceBook
-
-    async def probe_all(self, members: Iterable[Member]) -> None:
-        """Ask all members side by side."""
-        await asyncio.gather(*(self.probe(member) for member in members))
-
-    async def probe(self, member: Member) -> None:
-        """Ask one member; its evidence dates from before the question."""
-        asked_at = self.clock.monotonic()
-        try:
-            status = await self.engines.status(member.address)
-        except RudderError:
-            return
-        self.book.note(status, asked_at)
--- a/primroserudder/process/groups.py
+++ b/primroserudder/process/groups.py
@@ -138,6 +138,22 @@
             if group.deployment == deployment
         )
 
+    def of_domain(self, failure_domain: str) -> Iterable[GroupRecord]:
+        """Yield the groups of one failure domain."""
+        return (
+            group
+            for group in self.by_id.values()
+            if group.failure_domain == failure_domain
+        )
+
+    def members_of_domain(self, failure_domain: str) -> Iterable[Member]:
+        """Yield the VMs of one failure domain's groups."""
+        return (
+            member
+            for group in self.of_domain(failure_domain)
+            for member in group.members
+        )
+
     def dump(self) -> Mapping[str, object]:
         """Return the directory for the state dump."""
         return {
--- a/primroserudder/programs/entrynode.py
+++ b/primroserudder/programs/entrynode.py
@@ -1,11 +1,11 @@
 """An entry: takes callers' requests to whole groups."""
 
 import asyncio
+from collections import Counter
 from dataclasses import dataclass, field
 
 from ..connection.callers import Callers
 from ..connection.enginehttp import EngineHttp
-from ..process.evidence import PROBE_INTERVAL_S, EvidenceBook, Prober
 from ..process.groups import (
     GROUP_PREFIX,
     GroupDirectory,
@@ -14,6 +14,7 @@
 from ..process.settings import EntrySettings
 from ..request.attempts import Server
 from ..request.routing import Router
+from .evidencesteps import EvidenceSteps
 from .node import NodeRuntime
 
 GROUP_POLL_S = 1
@@ -28,7 +29,7 @@
     runtime: NodeRuntime = field(init=False)
     directory: GroupDirectory = field(default_factory=GroupDirectory)
     callers: Callers = field(init=False)
-    prober: Prober = field(init=False)
+    evidence: EvidenceSteps = field(init=False)
     callers_port: int = 0
     operators_port: int = 0
 
@@ -52,7 +53,7 @@
         self._register_state()
         runtime.start_common_steps()
         runtime.start_step(self._poll_groups, GROUP_POLL_S, 'poll_groups')
-        runtime.start_step(self._probe, PROBE_INTERVAL_S, 'probe')
+        self.evidence.start()
 
     def is_ready(self) -> bool:
         """Return whether the balancer may send new work."""
@@ -68,13 +69,20 @@
     def _wire(self) -> None:
         runtime = self.runtime
         engines = EngineHttp(runtime.session)
-        evidence = EvidenceBook(runtime.clock)
-        self.prober = Prober(runtime.clock, engines, evidence)
+        in_flight_by_group: Counter[str] = Counter()
+        self.evidence = EvidenceSteps(
+            runtime,
+            self.directory,
+            engines,
+            in_flight_by_group,
+        )
+        self.evidence.answer_peers()
         router = Router(
             self.settings.failure_domain,
             self.directory,
-            evidence,
+            self.evidence.book,
             runtime.rng,
+            in_flight_by_group,
         )
         self.callers = Callers(
             server=Server(router, engines, runtime.clock, runtime.metrics),
@@ -88,7 +96,6 @@
     def _register_state(self) -> None:
         state = self.runtime.state
         state.register('groups', self.directory.dump)
-        state.register('evidence', self.prober.book.dump)
         state.register('in_flight', lambda: sorted(self.callers.in_flight))
 
     async def _poll_groups(self) -> None:
@@ -100,11 +107,3 @@
                 group for group in groups if group.failure_domain == domain
             ]
             self.directory.replace_domain(domain, listed)
-
-    async def _probe(self) -> None:
-        members = [
-            member
-            for group in self.directory.by_id.values()
-            for member in group.members
-        ]
-        await self.prober.probe_all(members)
--- /dev/null
+++ b/primroserudder/testing/evidencebench.py
@@ -0,0 +1,273 @@
+"""Measures what evidence costs one entry: bytes, calls and processor time.
+
+Explanation
+===========
+The entries of one failure domain run their real probing and sharing in
+virtual time; what they would send is serialised by the real messages. What
+gRPC adds to each call is measured on one real connection over loopback,
+through a relay that counts bytes.
+"""
+
+import argparse
+import asyncio
+import json
+import random
+import sys
+import time
+from collections import Counter
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass, field
+from math import inf
+
+import looptime
+
+from ..connection.digests import (
+    DigestCalls,
+    EvidenceService,
+    answer_of,
+    answer_to_message,
+    question_of,
+    question_to_message,
+)
+from ..connection.peers import PeerChannels, peer_server
+from ..process.clock import LoopClock, SystemClock
+from ..process.digest import Answer, Question
+from ..process.evidence import EvidenceBook
+from ..process.groups import GroupDirectory, GroupRecord
+from ..process.membership import Node, Peer
+from ..process.sharing import DigestClient, DigestDesk
+from ..process.uses import UseBook
+from ..wire import evidence_pb2_grpc
+from . import builders
+from .entries import Desks, EntryControl
+from .fakes import FakeEngines, group_of_engines
+from .network import Network
+
+WARM_UP_S = 10
+GROUP_SIZE = 4
+CALLS = 2000
+CHUNK_BYTES = 65_536
+PERCENT = 100
+
+
+@dataclass(slots=True)
+class CountingClient:
+    """Serialises questions and answers and counts their bytes."""
+
+    inner: DigestClient
+    owner: str
+    bytes_by_sender: Counter[str]
+    calls_by_sender: Counter[str]
+
+    async def pull(self, address: str, question: Question) -> Answer:
+        """Pass a question on and count both messages."""
+        asked = question_to_message(question)
+        self.bytes_by_sender[self.owner] += asked.ByteSize()
+        self.calls_by_sender[self.owner] += 1
+        found = await self.inner.pull(address, question_of(asked))
+        reply = answer_to_message(found)
+        self.bytes_by_sender[address] += reply.ByteSize()
+        return answer_of(reply)
+
+
+@dataclass(slots=True)
+class Trial:
+    """One failure domain at rest, watched for some seconds."""
+
+    entries: int
+    vms: int
+    seconds: int
+    bytes_by_sender: Counter[str] = field(default_factory=Counter)
+    calls_by_sender: Counter[str] = field(default_factory=Counter)
+
+    async def run(self) -> dict[str, float]:
+        """Return figures for each entry and second."""
+        network = Network(random.Random(1))
+        engines = FakeEngines(network=network)
+        groups = [
+            group_of_engines(engines, LoopClock(), index, GROUP_SIZE)
+            for index in range(self.vms // GROUP_SIZE)
+        ]
+        made = self._start(engines, Desks(network), groups)
+        await asyncio.sleep(WARM_UP_S)
+        self.bytes_by_sender.clear()
+        self.calls_by_sender.clear()
+        engines.asked_by_address.clear()
+        used = -time.process_time()
+        await asyncio.sleep(self.seconds)
+        used += time.process_time()
+        whole = [sum(map(each.book.is_serving, groups)) for each in made]
+        for entry in made:
+            entry.stop()
+        shares = self.entries * self.seconds
+        return {
+            'probes_each_s': engines.asked_by_address.total() / shares,
+            'calls_each_s': self.calls_by_sender.total() / shares,
+            'message_bytes_sent_each_s': self.bytes_by_sender.total() / shares,
+            'cpu_percent_without_grpc': used / shares * PERCENT,
+            'fewest_whole_groups': min(whole),
+        }
+
+    def _start(
+        self,
+        engines: FakeEngines,
+        desks: Desks,
+        groups: Sequence[GroupRecord],
+    ) -> Sequence[EntryControl]:
+        names = [f'entry-fd-1-{index}' for index in range(self.entries)]
+        made = [self._entry(name, engines, desks) for name in names]
+        for entry in made:
+            entry.directory.replace_domain(builders.DOMAIN, groups)
+            _hear(entry, made)
+            entry.start()
+        return made
+
+    def _entry(
+        self,
+        name: str,
+        engines: FakeEngines,
+        desks: Desks,
+    ) -> EntryControl:
+        node = Node(name, f'{name}#1', builders.DOMAIN, 'entry', name)
+        entry = EntryControl(node, LoopClock(), engines.seen_by(name), desks)
+        entry.sharing.client = CountingClient(
+            entry.sharing.client,
+            name,
+            self.bytes_by_sender,
+            self.calls_by_sender,
+        )
+        return entry
+
+
+def _hear(entry: EntryControl, others: Iterable[EntryControl]) -> None:
+    entry.membership.by_id.update(
+        {other.node.node_id: Peer(other.node, inf) for other in others},
+    )
+    entry.membership.by_id.pop(entry.node.node_id)
+
+
+@dataclass(slots=True)
+class ByteRelay:
+    """Relays one port to another and counts what passes."""
+
+    target_port: int
+    sent: int = 0
+    received: int = 0
+
+    async def serve(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        """Relay one connection."""
+        inner_reader, inner_writer = await asyncio.open_connection(
+            '127.0.0.1',
+            self.target_port,
+        )
+        await asyncio.gather(
+            self._copy(reader, inner_writer, is_sent=True),
+            self._copy(inner_reader, writer, is_sent=False),
+        )
+
+    async def _copy(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        *,
+        is_sent: bool,
+    ) -> None:
+        while chunk := await reader.read(CHUNK_BYTES):
+            if is_sent:
+                self.sent += len(chunk)
+            else:
+                self.received += len(chunk)
+            writer.write(chunk)
+            await writer.drain()
+        writer.close()
+
+
+async def measure_call() -> dict[str, float]:
+    """Return bytes and processor time that gRPC adds to one exchange."""
+    server = peer_server()
+    evidence_pb2_grpc.add_EvidenceServicer_to_server(
+        EvidenceService(_empty_desk()),
+        server,
+    )
+    port = server.add_insecure_port('127.0.0.1:0')
+    await server.start()
+    relay = ByteRelay(port)
+    front = await asyncio.start_server(relay.serve, '127.0.0.1', 0)
+    relayed = front.sockets[0].getsockname()[1]
+    client = DigestCalls(PeerChannels())
+    bytes_each = await _bytes_each(client, f'127.0.0.1:{relayed}', relay)
+    used = -time.process_time()
+    for _ in range(CALLS):
+        await client.pull(f'127.0.0.1:{port}', Question(2))
+    used += time.process_time()
+    await client.channels.close()
+    front.close()
+    await server.stop(1)
+    return {**bytes_each, 'cpu_s_both_ends_each_call': used / CALLS}
+
+
+def _empty_desk() -> DigestDesk:
+    clock = SystemClock()
+    return DigestDesk(
+        EvidenceBook(clock, 1),
+        EvidenceBook(clock, 1),
+        GroupDirectory(),
+        UseBook(clock),
+        builders.DOMAIN,
+    )
+
+
+async def _bytes_each(
+    client: DigestCalls,
+    address: str,
+    relay: ByteRelay,
+) -> dict[str, float]:
+    question = Question(2)
+    answer = await client.pull(address, question)
+    relay.sent = 0
+    relay.received = 0
+    for _ in range(CALLS):
+        await client.pull(address, question)
+    asked = question_to_message(question).ByteSize()
+    told = answer_to_message(answer).ByteSize()
+    return {
+        'grpc_bytes_each_question': relay.sent / CALLS - asked,
+        'grpc_bytes_each_answer': relay.received / CALLS - told,
+    }
+
+
+def main() -> None:
+    """Write the figures as JSON."""
+    made = argparse.ArgumentParser(prog='evidence-bench')
+    made.add_argument('--entries', type=int, default=34)
+    made.add_argument('--vms', type=int, default=264)
+    made.add_argument('--seconds', type=int, default=20)
+    wanted = made.parse_args()
+    trial = Trial(wanted.entries, wanted.vms, wanted.seconds)
+    loop = looptime.new_event_loop(start=0)
+    figures = loop.run_until_complete(trial.run())
+    loop.close()
+    call = asyncio.run(measure_call())
+    added = call['grpc_bytes_each_question'] + call['grpc_bytes_each_answer']
+    calls = figures['calls_each_s']
+    report = {
+        'entries': wanted.entries,
+        'vms': wanted.vms,
+        **figures,
+        **call,
+        'peer_bytes_sent_each_s': (
+            figures['message_bytes_sent_each_s'] + calls * added
+        ),
+        'cpu_percent_with_grpc': figures['cpu_percent_without_grpc']
+        + calls * call['cpu_s_both_ends_each_call'] * PERCENT,
+    }
+    json.dump(report, sys.stdout, indent=2)
+    sys.stdout.write('\n')
+
+
+if __name__ == '__main__':
+    main()
--- a/primroserudder/testing/fakes.py
+++ b/primroserudder/testing/fakes.py
@@ -1,6 +1,7 @@
 """Fakes at the interfaces, for tests in virtual time."""
 
 import itertools
+from collections import Counter
 from collections.abc import AsyncGenerator, AsyncIterator, Mapping, Sequence
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
@@ -10,6 +11,7 @@
 from ..process.clock import Clock
 from ..process.engines import (
     CacheEvent,
+    ConnectionRefused,
     EngineAnswer,
     EngineCall,
     EngineOrder,
@@ -21,6 +23,7 @@
 from ..standins.engine import Engine, Generation
 from ..standins.frames import STREAM_END, token_event, whole_answer
 from . import builders
+from .network import Network
 
 
 @dataclass(slots=True)
@@ -42,10 +45,17 @@
 
     party: str = ''
     by_address: dict[str, Engine] = field(default_factory=dict)
+    network: Network | None = None
+    asked_by_address: Counter[str] = field(default_factory=Counter)
 
     def seen_by(self, party: str) -> 'FakeEngines':
         """Return the same engines as a party sees them."""
-        return FakeEngines(party, self.by_address)
+        return FakeEngines(
+            party,
+            self.by_address,
+            self.network,
+            self.asked_by_address,
+        )
 
     def add(self, address: str, engine: Engine) -> Engine:
         """Add an engine."""
@@ -54,11 +64,18 @@
 
     async def status(self, address: str) -> EngineStatus:
         """Return an engine's status."""
-        return self._reach(address).status()
+        self.asked_by_address[address] += 1
+        await self._carry_there(address)
+        status = self._reach(address).status()
+        await self._carry_back(address)
+        return status
 
     async def order(self, address: str, order: EngineOrder) -> EngineStatus:
         """Give an engine an order."""
-        return self._reach(address).take_order(order)
+        await self._carry_there(address)
+        status = self._reach(address).take_order(order)
+        await self._carry_back(address)
+        return status
 
     @asynccontextmanager
     async def generate(
@@ -102,10 +119,19 @@
         """Give an engine the KV cache of a request."""
         self._reach(address)
 
+    async def _carry_there(self, address: str) -> None:
+        if self.network is not None:
+            await self.network.carry(self.party, address)
+
+    async def _carry_back(self, address: str) -> None:
+        if self.network is not None:
+            await self.network.carry(address, self.party)
+            await self.network.resume(self.party)
+
     def _reach(self, address: str) -> Engine:
         engine = self.by_address.get(address)
         if engine is None or engine.faults.is_dead:
-            raise UpstreamUnreachable(f'{address}: no connection')
+            raise ConnectionRefused(f'{address}: no connection')
         if self.party in engine.faults.cut_parties:
             raise UpstreamUnreachable(f'{address}: cut off')
         return engine
