--- a/primroserudder/programs/entrynode.py
+++ b/primroserudder/programs/entrynode.py
@@ -1,11 +1,12 @@
 """An entry: takes callers' requests to whole groups."""
 
-import asyncio
 from collections import Counter
 from dataclasses import dataclass, field
 
 from ..connection.callers import Callers
+from ..connection.drain import Drain
 from ..connection.enginehttp import EngineHttp
+from ..connection.http import bound_port
 from ..process.groups import (
     GROUP_PREFIX,
     GroupDirectory,
@@ -14,11 +15,12 @@
 from ..process.settings import EntrySettings
 from ..request.attempts import Server
 from ..request.routing import Router
+from ..request.watch import WATCH_INTERVAL_S
 from .evidencesteps import EvidenceSteps
 from .node import NodeRuntime
 
 GROUP_POLL_S = 1
-DRAIN_NOTICE_S = 3
+SWEEP_S = 1
 
 
 @dataclass(slots=True)
@@ -29,6 +31,7 @@
     runtime: NodeRuntime = field(init=False)
     directory: GroupDirectory = field(default_factory=GroupDirectory)
     callers: Callers = field(init=False)
+    drain: Drain = field(init=False)
     evidence: EvidenceSteps = field(init=False)
     callers_port: int = 0
     operators_port: int = 0
@@ -36,6 +39,7 @@
     def __post_init__(self) -> None:
         """Make the common parts."""
         self.runtime = NodeRuntime(self.settings, 'entry')
+        self.drain = Drain(self.runtime.metrics, self.settings.drain_notice_s)
 
     async def start(self) -> None:
         """Open the ports and start the steps."""
@@ -43,29 +47,41 @@
         await runtime.open_clients()
         await runtime.open_peers()
         self._wire()
-        await runtime.start_peers()
-        self.operators_port = await runtime.listen_operators(self.is_ready)
-        self.callers_port = await runtime.listen_http(
-            self.callers.app(),
-            self.settings.callers,
-            'callers',
-        )
         self._register_state()
+        await self._listen()
         runtime.start_common_steps()
         runtime.start_step(self._poll_groups, GROUP_POLL_S, 'poll_groups')
         self.evidence.start()
 
     def is_ready(self) -> bool:
         """Return whether the balancer may send new work."""
-        is_configured = self.runtime.holder.current.number > 0
-        return is_configured and not self.runtime.is_draining
+        runtime = self.runtime
+        is_configured = runtime.holder.current.number > 0
+        is_current = is_configured and runtime.spread.is_caught_up()
+        return is_current and not runtime.is_draining
 
     async def stop(self) -> None:
         """Take no new work, let requests in flight finish, then close."""
         self.runtime.is_draining = True
-        await asyncio.sleep(DRAIN_NOTICE_S if self.callers.in_flight else 0)
+        if self.callers_port:
+            await self.drain.run()
         await self.runtime.close()
 
+    async def _listen(self) -> None:
+        await self.runtime.start_peers()
+        self.operators_port = await self.runtime.listen_operators(
+            self.is_ready,
+        )
+        guard = self.callers.guard
+        runner = await self.runtime.listen_http(
+            self.drain.attach(self.callers.app()),
+            self.settings.callers,
+            'callers',
+        )
+        guard.runner = runner
+        self.callers_port = bound_port(runner)
+        self.runtime.start_step(guard.sweep, SWEEP_S, 'sweep')
+
     def _wire(self) -> None:
         runtime = self.runtime
         engines = EngineHttp(runtime.session)
@@ -92,10 +108,13 @@
             invariants=runtime.invariants,
             max_body_bytes=self.settings.max_body_bytes,
         )
+        watch = self.callers.server.watch
+        runtime.start_step(watch.step, WATCH_INTERVAL_S, 'watch_attempts')
 
     def _register_state(self) -> None:
         state = self.runtime.state
         state.register('groups', self.directory.dump)
+        state.register('drain', self.drain.dump)
         state.register('in_flight', lambda: sorted(self.callers.in_flight))
 
     async def _poll_groups(self) -> None:
