Fence controllers by tenure, claim groups whole and run faults at random

Cause: a controller numbered generations by its fencing number, so that two re-formings of one tenure shared a generation; a former holder's late transaction could take effect; nothing repaired a group; and no test let several faults meet. Change: what a controller commits is conditional on its tenure's row, which changes at each change of holder; a lost answer to the lease is settled by its unique claim; members are claimed and released in one transaction with the group's row, whose generation rises by one each time; a new holder waits out its predecessor's orders where a pool ignores fencing. A repair policy weighs waiting, replacing and merging by the deployment's two costs, and group downtime and stranded accelerators are counted. Randomised runs in virtual time pause, crash, cut and replace the parts. They found two faults of the evidence: a prober's withdrawal was not told to new askers, so that a stale status came back to life, and a vouch older than a change was dropped, which let evidence age and set off needless probes.

--- /dev/null
+++ b/primroserudder/process/claims.py
@@ -0,0 +1,174 @@
+"""Transactions by which a controller claims VMs for groups.
+
+Explanation
+===========
+A group's VMs are claimed and released in one transaction with the group's
+row, under the condition that the controller's tenure goes on. So no VM is in
+two groups at any time, whoever else writes and whichever answer is lost.
+"""
+
+from collections import Counter
+from collections.abc import Collection, Iterable, Mapping, Sequence
+from dataclasses import dataclass
+
+from .groups import (
+    GROUP_PREFIX,
+    GroupDirectory,
+    GroupRecord,
+    group_from_fields,
+    group_to_fields,
+)
+from .invariants import Invariants
+from .platform import (
+    Condition,
+    JsonObject,
+    PlatformClient,
+    Row,
+    Transaction,
+    VmListing,
+    Write,
+)
+
+CLAIM_PREFIX = 'claims/'
+
+
+@dataclass(frozen=True, slots=True)
+class DomainView:
+    """What the platform holds of one failure domain at one reading."""
+
+    failure_domain: str
+    groups: Sequence[GroupRecord]
+    revisions_by_group: Mapping[str, int]
+    claims_by_vm: Mapping[str, Row]
+    vms: Sequence[VmListing]
+
+    def group(self, group_id: str) -> GroupRecord | None:
+        """Return a group's record, ``None`` if it never existed."""
+        found = (each for each in self.groups if each.group_id == group_id)
+        return next(found, None)
+
+    def next_generation(self, group_id: str) -> int:
+        """Return a generation that the group never had."""
+        known = self.group(group_id)
+        return 1 if known is None else known.generation + 1
+
+    def listed(self) -> Collection[str]:
+        """Return the ids of the VMs that the platform's list shows."""
+        return {vm.vm_id for vm in self.vms}
+
+
+async def read_domain(platform: PlatformClient, domain: str) -> DomainView:
+    """Return what the platform holds of a failure domain now."""
+    claims = await platform.scan(f'{CLAIM_PREFIX}{domain}/')
+    rows = await platform.scan(f'{GROUP_PREFIX}{domain}/')
+    listed = await platform.list_vms()
+    groups = [group_from_fields(row.fields) for row in rows]
+    return DomainView(
+        failure_domain=domain,
+        groups=groups,
+        revisions_by_group={
+            group.group_id: row.revision
+            for group, row in zip(groups, rows, strict=True)
+        },
+        claims_by_vm={_vm_of(row): row for row in claims},
+        vms=[vm for vm in listed if vm.failure_domain == domain],
+    )
+
+
+def claim(
+    view: DomainView,
+    tenure: Condition,
+    group: GroupRecord,
+) -> Transaction:
+    """Return the transaction that gives a group its members.
+
+    Explanation
+    ===========
+    VMs that the group had before and has no more are released with it.
+    """
+    before = view.group(group.group_id)
+    old = () if before is None else _vms(before)
+    new = _vms(group)
+    touched = {*old, *new}
+    fields = {'group_id': group.group_id, 'generation': group.generation}
+    return Transaction(
+        conditions=(
+            tenure,
+            _group_condition(view, group),
+            *(_claim_condition(view, vm_id) for vm_id in touched),
+        ),
+        writes=(
+            Write(group.key, group_to_fields(group)),
+            *_claim_writes(view, set(old) - set(new), None),
+            *_claim_writes(view, new, fields),
+        ),
+    )
+
+
+def change_state(
+    view: DomainView,
+    tenure: Condition,
+    group: GroupRecord,
+) -> Transaction:
+    """Return the transaction that writes a group's row alone."""
+    return Transaction(
+        (tenure, _group_condition(view, group)),
+        (Write(group.key, group_to_fields(group)),),
+    )
+
+
+def check_view(
+    view: DomainView,
+    directory: GroupDirectory,
+    invariants: Invariants,
+) -> None:
+    """Stop the action if what the platform holds breaks an invariant."""
+    members = Counter(
+        member.vm_id for group in view.groups for member in group.members
+    )
+    twice = [vm_id for vm_id, count in members.items() if count > 1]
+    invariants.require(
+        not twice,
+        'vm_in_one_group',
+        f'VMs in two groups: {twice}',
+    )
+    sunk = [
+        group.group_id
+        for group in view.groups
+        if directory.generation(group.group_id) > group.generation
+    ]
+    invariants.require(
+        not sunk,
+        'generation_rises',
+        f'groups whose generation sank: {sunk}',
+    )
+
+
+def _vms(group: GroupRecord) -> Sequence[str]:
+    return [member.vm_id for member in group.members]
+
+
+def _vm_of(row: Row) -> str:
+    return row.key.rsplit('/', maxsplit=1)[-1]
+
+
+def _group_condition(view: DomainView, group: GroupRecord) -> Condition:
+    revision = view.revisions_by_group.get(group.group_id, 0)
+    return Condition(group.key, revision)
+
+
+def _claim_key(view: DomainView, vm_id: str) -> str:
+    return f'{CLAIM_PREFIX}{view.failure_domain}/{vm_id}'
+
+
+def _claim_condition(view: DomainView, vm_id: str) -> Condition:
+    row = view.claims_by_vm.get(vm_id)
+    return Condition(_claim_key(view, vm_id), row.revision if row else 0)
+
+
+def _claim_writes(
+    view: DomainView,
+    vms: Iterable[str],
+    fields: JsonObject | None,
+) -> Iterable[Write]:
+    return (Write(_claim_key(view, vm_id), fields) for vm_id in vms)
--- a/primroserudder/process/controller.py
+++ b/primroserudder/process/controller.py
@@ -1,38 +1,32 @@
-"""Forms the groups of one failure domain."""
+"""Forms and repairs the groups of one failure domain."""
 
 import asyncio
-from collections.abc import Iterable, Mapping, Sequence
-from dataclasses import dataclass, replace
+from collections import Counter
+from collections.abc import Sequence
+from dataclasses import dataclass, field, replace
 
 from loguru import logger
 
 from ..errors import RudderError
 from ..version.document import ModelDeployment, PlainDeployment
 from ..version.holder import VersionHolder
-from .engines import EngineClient, EngineOrder, EngineStatus
-from .evidence import holds_order
-from .groups import (
-    GROUP_PREFIX,
-    GroupDirectory,
-    GroupRecord,
-    GroupState,
-    Member,
-    group_from_fields,
-    group_to_fields,
+from .claims import (
+    DomainView,
+    change_state,
+    check_view,
+    claim,
+    read_domain,
 )
-from .lease import Lease
+from .clock import Clock
+from .engines import EngineClient, EngineOrder, EngineStatus
+from .groups import GroupDirectory, GroupRecord, GroupState, Member
+from .invariants import Invariants
+from .lease import ORDER_LIFETIME_S, Lease
+from .looks import Found, Look, Looker, is_confirmed, is_cut_off
+from .mending import Mending
+from .outage import OutageCosts
 from .placement import choose_members
-from .platform import (
-    Condition,
-    PlatformClient,
-    Row,
-    Transaction,
-    VmListing,
-    Write,
-)
-
-ORDER_LIFETIME_S = 5
-CLAIM_PREFIX = 'claims/'
+from .platform import PlatformClient, Transaction, VmListing
 
 
 @dataclass(slots=True)
@@ -44,6 +38,16 @@
     holder: VersionHolder
     lease: Lease
     directory: GroupDirectory
+    clock: Clock
+    invariants: Invariants
+    mending: Mending
+    outages: OutageCosts
+    counts: Counter[str] = field(default_factory=Counter)
+    looker: Looker = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Make the looker."""
+        self.looker = Looker(self.engines)
 
     @property
     def failure_domain(self) -> str:
@@ -54,99 +58,161 @@
         """Bring the groups one step nearer to the configuration."""
         if not self.lease.is_held():
             return
-        prefix = f'{GROUP_PREFIX}{self.failure_domain}/'
-        rows = await self.platform.scan(prefix)
-        groups = [group_from_fields(row.fields) for row in rows]
-        self.directory.replace_domain(self.failure_domain, groups)
-        for row, group in zip(rows, groups, strict=True):
-            if group.state is GroupState.FORMING:
-                await self._complete(group, row.revision)
+        view = await read_domain(self.platform, self.failure_domain)
+        check_view(view, self.directory, self.invariants)
+        self.directory.replace_domain(self.failure_domain, view.groups)
+        if not self._may_order():
+            return
+        look = await self.looker.look(view.groups)
+        self.outages.step(view.groups, look)
+        if is_cut_off(look):
+            self.counts['cut_off'] += 1
+            return
+        for group in view.groups:
+            await self._tend(view, group, look[group.group_id])
+        await self._repair(view, look)
+        await self._form_missing(view)
+
+    def _may_order(self) -> bool:
+        if self.lease.is_settled():
+            return True
+        document = self.holder.current.rendered.document
+        pools = document.pools.values()
+        return all(pool.honours_fencing for pool in pools)
+
+    async def _tend(
+        self,
+        view: DomainView,
+        group: GroupRecord,
+        found: Sequence[Found],
+    ) -> None:
+        if group.state not in {GroupState.FORMING, GroupState.SERVING}:
+            return
+        is_empty = [
+            status is not None and status.incarnation != member.incarnation
+            for status, member in zip(found, group.members, strict=True)
+        ]
+        if any(is_empty) and all(found):
+            await self._reform(view, group, group.members)
+        elif all(found) and not is_confirmed(group, found):
+            await self._order_all(group)
+        elif all(found) and group.state is GroupState.FORMING:
+            await self._let_serve(view, group, found)
+
+    async def _let_serve(
+        self,
+        view: DomainView,
+        group: GroupRecord,
+        found: Sequence[Found],
+    ) -> None:
+        self.invariants.require(
+            is_confirmed(group, found),
+            'whole_before_serving',
+            f'group {group.group_id} is not confirmed by all members',
+        )
+        serving = replace(group, state=GroupState.SERVING)
+        await self._commit(view, serving, is_claim=False)
+        logger.info('group {} serves', group.group_id)
+
+    async def _repair(
+        self,
+        view: DomainView,
+        look: Look,
+    ) -> None:
         document = self.holder.current.rendered.document
         for name, deployment in document.deployments.items():
-            if not isinstance(deployment, PlainDeployment):
-                await self._form_missing(name, deployment, groups)
+            if isinstance(deployment, PlainDeployment):
+                continue
+            repairs = self.mending.plan(name, deployment, view, look)
+            for group, vms in repairs:
+                await self._reform(view, group, vms)
 
-    async def _form_missing(
+    async def _reform(
         self,
-        name: str,
-        deployment: ModelDeployment,
-        groups: Iterable[GroupRecord],
+        view: DomainView,
+        group: GroupRecord,
+        members: Sequence[Member],
     ) -> None:
-        wanted = deployment.groups_by_failure_domain.get(
-            self.failure_domain,
-            0,
+        statuses = await self.looker.statuses(members)
+        if None in statuses:
+            return
+        formed = replace(
+            group,
+            generation=view.next_generation(group.group_id),
+            members=tuple(map(_with_incarnation, members, statuses)),
+            state=GroupState.FORMING if members else GroupState.RETIRED,
+        )
+        await self._commit(view, formed, is_claim=True)
+        self.counts['reformed'] += 1
+        logger.info(
+            'group {} forms generation {}',
+            formed.group_id,
+            formed.generation,
         )
-        indexes = {
-            group.group_id for group in groups if group.deployment == name
-        }
-        for index in range(wanted):
-            group_id = f'{name}-{self.failure_domain}-{index}'
-            if group_id not in indexes:
-                await self._form(group_id, name, deployment)
+
+    async def _form_missing(self, view: DomainView) -> None:
+        document = self.holder.current.rendered.document
+        for name, deployment in document.deployments.items():
+            if isinstance(deployment, PlainDeployment):
+                continue
+            wanted = deployment.groups_by_failure_domain
+            for index in range(wanted.get(self.failure_domain, 0)):
+                group_id = f'{name}-{self.failure_domain}-{index}'
+                known = view.group(group_id)
+                if known is None or known.state is GroupState.RETIRED:
+                    await self._form(view, group_id, name, deployment)
 
     async def _form(
         self,
+        view: DomainView,
         group_id: str,
         name: str,
         deployment: ModelDeployment,
     ) -> None:
-        claims = await self._claims()
         vms = choose_members(
-            self._own_vms(await self.platform.list_vms()),
-            claims,
+            view.vms,
+            view.claims_by_vm.keys(),
             deployment.pool,
             deployment.group_size,
         )
         if not vms:
             return
-        statuses = await asyncio.gather(
-            *(self.engines.status(vm.address) for vm in vms),
-        )
-        group = GroupRecord(
+        wanted = GroupRecord(
             group_id=group_id,
             deployment=name,
             failure_domain=self.failure_domain,
             fabric_domain=vms[0].fabric_domain,
-            generation=self.lease.fencing,
-            members=tuple(map(_member, vms, statuses)),
+            generation=0,
+            members=(),
             model=deployment.model,
             model_version=deployment.model_version,
             state=GroupState.FORMING,
             adapters=tuple(deployment.adapters),
         )
-        await self.platform.commit(_claim(group))
-        logger.info('group {} claimed', group_id)
+        await self._reform(view, wanted, [as_member(vm) for vm in vms])
 
-    async def _claims(self) -> Mapping[str, Row]:
-        prefix = f'{CLAIM_PREFIX}{self.failure_domain}/'
-        rows = await self.platform.scan(prefix)
-        return {row.key.removeprefix(prefix): row for row in rows}
-
-    def _own_vms(self, listed: Iterable[VmListing]) -> Sequence[VmListing]:
-        return [vm for vm in listed if vm.failure_domain == self.failure_domain]
-
-    async def _complete(self, group: GroupRecord, revision: int) -> None:
-        statuses = await asyncio.gather(
+    async def _commit(
+        self,
+        view: DomainView,
+        group: GroupRecord,
+        *,
+        is_claim: bool,
+    ) -> None:
+        tenure = self.lease.tenure
+        if tenure is None or not self.lease.is_held():
+            raise LeaseLost(f'lease of {self.failure_domain} is not held')
+        make = claim if is_claim else change_state
+        transaction: Transaction = make(view, tenure, group)
+        # A lost answer is settled by the next reading of the rows: nothing
+        # is ordered on the strength of an unknown write.
+        await self.platform.commit(transaction)
+
+    async def _order_all(self, group: GroupRecord) -> None:
+        await asyncio.gather(
             *(self._order(group, rank) for rank in range(len(group.members))),
         )
-        is_whole = all(
-            holds_order(status, group, member)
-            for status, member in zip(statuses, group.members, strict=True)
-        )
-        if not is_whole:
-            return
-        serving = replace(group, state=GroupState.SERVING)
-        await self.platform.commit(
-            Transaction(
-                (Condition(group.key, revision),),
-                (Write(group.key, group_to_fields(serving)),),
-            ),
-        )
-        logger.info('group {} serves', group.group_id)
 
     async def _order(self, group: GroupRecord, rank: int) -> EngineStatus:
-        if not self.lease.is_held():
-            raise LeaseLost(f'lease of {self.failure_domain} is not held')
         order = EngineOrder(
             group_id=group.group_id,
             generation=group.generation,
@@ -158,6 +224,9 @@
             valid_for=ORDER_LIFETIME_S,
             adapters=group.adapters,
         )
+        # No await stands between this check and the sending.
+        if not self.lease.is_held():
+            raise LeaseLost(f'lease of {self.failure_domain} is not held')
         return await self.engines.order(group.members[rank].address, order)
 
 
@@ -169,23 +238,10 @@
     default_remedy = 'another controller acts for the failure domain'
 
 
-def _member(vm: VmListing, status: EngineStatus) -> Member:
-    return Member(vm.vm_id, vm.address, status.incarnation)
-
-
-def _claim(group: GroupRecord) -> Transaction:
-    keys = [
-        f'{CLAIM_PREFIX}{group.failure_domain}/{member.vm_id}'
-        for member in group.members
-    ]
-    fields = {'group_id': group.group_id, 'generation': group.generation}
-    return Transaction(
-        conditions=(
-            Condition(group.key, 0),
-            *(Condition(key, 0) for key in keys),
-        ),
-        writes=(
-            Write(group.key, group_to_fields(group)),
-            *(Write(key, fields) for key in keys),
-        ),
-    )
+def as_member(vm: VmListing) -> Member:
+    """Return a listed VM as a member whose incarnation is not known yet."""
+    return Member(vm.vm_id, vm.address)
+
+
+def _with_incarnation(member: Member, status: Found) -> Member:
+    return replace(member, incarnation=status.incarnation if status else '')
--- a/primroserudder/process/digest.py
+++ b/primroserudder/process/digest.py
@@ -135,18 +135,14 @@
 
         Explanation
         ===========
-        Who knows nothing yet need not hear of what was withdrawn.
+        What was withdrawn is told to everybody: who asks for the first time
+        may have heard of the item from somebody else.
         """
         newest = takewhile(
             lambda entry: entry[0] > cursor,
             reversed(self._by_item.values()),
         )
-        changes = [
-            change
-            for _, change in newest
-            if cursor or not isinstance(change.found, Withdrawn)
-        ]
-        return tuple(reversed(changes))
+        return tuple(reversed([change for _, change in newest]))
 
     def drop(self, prober: int) -> None:
         """Forget a prober that is gone."""
@@ -162,6 +158,7 @@
     prober: int
     sequence: int = 0
     vouched_at: float = NEVER
+    known_since: float = NEVER
     found_by_name: dict[str, Found] = field(default_factory=dict)
     late_by_name: dict[str, float] = field(default_factory=dict)
 
@@ -181,7 +178,7 @@
         return True
 
     def take_vouch(self, vouch: Vouch, asked_at: float) -> None:
-        """Take over a vouch for the state that is known here.
+        """Take over a vouch that is newer than the last one.
 
         Explanation
         ===========
@@ -190,10 +187,12 @@
         can only make the evidence seem older than it is.
         """
         vouched_at = asked_at - vouch.age_s
-        if vouch.sequence < self.sequence or vouched_at < self.vouched_at:
+        if vouched_at < self.vouched_at:
             return
         # The changes up to the vouch came with the same answer or before it.
-        self.sequence = vouch.sequence
+        # A change that came first, by another way, was seen after an older
+        # vouch, so that the vouch's time is safe for it too.
+        self.sequence = max(self.sequence, vouch.sequence)
         self.vouched_at = vouched_at
         self.late_by_name = {
             name: asked_at - age_s for name, age_s in vouch.late_by_name.items()
@@ -246,5 +245,5 @@
     """
     if entries <= ONE_ROW_ENTRIES:
         return 0
-    rows = 1 << round(log2(sqrt(entries)))
+    rows = 1 << int(log2(sqrt(entries)))
     return xxhash.xxh3_64_intdigest(node_id.encode()) % rows
--- a/primroserudder/process/evidence.py
+++ b/primroserudder/process/evidence.py
@@ -36,7 +36,8 @@
 
     def whole_until(self, group: GroupRecord) -> float:
         """Return the time until which the evidence holds a group whole."""
-        seen_at = min(self._confirmed_at(group, each) for each in group.members)
+        seen = [self._confirmed_at(group, each) for each in group.members]
+        seen_at = min(seen, default=NEVER)
         right = self.evidence(right_name(group.group_id))
         if right is not None and right.found == Right(group.generation):
             seen_at = max(seen_at, right.seen_at)
@@ -79,7 +80,8 @@
     """Return whether a status confirms the member's place in the group."""
     if not status.ready or status.draining:
         return False
-    if status.incarnation != member.incarnation:
+    found = (status.vm_id, status.incarnation)
+    if found != (member.vm_id, member.incarnation):
         return False
     held = (status.group_id, status.generation, status.model_version)
     wanted = (group.group_id, group.generation, group.model_version)
--- a/primroserudder/process/groups.py
+++ b/primroserudder/process/groups.py
@@ -130,6 +130,11 @@
         if known is None or known.generation <= group.generation:
             self.by_id[group.group_id] = group
 
+    def generation(self, group_id: str) -> int:
+        """Return the generation known of a group, zero if none is."""
+        known = self.by_id.get(group_id)
+        return 0 if known is None else known.generation
+
     def of_deployment(self, deployment: str) -> Iterable[GroupRecord]:
         """Yield the groups of one deployment."""
         return (
--- a/primroserudder/process/lease.py
+++ b/primroserudder/process/lease.py
@@ -17,6 +17,8 @@
 LEASE_LIFETIME_S = 10
 LEASE_RENEWAL_S = 3
 CLOCK_DRIFT_SHARE = 0.01
+# An order is given up by its sender after this time.
+ORDER_LIFETIME_S = 5
 
 
 @dataclass(slots=True)
@@ -36,6 +38,12 @@
     Clocks of two machines are never compared. The holder counts its lease
     from before it sent the renewal; a candidate waits a whole lifetime plus
     the bound on drift after it first saw the current claim.
+
+    The tenure's row is written at each change of holder and at no renewal.
+    Whatever the holder commits is conditional on that row's revision, so
+    that a former holder's late transaction has no effect. Orders to engines
+    have no such condition: they carry the fencing number, and ``settled_at``
+    tells from when on no order of a predecessor is under way.
     """
 
     platform: PlatformClient
@@ -44,6 +52,8 @@
     holder: str
     fencing: int = 0
     held_until: float = 0
+    settled_at: float = 0
+    tenure: Condition | None = None
     _renewals: int = 0
     _sighting: _Sighting | None = field(default=None)
 
@@ -52,9 +62,19 @@
         """Return the key of the lease's row."""
         return f'leases/{self.failure_domain}'
 
+    @property
+    def tenure_key(self) -> str:
+        """Return the key of the tenure's row."""
+        return f'tenures/{self.failure_domain}'
+
     def is_held(self) -> bool:
         """Return whether this process may act for the failure domain."""
-        return self.clock.monotonic() < self.held_until
+        is_current = self.clock.monotonic() < self.held_until
+        return is_current and self.tenure is not None
+
+    def is_settled(self) -> bool:
+        """Return whether no predecessor's order can still be under way."""
+        return self.clock.monotonic() >= self.settled_at
 
     async def renew(self) -> bool:
         """Take or renew the lease and return whether it is held."""
@@ -70,33 +90,56 @@
         if not self._may_claim(row):
             return
         asked_at = self.clock.monotonic()
-        fencing = self._next_fencing(row)
-        await self.platform.commit(self._claim(row, fencing))
-        self.fencing = fencing
+        is_renewal = self._is_own(row) and self.is_held()
+        fencing = _fencing(row) if is_renewal else _fencing(row) + 1
+        claim = self._next_claim()
+        await self._commit(row, claim, fencing, is_renewal=is_renewal)
+        if not is_renewal:
+            await self._begin_tenure(row, fencing)
         self.held_until = asked_at + LEASE_LIFETIME_S * (1 - CLOCK_DRIFT_SHARE)
 
-    def _next_fencing(self, row: Row | None) -> int:
-        if row is None:
-            return 1
-        fencing = int(str(row.fields['fencing']))
-        is_own = row.fields['holder'] == self.holder and self.is_held()
-        return fencing if is_own else fencing + 1
-
-    def _claim(self, row: Row | None, fencing: int) -> Transaction:
-        self._renewals += 1
-        fields = {
-            'holder': self.holder,
-            'fencing': fencing,
-            'claim': f'{self.holder}/{self._renewals}',
-        }
+    async def _commit(
+        self,
+        row: Row | None,
+        claim: str,
+        fencing: int,
+        *,
+        is_renewal: bool,
+    ) -> None:
+        fields = {'holder': self.holder, 'fencing': fencing, 'claim': claim}
+        lease = Write(self.key, fields)
+        tenure = Write(self.tenure_key, fields)
         revision = 0 if row is None else row.revision
-        return Transaction(
+        transaction = Transaction(
             conditions=(Condition(self.key, revision),),
-            writes=(Write(self.key, fields),),
+            writes=(lease,) if is_renewal else (lease, tenure),
         )
+        try:
+            await self.platform.commit(transaction)
+        except OutcomeUnknown:
+            written = await self.platform.read(self.key)
+            if written is None or written.fields['claim'] != claim:
+                raise
+
+    async def _begin_tenure(self, before: Row | None, fencing: int) -> None:
+        self.tenure = None
+        row = await self.platform.read(self.tenure_key)
+        if row is None or _fencing(row) != fencing:
+            raise Conflict('another candidate took the lease meanwhile')
+        self.fencing = fencing
+        self.tenure = Condition(self.tenure_key, row.revision)
+        wait_s = 0 if before is None else ORDER_LIFETIME_S
+        self.settled_at = self.clock.monotonic() + wait_s
+
+    def _next_claim(self) -> str:
+        self._renewals += 1
+        return f'{self.holder}/{self._renewals}'
+
+    def _is_own(self, row: Row | None) -> bool:
+        return row is not None and row.fields['holder'] == self.holder
 
     def _may_claim(self, row: Row | None) -> bool:
-        if row is None or row.fields['holder'] == self.holder:
+        if row is None or self._is_own(row):
             return True
         claim = str(row.fields['claim'])
         now = self.clock.monotonic()
@@ -104,3 +147,7 @@
             self._sighting = _Sighting(claim, now)
         waited = now - self._sighting.seen_at
         return waited > LEASE_LIFETIME_S * (1 + CLOCK_DRIFT_SHARE)
+
+
+def _fencing(row: Row | None) -> int:
+    return 0 if row is None else int(str(row.fields['fencing']))
--- /dev/null
+++ b/primroserudder/process/mending.py
@@ -0,0 +1,153 @@
+"""Plans repairs from what the platform and the VMs themselves tell."""
+
+from collections import defaultdict
+from collections.abc import Collection, Iterator, Mapping, Sequence
+from dataclasses import dataclass, field
+
+from ..version.document import ModelDeployment
+from .claims import DomainView
+from .clock import Clock
+from .groups import GroupRecord, GroupState, Member
+from .looks import Found, Look
+from .platform import VmListing, VmState
+from .repair import Action, Broken, Choice, Costs, Hazards, RepairPolicy
+
+# A VM that misses a look or two is not yet missing.
+MISSING_AFTER_S = 6
+# No rebuild while this share of the domain's held VMs is dark at once.
+DARK_SHARE = 0.5
+Repair = tuple[GroupRecord, Sequence[Member]]
+
+
+@dataclass(slots=True)
+class Mending:
+    """Remembers since when VMs are missing, and applies the policy."""
+
+    clock: Clock
+    hazards: Hazards = field(default_factory=Hazards)
+    missing_since_by_vm: dict[str, float] = field(default_factory=dict)
+    flaps_by_vm: dict[str, int] = field(default_factory=dict)
+
+    def plan(
+        self,
+        name: str,
+        deployment: ModelDeployment,
+        view: DomainView,
+        look: Look,
+    ) -> Iterator[Repair]:
+        """Yield the groups to form anew and their members.
+
+        Explanation
+        ===========
+        No members means that the group gives its VMs back.
+        """
+        groups = [
+            group
+            for group in view.groups
+            if group.deployment == name
+            and group.state in {GroupState.FORMING, GroupState.SERVING}
+        ]
+        broken = [
+            self._broken(group, look[group.group_id], view) for group in groups
+        ]
+        policy = RepairPolicy(
+            costs_of(deployment),
+            self.hazards,
+            is_rebuild_allowed=not _is_dark(groups, broken),
+        )
+        policy.flaps_by_vm.update(self.flaps_by_vm)
+        spares = _spares_by_fabric(view, deployment.pool)
+        chosen = policy.choose(
+            [each for each in broken if each.missing_s_by_vm],
+            spares,
+            sum(group.state is GroupState.FORMING for group in groups),
+        )
+        return self._members(chosen, groups, view)
+
+    def _broken(
+        self,
+        group: GroupRecord,
+        found: Sequence[Found],
+        view: DomainView,
+    ) -> Broken:
+        now = self.clock.monotonic()
+        listed = view.listed()
+        missing = {}
+        for member, status in zip(group.members, found, strict=True):
+            is_there = status is not None and status.vm_id == member.vm_id
+            if is_there and member.vm_id in listed:
+                self._note_return(member.vm_id)
+                continue
+            since = self.missing_since_by_vm.setdefault(member.vm_id, now)
+            missing[member.vm_id] = now - since
+        is_short = max(missing.values(), default=0) < MISSING_AFTER_S
+        return Broken(
+            group.group_id,
+            group.fabric_domain,
+            [vm for vm in _ids(group) if vm not in missing],
+            {} if is_short else missing,
+        )
+
+    def _note_return(self, vm_id: str) -> None:
+        if self.missing_since_by_vm.pop(vm_id, None) is not None:
+            self.flaps_by_vm[vm_id] = self.flaps_by_vm.get(vm_id, 0) + 1
+
+    def _members(
+        self,
+        chosen: Sequence[Choice],
+        groups: Sequence[GroupRecord],
+        view: DomainView,
+    ) -> Iterator[Repair]:
+        by_id = {group.group_id: group for group in groups}
+        known = {
+            member.vm_id: member for group in groups for member in group.members
+        }
+        listed = {vm.vm_id: Member(vm.vm_id, vm.address) for vm in view.vms}
+        for choice in chosen:
+            group = by_id[choice.group_id]
+            if choice.action is Action.RELEASE:
+                yield group, ()
+            elif choice.action is Action.REPLACE:
+                kept = [
+                    member
+                    for member in group.members
+                    if member.vm_id not in self.missing_since_by_vm
+                ]
+                taken = [{**known, **listed}[vm] for vm in choice.taken]
+                yield group, (*kept, *taken)
+
+
+def costs_of(deployment: ModelDeployment) -> Costs:
+    """Return the weights of a deployment."""
+    return Costs(
+        deployment.costs.downtime_per_group_minute,
+        deployment.costs.stranded_per_accelerator_minute,
+    )
+
+
+def _ids(group: GroupRecord) -> Sequence[str]:
+    return [member.vm_id for member in group.members]
+
+
+def _is_dark(
+    groups: Sequence[GroupRecord],
+    broken: Sequence[Broken],
+) -> bool:
+    held = sum(len(group.members) for group in groups)
+    missing = sum(len(each.missing_s_by_vm) for each in broken)
+    return missing > held * DARK_SHARE
+
+
+def _spares_by_fabric(
+    view: DomainView,
+    pool: str,
+) -> Mapping[str, Collection[str]]:
+    spares: dict[str, list[str]] = defaultdict(list)
+    for vm in view.vms:
+        if _is_spare(vm, view) and vm.pool == pool:
+            spares[vm.fabric_domain].append(vm.vm_id)
+    return spares
+
+
+def _is_spare(vm: VmListing, view: DomainView) -> bool:
+    return vm.state is VmState.LIVE and vm.vm_id not in view.claims_by_vm
--- a/primroserudder/process/probing.py
+++ b/primroserudder/process/probing.py
@@ -41,6 +41,7 @@
     _tasks_by_vm: dict[str, asyncio.Task[None]] = field(default_factory=dict)
     _probers_by_vm: dict[str, tuple[str, ...]] = field(default_factory=dict)
     _assigned: tuple[frozenset[str], frozenset[str]] | None = None
+    _began_at: float = NEVER
 
     def step(
         self,
@@ -59,6 +60,8 @@
         heard : collection of str
             Those of them whose vouches are fresh.
         """
+        if self._began_at == NEVER:
+            self._began_at = self.clock.monotonic()
         by_vm = {member.vm_id: member for member in members}
         self._assign(frozenset(by_vm), frozenset((self.own_id, *living)))
         self._withdraw_old()
@@ -143,12 +146,17 @@
         return TAKE_OVER_S if is_second and is_heard else 0
 
     def _is_due(self, vm_id: str, patience_s: float) -> bool:
-        if patience_s and self.book.age_s(vm_id) < patience_s:
+        if patience_s and self._age_s(vm_id) < patience_s:
             return False
         asked_at = self.asked_at_by_vm.get(vm_id, NEVER)
         waited = self.clock.monotonic() - asked_at
         return waited >= PROBE_INTERVAL_S - PROBE_STEP_S / 2
 
+    def _age_s(self, vm_id: str) -> float:
+        # A process that has just started has not yet heard the others.
+        lived_s = self.clock.monotonic() - self._began_at
+        return min(self.book.age_s(vm_id), lived_s)
+
     def _start(self, member: Member) -> None:
         vm_id = member.vm_id
         self.asked_at_by_vm[vm_id] = self.clock.monotonic()
--- /dev/null
+++ b/primroserudder/process/repair.py
@@ -0,0 +1,196 @@
+"""Chooses how a broken group is repaired, by the deployment's two costs.
+
+Explanation
+===========
+A broken group holds its living members while it serves nobody. The choice is
+between waiting for a missing VM to return, taking spares, taking members of
+another broken group of the fabric domain, and giving the members back as
+spares. Each is weighed by what it costs until the group serves again.
+"""
+
+import enum
+from collections import Counter
+from collections.abc import Collection, Iterable, Mapping, Sequence
+from dataclasses import dataclass, field
+from math import exp
+
+SECONDS_PER_MINUTE = 60
+
+
+@dataclass(frozen=True, slots=True)
+class Costs:
+    """A deployment's weights, each for one minute."""
+
+    downtime_per_group_minute: float = 1
+    stranded_per_accelerator_minute: float = 0.05
+    accelerators_per_vm: int = 8
+
+
+@dataclass(frozen=True, slots=True)
+class Hazards:
+    """How long failed VMs stay away, and how fast weights are loaded.
+
+    Explanation
+    ===========
+    A share of the missing VMs are restarts, which return soon; the others
+    are replaced much later. ``load_s`` is what one group's load takes at the
+    weight store's rate when it has the store to itself.
+    """
+
+    restart_share: float = 0.9
+    restart_s: float = 120
+    replacement_s: float = 7200
+    load_s: float = 120
+
+    def expected_return_s(self, missing_s: float) -> float:
+        """Return how long a VM still stays away, given how long it has.
+
+        Examples
+        ========
+        >>> hazards = Hazards(restart_share=0.5)
+        >>> soon = hazards.expected_return_s(0)
+        >>> soon < hazards.expected_return_s(600)
+        True
+        """
+        restarting = self.restart_share * exp(-missing_s / self.restart_s)
+        replaced = (1 - self.restart_share) * exp(
+            -missing_s / self.replacement_s,
+        )
+        share = restarting / (restarting + replaced)
+        return share * self.restart_s + (1 - share) * self.replacement_s
+
+
+class Action(enum.StrEnum):
+    """What is done for a broken group."""
+
+    WAIT = 'wait'
+    REPLACE = 'replace'
+    MERGE = 'merge'
+    RELEASE = 'release'
+
+
+@dataclass(frozen=True, slots=True)
+class Broken:
+    """A group that lacks members, and how long each has been missing."""
+
+    group_id: str
+    fabric_domain: str
+    living: Sequence[str]
+    missing_s_by_vm: Mapping[str, float]
+
+
+@dataclass(frozen=True, slots=True)
+class Choice:
+    """What to do for a group, and with which VMs in the missing ones' place."""
+
+    group_id: str
+    action: Action
+    taken: Sequence[str] = ()
+    donor: str = ''
+
+
+@dataclass(slots=True)
+class RepairPolicy:
+    """Weighs the ways to repair each broken group."""
+
+    costs: Costs
+    hazards: Hazards
+    is_rebuild_allowed: bool = True
+    flaps_by_vm: Counter[str] = field(default_factory=Counter)
+
+    def choose(
+        self,
+        broken: Iterable[Broken],
+        spares_by_fabric: Mapping[str, Collection[str]],
+        queued_loads: int = 0,
+    ) -> Sequence[Choice]:
+        """Return one choice for each broken group, the neediest first."""
+        spares = {
+            fabric: sorted(vms, key=self._flaps)
+            for fabric, vms in spares_by_fabric.items()
+        }
+        waiting = sorted(broken, key=_need)
+        choices: dict[str, Choice] = {}
+        for group in waiting:
+            if group.group_id in choices:
+                continue
+            free = spares.get(group.fabric_domain, [])
+            choice = self._choose_one(group, free, queued_loads)
+            if choice.action is Action.WAIT:
+                choice = self._merge(group, waiting, choices, queued_loads)
+            elif choice.action is Action.REPLACE:
+                spares[group.fabric_domain] = free[len(choice.taken) :]
+            queued_loads += choice.action in {Action.REPLACE, Action.MERGE}
+            choices[group.group_id] = choice
+        return tuple(choices.values())
+
+    def wait_cost(self, group: Broken) -> float:
+        """Return the expected cost of waiting for the missing VMs."""
+        away_s = max(
+            self.hazards.expected_return_s(missing_s)
+            for missing_s in group.missing_s_by_vm.values()
+        )
+        return self._rate(len(group.living)) * (away_s + self.hazards.load_s)
+
+    def rebuild_cost(self, group: Broken, queued_loads: int) -> float:
+        """Return the expected cost until a rebuilt group serves."""
+        load_s = self.hazards.load_s * (queued_loads + 1)
+        size = len(group.living) + len(group.missing_s_by_vm)
+        return self._rate(size) * load_s
+
+    def _flaps(self, vm_id: str) -> tuple[int, str]:
+        return self.flaps_by_vm[vm_id], vm_id
+
+    def _rate(self, held: int) -> float:
+        accelerators = held * self.costs.accelerators_per_vm
+        stranded = accelerators * self.costs.stranded_per_accelerator_minute
+        a_minute = self.costs.downtime_per_group_minute + stranded
+        return a_minute / SECONDS_PER_MINUTE
+
+    def _choose_one(
+        self,
+        group: Broken,
+        spares: Sequence[str],
+        queued_loads: int,
+    ) -> Choice:
+        needed = len(group.missing_s_by_vm)
+        is_cheaper = self.rebuild_cost(group, queued_loads) < self.wait_cost(
+            group,
+        )
+        if self.is_rebuild_allowed and is_cheaper and len(spares) >= needed:
+            return Choice(group.group_id, Action.REPLACE, spares[:needed])
+        return Choice(group.group_id, Action.WAIT)
+
+    def _merge(
+        self,
+        group: Broken,
+        broken: Iterable[Broken],
+        choices: dict[str, Choice],
+        queued_loads: int,
+    ) -> Choice:
+        wait = Choice(group.group_id, Action.WAIT)
+        needed = len(group.missing_s_by_vm)
+        donors = [
+            other
+            for other in broken
+            if other.group_id not in {group.group_id, *choices}
+            and other.fabric_domain == group.fabric_domain
+            and len(other.living) >= needed
+        ]
+        is_cheaper = self.rebuild_cost(group, queued_loads) < self.wait_cost(
+            group,
+        )
+        if not donors or not is_cheaper or not self.is_rebuild_allowed:
+            return wait
+        donor = max(donors, key=self.wait_cost)
+        choices[donor.group_id] = Choice(donor.group_id, Action.RELEASE)
+        return Choice(
+            group.group_id,
+            Action.MERGE,
+            donor.living[:needed],
+            donor.group_id,
+        )
+
+
+def _need(group: Broken) -> tuple[int, str]:
+    return len(group.missing_s_by_vm), group.group_id
--- a/primroserudder/process/sharing.py
+++ b/primroserudder/process/sharing.py
@@ -39,7 +39,7 @@
 CANDIDATES = 2
 AVOIDED_S = 5
 # Vouches through a relay are younger than this while their prober lives.
-LONE_AFTER_S = 2.4
+LONE_AFTER_S = 2.6
 
 
 @dataclass(frozen=True, slots=True)
--- a/primroserudder/process/testimonies.py
+++ b/primroserudder/process/testimonies.py
@@ -20,7 +20,7 @@
 from .engines import EngineLoad, EngineStatus
 
 EVIDENCE_LIFETIME_S = 3
-LATE_AFTER_S = 1.5
+LATE_AFTER_S = 1.2
 TESTIMONY_KEPT_S = 30
 _NO_LOAD = EngineLoad()
 
@@ -124,7 +124,7 @@
         old = [
             prober
             for prober, testimony in self.by_prober.items()
-            if testimony.vouched_at < earliest
+            if max(testimony.vouched_at, testimony.known_since) < earliest
         ]
         for prober in old:
             self.by_prober.pop(prober)
@@ -171,7 +171,12 @@
         }
 
     def _testimony(self, prober: int) -> Testimony:
-        return self.by_prober.setdefault(prober, Testimony(prober))
+        known = self.by_prober.get(prober)
+        if known is None:
+            now = self.clock.monotonic()
+            known = Testimony(prober, known_since=now)
+            self.by_prober[prober] = known
+        return known
 
     def _apply(self, testimony: Testimony, change: Change) -> None:
         known = testimony.found_by_name.get(change.name)
--- a/primroserudder/programs/controllernode.py
+++ b/primroserudder/programs/controllernode.py
@@ -6,6 +6,8 @@
 from ..process.controller import Controller
 from ..process.groups import GroupDirectory
 from ..process.lease import LEASE_RENEWAL_S, Lease
+from ..process.mending import Mending
+from ..process.outage import OutageCosts
 from ..process.settings import ControllerSettings
 from .node import NodeRuntime
 
@@ -60,6 +62,14 @@
             holder=runtime.holder,
             lease=lease,
             directory=GroupDirectory(),
+            clock=runtime.clock,
+            invariants=runtime.invariants,
+            mending=Mending(runtime.clock),
+            outages=OutageCosts(
+                runtime.clock,
+                runtime.metrics,
+                self.settings.failure_domain,
+            ),
         )
         runtime.state.register(
             'lease',
@@ -70,3 +80,4 @@
             },
         )
         runtime.state.register('groups', self.controller.directory.dump)
+        runtime.state.register('outages', self.controller.outages.dump)
--- a/primroserudder/testing/builders.py
+++ b/primroserudder/testing/builders.py
@@ -61,6 +61,18 @@
     }
 
 
+def deployment(groups: int, size: int) -> dict[str, object]:
+    """Return a model deployment of the first failure domain."""
+    return {
+        'kind': 'model',
+        'pool': 'local',
+        'model': 'ledger-7b',
+        'model_version': 'v1',
+        'group_size': size,
+        'groups_by_failure_domain': {DOMAIN: groups},
+    }
+
+
 def document_body(**changes: object) -> bytes:
     """Return the configuration as it is submitted."""
     return json.dumps(document(**changes)).encode()
--- a/primroserudder/testing/evidencebench.py
+++ b/primroserudder/testing/evidencebench.py
@@ -19,8 +19,6 @@
 from dataclasses import dataclass, field
 from math import inf
 
-import looptime
-
 from ..connection.digests import (
     DigestCalls,
     EvidenceService,
@@ -42,6 +40,7 @@
 from .entries import Desks, EntryControl
 from .fakes import FakeEngines, group_of_engines
 from .network import Network
+from .virtualtime import run_virtually
 
 WARM_UP_S = 10
 GROUP_SIZE = 4
@@ -248,9 +247,7 @@
     made.add_argument('--seconds', type=int, default=20)
     wanted = made.parse_args()
     trial = Trial(wanted.entries, wanted.vms, wanted.seconds)
-    loop = looptime.new_event_loop(start=0)
-    figures = loop.run_until_complete(trial.run())
-    loop.close()
+    figures = run_virtually(trial.run())
     call = asyncio.run(measure_call())
     added = call['grpc_bytes_each_question'] + call['grpc_bytes_each_answer']
     calls = figures['calls_each_s']
--- /dev/null
+++ b/primroserudder/testing/parties.py
@@ -0,0 +1,100 @@
+"""The platform as parties reach it, and what really holds."""
+
+import asyncio
+from collections.abc import Awaitable, Sequence
+from dataclasses import dataclass, field
+from typing import TypeVar
+
+from ..process.clock import LoopClock
+from ..process.engines import EngineStatus
+from ..process.evidence import holds_order
+from ..process.groups import GroupRecord
+from ..process.platform import Row, Transaction, VmListing
+from ..standins.memory import MemoryPlatform
+from .fakes import FakeEngines
+from .network import Network
+
+SAMPLE_S = 0.1
+# Evidence dates from before the probe; the sampling adds its own step.
+LONGEST_RIGHT_S = 3 + 2 * SAMPLE_S
+
+_Reply = TypeVar('_Reply')
+
+
+@dataclass(slots=True)
+class PartyPlatform:
+    """The platform as one party reaches it, late while it is paused."""
+
+    inner: MemoryPlatform
+    network: Network
+
+    async def read(self, key: str) -> Row | None:
+        """Return a row."""
+        await self._go()
+        return await self._come(self.inner.read(key))
+
+    async def scan(self, prefix: str) -> Sequence[Row]:
+        """Return rows."""
+        await self._go()
+        return await self._come(self.inner.scan(prefix))
+
+    async def commit(self, transaction: Transaction) -> None:
+        """Apply a transaction."""
+        await self._go()
+        await self._come(self.inner.commit(transaction))
+
+    async def put_object(self, name: str, body: bytes) -> None:
+        """Store an object."""
+        await self._go()
+        await self._come(self.inner.put_object(name, body))
+
+    async def get_object(self, name: str) -> bytes:
+        """Return an object."""
+        await self._go()
+        return await self._come(self.inner.get_object(name))
+
+    async def list_vms(self) -> Sequence[VmListing]:
+        """Return the list of VMs."""
+        await self._go()
+        return await self._come(self.inner.list_vms())
+
+    async def _go(self) -> None:
+        await self.network.resume(self.inner.party)
+        # Some transactions are slow, so that they pass each other.
+        await asyncio.sleep(self.network.rng.choice((0.01, 0.02, 0.3)))
+
+    async def _come(self, reply: Awaitable[_Reply]) -> _Reply:
+        found = await reply
+        await self.network.resume(self.inner.party)
+        return found
+
+
+@dataclass(slots=True)
+class Truth:
+    """What really holds, known to the test alone."""
+
+    engines: FakeEngines
+    clock: LoopClock
+    held_at: dict[EngineStatus, float] = field(default_factory=dict)
+
+    async def watch(self) -> None:
+        """Note, again and again, what each living engine holds."""
+        while True:
+            now = self.clock.monotonic()
+            for engine in self.engines.by_address.values():
+                if not engine.faults.is_dead:
+                    self.held_at[engine.status()] = now
+            await asyncio.sleep(SAMPLE_S)
+
+    def is_whole(self, group: GroupRecord) -> bool:
+        """Return whether all members held the order a moment ago."""
+        earliest = self.clock.monotonic() - LONGEST_RIGHT_S
+        held = [
+            status
+            for status, seen_at in self.held_at.items()
+            if seen_at >= earliest
+        ]
+        return all(
+            any(holds_order(status, group, member) for status in held)
+            for member in group.members
+        )
--- /dev/null
+++ b/primroserudder/testing/world.py
@@ -0,0 +1,223 @@
+"""A failure domain in virtual time, with faults at random.
+
+Explanation
+===========
+Several controllers race for one lease, entries probe and share, and VMs,
+processes, network and platform fail. The parts are the program's own; only
+their interfaces are stood in for. All randomness comes from one seed.
+"""
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable, Sequence
+from dataclasses import dataclass, field
+from functools import partial
+
+from ..errors import InvariantViolation, RudderError
+from ..process.clock import LoopClock
+from ..process.controller import Controller
+from ..process.groups import GroupDirectory, group_from_fields
+from ..process.invariants import Invariants
+from ..process.lease import LEASE_RENEWAL_S, Lease
+from ..process.membership import Node
+from ..process.mending import Mending
+from ..process.metrics import Metrics
+from ..process.outage import OutageCosts
+from ..process.repair import Hazards
+from ..standins.engine import Engine, EngineSpeed
+from ..standins.memory import MemoryPlatform
+from ..version.holder import VersionHolder
+from . import builders
+from .entries import Desks, EntryControl
+from .fakes import FakeEngines
+from .network import Network
+from .parties import PartyPlatform, Truth
+
+CONTROLLERS = 3
+ENTRIES = 3
+FABRICS = 2
+VMS_EACH = 5
+GROUP_SIZE = 2
+GROUPS = 3
+STEP_S = 0.5
+DISPATCH_S = 0.2
+
+Tasks = list[asyncio.Task[None]]
+
+
+@dataclass(slots=True)
+class World:
+    """The parts of one run."""
+
+    seed: int
+    honours_fencing: bool
+    rng: random.Random = field(init=False)
+    clock: LoopClock = field(default_factory=LoopClock)
+    network: Network = field(init=False)
+    platform: MemoryPlatform = field(default_factory=MemoryPlatform)
+    engines: FakeEngines = field(init=False)
+    desks: Desks = field(init=False)
+    truth: Truth = field(init=False)
+    invariants: Invariants = field(init=False)
+    holder: VersionHolder = field(default_factory=VersionHolder)
+    controllers: dict[str, Controller] = field(default_factory=dict)
+    entries: dict[str, EntryControl] = field(default_factory=dict)
+    tasks: dict[str, Tasks] = field(default_factory=dict)
+    dispatches: int = 0
+    starts: int = 0
+
+    def __post_init__(self) -> None:
+        """Make VMs and configuration."""
+        self.rng = random.Random(self.seed)
+        self.network = Network(random.Random(self.seed + 1))
+        self.engines = FakeEngines(network=self.network)
+        self.desks = Desks(self.network)
+        self.truth = Truth(self.engines, self.clock)
+        self.invariants = Invariants(Metrics())
+        for index in range(FABRICS * VMS_EACH):
+            self.add_vm(f'vm{index}', f'vm{index}:1', index // VMS_EACH)
+        pool = {'honours_fencing': self.honours_fencing}
+        deployment = builders.deployment(GROUPS, GROUP_SIZE)
+        version = builders.version(
+            pools={'local': pool},
+            deployments={builders.DEPLOYMENT: deployment},
+        )
+        self.holder.offer(version)
+
+    def add_vm(self, vm_id: str, address: str, fabric: int) -> None:
+        """Add a VM to the list and start its engine."""
+        self.platform.vms_by_id[vm_id] = builders.vm(
+            vm_id=vm_id,
+            address=address,
+            fabric_domain=f'f{fabric}',
+        )
+        engine = Engine(
+            vm_id,
+            self.clock,
+            honours_fencing=self.honours_fencing,
+            checks_generation=self.honours_fencing,
+            speed=EngineSpeed(load_s=1),
+        )
+        self.engines.add(address, engine)
+
+    def start(self) -> None:
+        """Start controllers, entries and the truth."""
+        for index in range(CONTROLLERS):
+            self.start_controller(f'c{index}')
+        for index in range(ENTRIES):
+            self.start_entry(f'e{index}')
+        self._run('truth', self.truth.watch())
+
+    def stop(self) -> None:
+        """End all parts."""
+        for name in tuple(self.tasks):
+            self.crash(name)
+
+    def crash(self, name: str) -> None:
+        """End a process; what it holds in memory is lost."""
+        for task in self.tasks.pop(name, ()):
+            task.cancel()
+        if name in self.entries:
+            self.entries.pop(name).stop()
+        self.controllers.pop(name, None)
+
+    def start_controller(self, name: str) -> None:
+        """Start a controller, empty."""
+        self.starts += 1
+        platform = PartyPlatform(self.platform.seen_by(name), self.network)
+        holder = f'{name}#{self.starts}'
+        lease = Lease(platform, self.clock, builders.DOMAIN, holder)
+        controller = Controller(
+            platform=platform,
+            engines=self.engines.seen_by(name),
+            holder=self.holder,
+            lease=lease,
+            directory=GroupDirectory(),
+            clock=self.clock,
+            invariants=self.invariants,
+            mending=Mending(self.clock, Hazards(load_s=1)),
+            outages=OutageCosts(self.clock, Metrics(), builders.DOMAIN),
+        )
+        self.controllers[name] = controller
+        self._repeat(name, lease.renew, LEASE_RENEWAL_S)
+        self._repeat(name, controller.reconcile, STEP_S)
+
+    def start_entry(self, name: str) -> None:
+        """Start an entry, empty."""
+        self.starts += 1
+        node = Node(name, str(self.starts), builders.DOMAIN, 'entry', name)
+        entry = EntryControl(
+            node,
+            self.clock,
+            self.engines.seen_by(name),
+            self.desks,
+        )
+        self.entries[name] = entry
+        platform = PartyPlatform(self.platform.seen_by(name), self.network)
+
+        self._repeat(name, partial(_poll, platform, entry), 1)
+        self._repeat(name, partial(_hear, self, entry), 1)
+        self._repeat(name, partial(_dispatch, self, entry), DISPATCH_S)
+        entry.start()
+
+    def dispatch(self, entry: EntryControl) -> None:
+        """Send to every group that the entry believes whole."""
+        for group in entry.directory.by_id.values():
+            if entry.book.is_serving(group):
+                self.dispatches += 1
+                self.invariants.require(
+                    self.truth.is_whole(group),
+                    'dispatch_to_whole_group',
+                    f'an entry sent to {group}',
+                )
+
+    def _repeat(
+        self,
+        name: str,
+        step: Callable[[], Awaitable[object]],
+        interval_s: float,
+    ) -> None:
+        self._run(name, self._steps(name, step, interval_s))
+
+    async def _steps(
+        self,
+        name: str,
+        step: Callable[[], Awaitable[object]],
+        interval_s: float,
+    ) -> None:
+        await asyncio.sleep(interval_s * self.network.rng.random())
+        while True:
+            await self.network.resume(name)
+            try:
+                await step()
+            except InvariantViolation:
+                # Counted by the invariants; the action was stopped.
+                await asyncio.sleep(0)
+            except RudderError:
+                await asyncio.sleep(0)
+            await asyncio.sleep(interval_s)
+
+    def _run(self, name: str, steps: Awaitable[None]) -> None:
+        task = asyncio.ensure_future(steps)
+        self.tasks.setdefault(name, []).append(task)
+
+
+async def _poll(platform: PartyPlatform, entry: EntryControl) -> None:
+    rows = await platform.scan('groups/')
+    groups = [group_from_fields(row.fields) for row in rows]
+    entry.directory.replace_domain(builders.DOMAIN, groups)
+
+
+async def _hear(world: World, entry: EntryControl) -> None:
+    for name, other in world.entries.items():
+        if world.network.is_open(entry.node.node_id, name):
+            entry.membership.hear(other.node)
+
+
+async def _dispatch(world: World, entry: EntryControl) -> None:
+    world.dispatch(entry)
+
+
+def addresses(world: World) -> Sequence[str]:
+    """Return the addresses of all VMs, in a fixed order."""
+    return sorted(world.engines.by_address)
--- a/primroserudder/version/document.py
+++ b/primroserudder/version/document.py
@@ -12,6 +12,7 @@
 
 from ..errors import Ran, RudderError
 from ..process.settings import Identifier, describe
+from .costs import RepairCosts
 
 Parameter = str | int | float | bool
 HEX_DIGEST = '^[0-9a-f]{64}$'
@@ -46,6 +47,7 @@
     group_size: int = Field(ge=1)
     groups_by_failure_domain: dict[Identifier, Annotated[int, Field(ge=0)]]
     adapters: list[str] = []
+    costs: RepairCosts = RepairCosts()
 
 
 class PlainEndpoint(_Checked):
