--- a/primroserudder/process/claims.py
+++ b/primroserudder/process/claims.py
@@ -9,12 +9,13 @@
 
 from collections import Counter
 from collections.abc import Collection, Iterable, Mapping, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from .groups import (
     GROUP_PREFIX,
     GroupDirectory,
     GroupRecord,
+    GroupState,
     group_from_fields,
     group_to_fields,
 )
@@ -30,6 +31,9 @@
 )
 
 CLAIM_PREFIX = 'claims/'
+# The highest generation that any group of a failure domain ever had; a group
+# whose row was removed may come back under the same id.
+GENERATION_PREFIX = 'generations/'
 
 
 @dataclass(frozen=True, slots=True)
@@ -37,7 +41,9 @@
     """What the platform holds of one failure domain at one reading."""
 
     failure_domain: str
+    rows: Sequence[Row]
     groups: Sequence[GroupRecord]
+    highest_generation: int
     revisions_by_group: Mapping[str, int]
     claims_by_vm: Mapping[str, Row]
     vms: Sequence[VmListing]
@@ -47,10 +53,20 @@
         found = (each for each in self.groups if each.group_id == group_id)
         return next(found, None)
 
-    def next_generation(self, group_id: str) -> int:
-        """Return a generation that the group never had."""
+    def is_taken(self, group_id: str) -> bool:
+        """Return whether a group of that id exists."""
         known = self.group(group_id)
-        return 1 if known is None else known.generation + 1
+        return known is not None and known.state is not GroupState.RETIRED
+
+    def next_generation(self) -> int:
+        """Return a generation that no group of the domain ever had."""
+        known = (group.generation for group in self.groups)
+        return max(self.highest_generation, *known, 0) + 1
+
+    def without(self, excluded: Collection[str]) -> 'DomainView':
+        """Return the view without VMs that are to be left alone."""
+        kept = [vm for vm in self.vms if vm.vm_id not in excluded]
+        return replace(self, vms=kept)
 
     def listed(self) -> Collection[str]:
         """Return the ids of the VMs that the platform's list shows."""
@@ -62,10 +78,13 @@
     claims = await platform.scan(f'{CLAIM_PREFIX}{domain}/')
     rows = await platform.scan(f'{GROUP_PREFIX}{domain}/')
     listed = await platform.list_vms()
+    highest = await platform.read(f'{GENERATION_PREFIX}{domain}')
     groups = [group_from_fields(row.fields) for row in rows]
     return DomainView(
         failure_domain=domain,
+        rows=rows,
         groups=groups,
+        highest_generation=_highest(highest),
         revisions_by_group={
             group.group_id: row.revision
             for group, row in zip(groups, rows, strict=True)
@@ -84,7 +103,8 @@
 
     Explanation
     ===========
-    VMs that the group had before and has no more are released with it.
+    VMs that the group had before and has no more are released with it; a
+    group without members ends.
     """
     before = view.group(group.group_id)
     old = () if before is None else _vms(before)
@@ -98,7 +118,11 @@
             *(_claim_condition(view, vm_id) for vm_id in touched),
         ),
         writes=(
-            Write(group.key, group_to_fields(group)),
+            Write(group.key, group_to_fields(group) if new else None),
+            Write(
+                f'{GENERATION_PREFIX}{view.failure_domain}',
+                {'generation': group.generation},
+            ),
             *_claim_writes(view, set(old) - set(new), None),
             *_claim_writes(view, new, fields),
         ),
@@ -144,6 +168,10 @@
     )
 
 
+def _highest(row: Row | None) -> int:
+    return 0 if row is None else int(str(row.fields['generation']))
+
+
 def _vms(group: GroupRecord) -> Sequence[str]:
     return [member.vm_id for member in group.members]
 
--- a/primroserudder/process/controller.py
+++ b/primroserudder/process/controller.py
@@ -1,13 +1,13 @@
 """Forms and repairs the groups of one failure domain."""
 
 import asyncio
+import itertools
 from collections import Counter
 from collections.abc import Sequence
 from dataclasses import dataclass, field, replace
 
 from loguru import logger
 
-from ..errors import RudderError
 from ..version.document import ModelDeployment, PlainDeployment
 from ..version.holder import VersionHolder
 from .claims import (
@@ -17,11 +17,12 @@
     claim,
     read_domain,
 )
-from .clock import Clock
+from .drains import LeaseLost
 from .engines import EngineClient, EngineOrder, EngineStatus
 from .groups import GroupDirectory, GroupRecord, GroupState, Member
 from .invariants import Invariants
 from .lease import ORDER_LIFETIME_S, Lease
+from .leaving import Leaving, Steering
 from .looks import Found, Look, Looker, is_confirmed, is_cut_off
 from .mending import Mending
 from .outage import OutageCosts
@@ -38,16 +39,27 @@
     holder: VersionHolder
     lease: Lease
     directory: GroupDirectory
-    clock: Clock
-    invariants: Invariants
-    mending: Mending
-    outages: OutageCosts
+    leaving: Leaving
     counts: Counter[str] = field(default_factory=Counter)
     looker: Looker = field(init=False)
+    mending: Mending = field(init=False)
+    outages: OutageCosts = field(init=False)
+    last_generation: int = 0
 
     def __post_init__(self) -> None:
-        """Make the looker."""
+        """Make the parts that look, repair and count."""
         self.looker = Looker(self.engines)
+        self.mending = Mending(self.lease.clock)
+        self.outages = OutageCosts(
+            self.lease.clock,
+            self.leaving.invariants.metrics,
+            self.failure_domain,
+        )
+
+    @property
+    def invariants(self) -> Invariants:
+        """Return the invariants of the process."""
+        return self.leaving.invariants
 
     @property
     def failure_domain(self) -> str:
@@ -70,8 +82,9 @@
             return
         for group in view.groups:
             await self._tend(view, group, look[group.group_id])
-        await self._repair(view, look)
-        await self._form_missing(view)
+        steering = await self.leaving.step(view.rows)
+        await self._repair(view, look, steering)
+        await self._form_missing(view, steering)
 
     def _may_order(self) -> bool:
         if self.lease.is_settled():
@@ -118,12 +131,19 @@
         self,
         view: DomainView,
         look: Look,
+        steering: Steering,
     ) -> None:
         document = self.holder.current.rendered.document
         for name, deployment in document.deployments.items():
             if isinstance(deployment, PlainDeployment):
                 continue
-            repairs = self.mending.plan(name, deployment, view, look)
+            repairs = self.mending.plan(
+                name,
+                deployment,
+                view,
+                look,
+                steering.excluded,
+            )
             for group, vms in repairs:
                 await self._reform(view, group, vms)
 
@@ -136,11 +156,15 @@
         statuses = await self.looker.statuses(members)
         if None in statuses:
             return
+        self.last_generation = max(
+            self.last_generation + 1,
+            view.next_generation(),
+        )
         formed = replace(
             group,
-            generation=view.next_generation(group.group_id),
+            generation=self.last_generation,
             members=tuple(map(_with_incarnation, members, statuses)),
-            state=GroupState.FORMING if members else GroupState.RETIRED,
+            state=GroupState.FORMING,
         )
         await self._commit(view, formed, is_claim=True)
         self.counts['reformed'] += 1
@@ -150,17 +174,22 @@
             formed.generation,
         )
 
-    async def _form_missing(self, view: DomainView) -> None:
+    async def _form_missing(
+        self,
+        view: DomainView,
+        steering: Steering,
+    ) -> None:
+        kept = view.without(steering.excluded)
         document = self.holder.current.rendered.document
         for name, deployment in document.deployments.items():
             if isinstance(deployment, PlainDeployment):
                 continue
-            wanted = deployment.groups_by_failure_domain
-            for index in range(wanted.get(self.failure_domain, 0)):
-                group_id = f'{name}-{self.failure_domain}-{index}'
-                known = view.group(group_id)
-                if known is None or known.state is GroupState.RETIRED:
-                    await self._form(view, group_id, name, deployment)
+            prefix = f'{name}-{self.failure_domain}'
+            ids = (f'{prefix}-{index}' for index in itertools.count())
+            free = (each for each in ids if not view.is_taken(each))
+            wanted = steering.plans_by_deployment[name].form
+            for group_id in itertools.islice(free, wanted):
+                await self._form(kept, group_id, name, deployment)
 
     async def _form(
         self,
@@ -230,14 +259,6 @@
         return await self.engines.order(group.members[rank].address, order)
 
 
-class LeaseLost(RudderError):
-    """The lease is no longer held, so that no order may be given."""
-
-    code = 'lease_lost'
-    status = 503
-    default_remedy = 'another controller acts for the failure domain'
-
-
 def as_member(vm: VmListing) -> Member:
     """Return a listed VM as a member whose incarnation is not known yet."""
     return Member(vm.vm_id, vm.address)
--- a/primroserudder/process/mending.py
+++ b/primroserudder/process/mending.py
@@ -34,6 +34,7 @@
         deployment: ModelDeployment,
         view: DomainView,
         look: Look,
+        excluded: Collection[str] = (),
     ) -> Iterator[Repair]:
         """Yield the groups to form anew and their members.
 
@@ -56,7 +57,10 @@
             is_rebuild_allowed=not _is_dark(groups, broken),
         )
         policy.flaps_by_vm.update(self.flaps_by_vm)
-        spares = _spares_by_fabric(view, deployment.pool)
+        spares = _spares_by_fabric(
+            view.without(excluded),
+            deployment.pool,
+        )
         chosen = policy.choose(
             [each for each in broken if each.missing_s_by_vm],
             spares,
--- a/primroserudder/programs/controllernode.py
+++ b/primroserudder/programs/controllernode.py
@@ -6,9 +6,9 @@
 from ..process.controller import Controller
 from ..process.groups import GroupDirectory
 from ..process.lease import LEASE_RENEWAL_S, Lease
-from ..process.mending import Mending
-from ..process.outage import OutageCosts
 from ..process.settings import ControllerSettings
+from .evidencesteps import EvidenceSteps
+from .leavingparts import make_leaving
 from .node import NodeRuntime
 
 RECONCILE_S = 0.5
@@ -21,6 +21,7 @@
     settings: ControllerSettings
     runtime: NodeRuntime = field(init=False)
     controller: Controller = field(init=False)
+    evidence: EvidenceSteps = field(init=False)
     operators_port: int = 0
 
     def __post_init__(self) -> None:
@@ -36,6 +37,7 @@
         await runtime.start_peers()
         self.operators_port = await runtime.listen_operators(lambda: True)
         runtime.start_common_steps()
+        self.evidence.start()
         lease = self.controller.lease
         runtime.start_step(lease.renew, LEASE_RENEWAL_S, 'renew_lease')
         runtime.start_step(
@@ -56,21 +58,19 @@
             self.settings.failure_domain,
             runtime.membership.own.incarnation,
         )
+        directory = GroupDirectory()
+        engines = EngineHttp(runtime.session)
+        self.evidence = EvidenceSteps(runtime, directory, engines)
+        self.evidence.sharing.wants_uses = True
         self.controller = Controller(
             platform=runtime.platform,
-            engines=EngineHttp(runtime.session),
+            engines=engines,
             holder=runtime.holder,
             lease=lease,
-            directory=GroupDirectory(),
-            clock=runtime.clock,
-            invariants=runtime.invariants,
-            mending=Mending(runtime.clock),
-            outages=OutageCosts(
-                runtime.clock,
-                runtime.metrics,
-                self.settings.failure_domain,
-            ),
+            directory=directory,
+            leaving=make_leaving(runtime, lease, self.evidence.uses),
         )
+        runtime.state.register('leaving', self.controller.leaving.dump)
         runtime.state.register(
             'lease',
             lambda: {
--- a/primroserudder/programs/entrynode.py
+++ b/primroserudder/programs/entrynode.py
@@ -7,6 +7,7 @@
 from ..connection.drain import Drain
 from ..connection.enginehttp import EngineHttp
 from ..connection.http import bound_port
+from ..process.entrystops import STOP_POLL_S, EntryStops
 from ..process.groups import (
     GROUP_PREFIX,
     GroupDirectory,
@@ -14,9 +15,11 @@
 )
 from ..process.settings import EntrySettings
 from ..request.attempts import Server
+from ..request.keyed import KeyedRequests
 from ..request.routing import Router
 from ..request.watch import WATCH_INTERVAL_S
 from .evidencesteps import EvidenceSteps
+from .keyedparts import wire_keyed
 from .node import NodeRuntime
 
 GROUP_POLL_S = 1
@@ -33,20 +36,26 @@
     callers: Callers = field(init=False)
     drain: Drain = field(init=False)
     evidence: EvidenceSteps = field(init=False)
+    stops: EntryStops = field(init=False)
+    keyed: KeyedRequests = field(init=False)
     callers_port: int = 0
     operators_port: int = 0
 
     def __post_init__(self) -> None:
         """Make the common parts."""
         self.runtime = NodeRuntime(self.settings, 'entry')
-        self.drain = Drain(self.runtime.metrics, self.settings.drain_notice_s)
+        self.drain = Drain(
+            self.runtime.metrics,
+            self.settings.drain_notice_s,
+            tell=self._tell_draining,
+        )
 
     async def start(self) -> None:
         """Open the ports and start the steps."""
         runtime = self.runtime
         await runtime.open_clients()
         await runtime.open_peers()
-        self._wire()
+        await self._wire()
         self._register_state()
         await self._listen()
         runtime.start_common_steps()
@@ -62,13 +71,18 @@
 
     async def stop(self) -> None:
         """Take no new work, let requests in flight finish, then close."""
-        self.runtime.is_draining = True
         if self.callers_port:
+            self.stops.close()
             await self.drain.run()
         await self.runtime.close()
 
+    def _tell_draining(self, is_draining: bool) -> None:
+        self.runtime.is_draining = is_draining
+
     async def _listen(self) -> None:
         await self.runtime.start_peers()
+        # Runs under a key go on without their callers: wait for them.
+        self.runtime.stack.push_async_callback(self.keyed.wait_until_idle)
         self.operators_port = await self.runtime.listen_operators(
             self.is_ready,
         )
@@ -81,8 +95,14 @@
         guard.runner = runner
         self.callers_port = bound_port(runner)
         self.runtime.start_step(guard.sweep, SWEEP_S, 'sweep')
+        self.stops = EntryStops(
+            self.runtime.platform,
+            self.runtime.membership.own,
+            self.drain,
+        )
+        self.runtime.start_step(self.stops.step, STOP_POLL_S, 'entry_stop')
 
-    def _wire(self) -> None:
+    async def _wire(self) -> None:
         runtime = self.runtime
         engines = EngineHttp(runtime.session)
         in_flight_by_group: Counter[str] = Counter()
@@ -110,6 +130,19 @@
         )
         watch = self.callers.server.watch
         runtime.start_step(watch.step, WATCH_INTERVAL_S, 'watch_attempts')
+        await self._wire_keyed()
+
+    async def _wire_keyed(self) -> None:
+        handlers = await wire_keyed(
+            self.runtime,
+            self.settings,
+            self.callers.server,
+            self.callers.counted,
+        )
+        self.keyed = handlers.routing.requests
+        self.callers.serve_keyed = handlers.serve_keyed
+        self.callers.routes.extend(handlers.routes())
+        self.runtime.operator_routes.extend(handlers.operator_routes())
 
     def _register_state(self) -> None:
         state = self.runtime.state
--- a/primroserudder/programs/node.py
+++ b/primroserudder/programs/node.py
@@ -10,7 +10,7 @@
 from aiohttp import ClientSession, TCPConnector, web
 from grpc import aio
 
-from ..connection import Operators, PlatformHttp
+from ..connection import Operators, PlatformHttp, make_stops_api
 from ..connection.exchange import MembershipService, PeerClient
 from ..connection.http import bound_port, serve
 from ..connection.peers import PeerChannels, bind, peer_server
@@ -52,6 +52,7 @@
     stack: AsyncExitStack = field(default_factory=AsyncExitStack)
     is_draining: bool = False
     tasks: list[asyncio.Task[None]] = field(default_factory=list)
+    operator_routes: list[web.RouteDef] = field(default_factory=list)
     invariants: Invariants = field(init=False)
     channels: PeerChannels = field(init=False)
     session: ClientSession = field(init=False)
@@ -126,6 +127,11 @@
         is_ready: Callable[[], bool],
     ) -> int:
         """Start the operators' port and return it."""
+        stops = make_stops_api(
+            self.platform,
+            self.holder,
+            self.membership.nodes,
+        )
         operators = Operators(
             token=self.settings.operators_token,
             metrics=self.metrics,
@@ -135,6 +141,7 @@
             is_ready=is_ready,
             publish=self.spread.publish,
             site=Site(self.state, self.membership, self.channels),
+            routes=[*stops.routes(), *self.operator_routes],
         )
         app = operators.app()
         runner = await self.listen_http(
--- a/primroserudder/testing/builders.py
+++ b/primroserudder/testing/builders.py
@@ -1,13 +1,16 @@
 """Builders of test data."""
 
 import json
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import replace
+from typing import Any
 
 from ..process.engines import EngineOrder, EngineStatus
 from ..process.groups import GroupRecord, GroupState, Member
 from ..process.platform import VmListing, VmState
 from ..request.caller import Arrival, CallerRequest
 from ..request.identity import hash_secret
+from ..standins.engine import EngineSpeed
 from ..version.document import Service
 from ..version.holder import Version, make_version
 
@@ -61,7 +64,7 @@
     }
 
 
-def deployment(groups: int, size: int) -> dict[str, object]:
+def model_deployment(groups: int, size: int) -> dict[str, object]:
     """Return a model deployment of the first failure domain."""
     return {
         'kind': 'model',
@@ -73,6 +76,28 @@
     }
 
 
+def with_plain(
+    urls: Iterable[str],
+    routes: Sequence[str] = (),
+) -> dict[str, Any]:
+    """Return the changes that add a plain service named ``refunds``."""
+    changes: dict[str, Any] = document()
+    endpoints = [{'url': url, 'failure_domain': DOMAIN} for url in urls]
+    changes['deployments']['refunds'] = {
+        'kind': 'plain',
+        'endpoints': endpoints,
+    }
+    changes['templates']['refunds'] = {
+        'service': {
+            'deployment': 'refunds',
+            'non_idempotent_routes': list(routes),
+        },
+    }
+    services = changes['workspaces'][WORKSPACE]['services']
+    services['refunds'] = {'template': 'refunds'}
+    return changes
+
+
 def document_body(**changes: object) -> bytes:
     """Return the configuration as it is submitted."""
     return json.dumps(document(**changes)).encode()
@@ -180,3 +205,8 @@
         arrived_at=0,
         created=0,
     )
+
+
+def speed(**changes: float) -> EngineSpeed:
+    """Return the speed of an engine."""
+    return replace(EngineSpeed(), **changes)  # type: ignore[arg-type]
--- a/primroserudder/testing/virtualtime.py
+++ b/primroserudder/testing/virtualtime.py
@@ -1,52 +1,71 @@
-"""An event loop whose clock jumps to the next timer."""
+"""An event loop whose time passes only when all tasks wait."""
 
 import asyncio
 import selectors
-from collections.abc import Coroutine
+from collections.abc import Coroutine, Mapping
 from typing import Any, TypeVar
 
 _Outcome = TypeVar('_Outcome')
 
 
-class _JumpingSelector(selectors.SelectSelector):
-    """Waits no real time; what it would have waited is added up."""
+class _SkippingSelector(selectors.SelectSelector):
+    """Skips waiting and counts the time that it would have taken."""
 
     def __init__(self) -> None:
-        """Begin at zero."""
         super().__init__()
-        self.now: float = 0
+        self.skipped_s: float = 0
 
     def select(
         self,
         timeout: float | None = None,
     ) -> list[tuple[selectors.SelectorKey, int]]:
-        """Return what is ready now, else jump over the wait."""
-        ready = super().select(0)
-        if not ready and timeout:
-            self.now += timeout
-        return ready
+        """Return what is ready now; let virtual time pass instead."""
+        if timeout:
+            self.skipped_s += timeout
+        return super().select(0)
 
 
-class VirtualLoop(asyncio.SelectorEventLoop):
-    """Runs timers in order without waiting.
+class VirtualTimeLoop(asyncio.SelectorEventLoop):
+    """A loop in virtual time, for long randomised runs without a network.
 
-    Explanation
-    ===========
-    It turns once for each instant at which something is due, which makes
-    long runs of many timers cheap.
+    Examples
+    ========
+    >>> loop = VirtualTimeLoop()
+    >>> loop.run_until_complete(asyncio.sleep(3600))
+    >>> round(loop.time())
+    3600
+    >>> loop.close()
     """
 
     def __init__(self) -> None:
         """Begin at zero."""
-        self.jumping = _JumpingSelector()
-        super().__init__(self.jumping)
+        self.skipping = _SkippingSelector()
+        self.errors: list[Mapping[str, Any]] = []
+        super().__init__(self.skipping)
+        self.set_exception_handler(self._keep_error)
 
     def time(self) -> float:
         """Return the virtual time in seconds."""
-        return self.jumping.now
+        return self.skipping.skipped_s
+
+    def close_all(self) -> None:
+        """Cancel all tasks, wait for their ends and close."""
+        tasks = asyncio.all_tasks(self)
+        for task in tasks:
+            task.cancel()
+        if tasks:
+            self.run_until_complete(asyncio.wait(tasks))
+        self.close()
+
+    def _keep_error(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        context: Mapping[str, Any],
+    ) -> None:
+        self.errors.append(context)
 
 
 def run_virtually(main: Coroutine[Any, Any, _Outcome]) -> _Outcome:
     """Run a coroutine in virtual time."""
-    with asyncio.Runner(loop_factory=VirtualLoop) as runner:
+    with asyncio.Runner(loop_factory=VirtualTimeLoop) as runner:
         return runner.run(main)
--- a/primroserudder/testing/world.py
+++ b/primroserudder/testing/world.py
@@ -16,14 +16,15 @@
 from ..errors import InvariantViolation, RudderError
 from ..process.clock import LoopClock
 from ..process.controller import Controller
+from ..process.drains import GroupDrainer, NoUses
 from ..process.groups import GroupDirectory, group_from_fields
 from ..process.invariants import Invariants
 from ..process.lease import LEASE_RENEWAL_S, Lease
+from ..process.leaving import Leaving
 from ..process.membership import Node
-from ..process.mending import Mending
 from ..process.metrics import Metrics
-from ..process.outage import OutageCosts
 from ..process.repair import Hazards
+from ..process.rolloutrows import RolloutRows
 from ..standins.engine import Engine, EngineSpeed
 from ..standins.memory import MemoryPlatform
 from ..version.holder import VersionHolder
@@ -77,7 +78,7 @@
         for index in range(FABRICS * VMS_EACH):
             self.add_vm(f'vm{index}', f'vm{index}:1', index // VMS_EACH)
         pool = {'honours_fencing': self.honours_fencing}
-        deployment = builders.deployment(GROUPS, GROUP_SIZE)
+        deployment = builders.model_deployment(GROUPS, GROUP_SIZE)
         version = builders.version(
             pools={'local': pool},
             deployments={builders.DEPLOYMENT: deployment},
@@ -127,17 +128,22 @@
         platform = PartyPlatform(self.platform.seen_by(name), self.network)
         holder = f'{name}#{self.starts}'
         lease = Lease(platform, self.clock, builders.DOMAIN, holder)
+        engines = self.engines.seen_by(name)
         controller = Controller(
             platform=platform,
-            engines=self.engines.seen_by(name),
+            engines=engines,
             holder=self.holder,
             lease=lease,
             directory=GroupDirectory(),
-            clock=self.clock,
-            invariants=self.invariants,
-            mending=Mending(self.clock, Hazards(load_s=1)),
-            outages=OutageCosts(self.clock, Metrics(), builders.DOMAIN),
+            leaving=Leaving(
+                platform=platform,
+                holder=self.holder,
+                drainer=GroupDrainer(engines, lease, self.clock, NoUses()),
+                invariants=self.invariants,
+                rollouts=RolloutRows(platform, builders.DOMAIN),
+            ),
         )
+        controller.mending.hazards = Hazards(load_s=1)
         self.controllers[name] = controller
         self._repeat(name, lease.renew, LEASE_RENEWAL_S)
         self._repeat(name, controller.reconcile, STEP_S)
