--- a/primroserudder/programs/entrynode.py
+++ b/primroserudder/programs/entrynode.py
@@ -21,6 +21,7 @@
 from .evidencesteps import EvidenceSteps
 from .keyedparts import wire_keyed
 from .node import NodeRuntime
+from .suspectnode import share_suspects
 
 GROUP_POLL_S = 1
 SWEEP_S = 1
@@ -130,6 +131,7 @@
         )
         watch = self.callers.server.watch
         runtime.start_step(watch.step, WATCH_INTERVAL_S, 'watch_attempts')
+        share_suspects(runtime, self.callers.server.isolation)
         await self._wire_keyed()
 
     async def _wire_keyed(self) -> None:
