--- a/primroserudder/process/drains.py
+++ b/primroserudder/process/drains.py
@@ -19,9 +19,9 @@
 from ..errors import RudderError
 from .clock import Clock
 from .engines import EngineClient, EngineOrder, EngineStatus
-from .evidence import EVIDENCE_LIFETIME_S
 from .groups import GroupRecord
 from .lease import CLOCK_DRIFT_SHARE, Lease
+from .testimonies import EVIDENCE_LIFETIME_S
 
 ORDER_LIFETIME_S = 5
 # A status is as old as its probe: by then every right has lapsed.
--- a/primroserudder/process/groups.py
+++ b/primroserudder/process/groups.py
@@ -130,6 +130,11 @@
         if known is None or known.generation <= group.generation:
             self.by_id[group.group_id] = group
 
+    def generation(self, group_id: str) -> int:
+        """Return the generation known of a group, zero if none is."""
+        known = self.by_id.get(group_id)
+        return 0 if known is None else known.generation
+
     def of_deployment(self, deployment: str) -> Iterable[GroupRecord]:
         """Yield the groups of one deployment."""
         return (
@@ -138,6 +143,22 @@
             if group.deployment == deployment
         )
 
+    def of_domain(self, failure_domain: str) -> Iterable[GroupRecord]:
+        """Yield the groups of one failure domain."""
+        return (
+            group
+            for group in self.by_id.values()
+            if group.failure_domain == failure_domain
+        )
+
+    def members_of_domain(self, failure_domain: str) -> Iterable[Member]:
+        """Yield the VMs of one failure domain's groups."""
+        return (
+            member
+            for group in self.of_domain(failure_domain)
+            for member in group.members
+        )
+
     def dump(self) -> Mapping[str, object]:
         """Return the directory for the state dump."""
         return {
--- a/primroserudder/programs/controllernode.py
+++ b/primroserudder/programs/controllernode.py
@@ -7,6 +7,7 @@
 from ..process.groups import GroupDirectory
 from ..process.lease import LEASE_RENEWAL_S, Lease
 from ..process.settings import ControllerSettings
+from .evidencesteps import EvidenceSteps
 from .leavingparts import make_leaving
 from .node import NodeRuntime
 
@@ -20,6 +21,7 @@
     settings: ControllerSettings
     runtime: NodeRuntime = field(init=False)
     controller: Controller = field(init=False)
+    evidence: EvidenceSteps = field(init=False)
     operators_port: int = 0
 
     def __post_init__(self) -> None:
@@ -35,6 +37,7 @@
         await runtime.start_peers()
         self.operators_port = await runtime.listen_operators(lambda: True)
         runtime.start_common_steps()
+        self.evidence.start()
         lease = self.controller.lease
         runtime.start_step(lease.renew, LEASE_RENEWAL_S, 'renew_lease')
         runtime.start_step(
@@ -55,13 +58,17 @@
             self.settings.failure_domain,
             runtime.membership.own.incarnation,
         )
+        directory = GroupDirectory()
+        engines = EngineHttp(runtime.session)
+        self.evidence = EvidenceSteps(runtime, directory, engines)
+        self.evidence.sharing.wants_uses = True
         self.controller = Controller(
             platform=runtime.platform,
-            engines=EngineHttp(runtime.session),
+            engines=engines,
             holder=runtime.holder,
             lease=lease,
-            directory=GroupDirectory(),
-            leaving=make_leaving(runtime, lease),
+            directory=directory,
+            leaving=make_leaving(runtime, lease, self.evidence.uses),
         )
         runtime.state.register('leaving', self.controller.leaving.dump)
         runtime.state.register(
@@ -73,3 +80,4 @@
             },
         )
         runtime.state.register('groups', self.controller.directory.dump)
+        runtime.state.register('outages', self.controller.outages.dump)
--- a/primroserudder/programs/crashes.py
+++ b/primroserudder/programs/crashes.py
@@ -118,7 +118,7 @@
 def _sees_all(local: Local, entry: EntryNode) -> bool:
     groups = listed_groups(local)
     known = entry.directory.by_id
-    book = entry.prober.book
+    book = entry.evidence.book
     return bool(groups) and all(
         known.get(group.group_id) == group and book.is_serving(group)
         for group in groups
--- a/primroserudder/programs/entrynode.py
+++ b/primroserudder/programs/entrynode.py
@@ -1,5 +1,6 @@
 """An entry: takes callers' requests to whole groups."""
 
+from collections import Counter
 from dataclasses import dataclass, field
 
 from ..connection.callers import Callers
@@ -7,7 +8,6 @@
 from ..connection.enginehttp import EngineHttp
 from ..connection.http import bound_port
 from ..process.entrystops import STOP_POLL_S, EntryStops
-from ..process.evidence import PROBE_INTERVAL_S, EvidenceBook, Prober
 from ..process.groups import (
     GROUP_PREFIX,
     GroupDirectory,
@@ -18,6 +18,7 @@
 from ..request.keyed import KeyedRequests
 from ..request.routing import Router
 from ..request.watch import WATCH_INTERVAL_S
+from .evidencesteps import EvidenceSteps
 from .keyedparts import wire_keyed
 from .node import NodeRuntime
 from .suspectnode import share_suspects
@@ -35,8 +36,8 @@
     directory: GroupDirectory = field(default_factory=GroupDirectory)
     callers: Callers = field(init=False)
     drain: Drain = field(init=False)
+    evidence: EvidenceSteps = field(init=False)
     stops: EntryStops = field(init=False)
-    prober: Prober = field(init=False)
     keyed: KeyedRequests = field(init=False)
     callers_port: int = 0
     operators_port: int = 0
@@ -60,7 +61,7 @@
         await self._listen()
         runtime.start_common_steps()
         runtime.start_step(self._poll_groups, GROUP_POLL_S, 'poll_groups')
-        runtime.start_step(self._probe, PROBE_INTERVAL_S, 'probe')
+        self.evidence.start()
 
     def is_ready(self) -> bool:
         """Return whether the balancer may send new work."""
@@ -105,13 +106,20 @@
     async def _wire(self) -> None:
         runtime = self.runtime
         engines = EngineHttp(runtime.session)
-        evidence = EvidenceBook(runtime.clock)
-        self.prober = Prober(runtime.clock, engines, evidence)
+        in_flight_by_group: Counter[str] = Counter()
+        self.evidence = EvidenceSteps(
+            runtime,
+            self.directory,
+            engines,
+            in_flight_by_group,
+        )
+        self.evidence.answer_peers()
         router = Router(
             self.settings.failure_domain,
             self.directory,
-            evidence,
+            self.evidence.book,
             runtime.rng,
+            in_flight_by_group,
         )
         self.callers = Callers(
             server=Server(router, engines, runtime.clock, runtime.metrics),
@@ -141,7 +149,6 @@
     def _register_state(self) -> None:
         state = self.runtime.state
         state.register('groups', self.directory.dump)
-        state.register('evidence', self.prober.book.dump)
         state.register('drain', self.drain.dump)
         state.register('in_flight', lambda: sorted(self.callers.in_flight))
 
@@ -154,11 +161,3 @@
                 group for group in groups if group.failure_domain == domain
             ]
             self.directory.replace_domain(domain, listed)
-
-    async def _probe(self) -> None:
-        members = [
-            member
-            for group in self.directory.by_id.values()
-            for member in group.members
-        ]
-        await self.prober.probe_all(members)
--- a/primroserudder/testing/locals.py
+++ b/primroserudder/testing/locals.py
@@ -79,7 +79,7 @@
 
 def _serving(entry: EntryNode) -> int:
     return sum(
-        entry.prober.book.is_serving(group)
+        entry.evidence.book.is_serving(group)
         for group in entry.directory.by_id.values()
     )
 
--- a/primroserudder/testing/virtualtime.py
+++ b/primroserudder/testing/virtualtime.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import selectors
-from collections.abc import Mapping
-from typing import Any
+from collections.abc import Coroutine, Mapping
+from typing import Any, TypeVar
+
+_Outcome = TypeVar('_Outcome')
 
 
 class _SkippingSelector(selectors.SelectSelector):
@@ -61,3 +63,9 @@
         context: Mapping[str, Any],
     ) -> None:
         self.errors.append(context)
+
+
+def run_virtually(main: Coroutine[Any, Any, _Outcome]) -> _Outcome:
+    """Run a coroutine in virtual time."""
+    with asyncio.Runner(loop_factory=VirtualTimeLoop) as runner:
+        return runner.run(main)
