Route by estimated time to first token over a bounded set of groups

Cause: the router scanned every group of a deployment for each request and chose by its own count of requests, so that neither lagged reports, prompt prefixes nor slow groups mattered. Change: a decision scores a sample, the likely holders of the prompt's prefix and its homes on a hash ring by reported load corrected by what this entry did since, by words to prefill and by measured pace; it checks directory and evidence at the moment of choice. Outliers are ejected up to a fifth of the groups, model versions are pinned by content through a roll-out, requests spill to other failure domains with hysteresis, and retries have a budget. The stand-in engine reports load and cache events late and with gaps.

--- a/primroserudder/process/engines.py
+++ b/primroserudder/process/engines.py
@@ -75,7 +75,12 @@
 
 @dataclass(frozen=True, slots=True)
 class EngineLoad:
-    """Load as an engine reports it, with a lag."""
+    """Load as an engine reports it, with a lag.
+
+    Explanation
+    ===========
+    ``token_backlog`` counts the words of prompts that wait for their prefill.
+    """
 
     running: int = 0
     waiting: int = 0
@@ -83,6 +88,36 @@
     slots: int = 1
 
 
+LOAD_HEADER = 'Engine-Load'
+LOAD_FIELDS = 4
+
+
+def load_to_header(load: EngineLoad) -> str:
+    """Return a load as it travels with a response.
+
+    Examples
+    ========
+    >>> load_to_header(EngineLoad(running=3, slots=8))
+    '3 0 0 8'
+    """
+    return f'{load.running} {load.waiting} {load.token_backlog} {load.slots}'
+
+
+def load_from_header(headers: Mapping[str, str]) -> EngineLoad | None:
+    """Return the load that a response carries, if it carries one.
+
+    Examples
+    ========
+    >>> load_from_header({'Engine-Load': '3 0 0 8'}).running
+    3
+    >>> load_from_header({'Engine-Load': 'much'})
+    """
+    fields = headers.get(LOAD_HEADER, '').split()
+    if len(fields) != LOAD_FIELDS or not all(map(str.isdecimal, fields)):
+        return None
+    return EngineLoad(*map(int, fields))
+
+
 @dataclass(frozen=True, slots=True)
 class EngineStatus:
     """What an engine says of itself.
--- a/primroserudder/programs/entrynode.py
+++ b/primroserudder/programs/entrynode.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from dataclasses import dataclass, field
+from functools import partial
 
 from ..connection.callers import Callers
 from ..connection.enginehttp import EngineHttp
@@ -13,10 +14,13 @@
 )
 from ..process.settings import EntrySettings
 from ..request.attempts import Server
+from ..request.cachewatch import CacheWatch
+from ..request.pinning import wanted_version
 from ..request.routing import Router
 from .node import NodeRuntime
 
 GROUP_POLL_S = 1
+ROUTING_TICK_S = 1
 DRAIN_NOTICE_S = 3
 
 
@@ -29,6 +33,7 @@
     directory: GroupDirectory = field(default_factory=GroupDirectory)
     callers: Callers = field(init=False)
     prober: Prober = field(init=False)
+    cache_watch: CacheWatch = field(init=False)
     callers_port: int = 0
     operators_port: int = 0
 
@@ -51,8 +56,7 @@
         )
         self._register_state()
         runtime.start_common_steps()
-        runtime.start_step(self._poll_groups, GROUP_POLL_S, 'poll_groups')
-        runtime.start_step(self._probe, PROBE_INTERVAL_S, 'probe')
+        self._start_steps()
 
     def is_ready(self) -> bool:
         """Return whether the balancer may send new work."""
@@ -75,7 +79,10 @@
             self.directory,
             evidence,
             runtime.rng,
+            runtime.metrics,
+            partial(wanted_version, runtime.holder),
         )
+        self.cache_watch = CacheWatch(router, engines)
         self.callers = Callers(
             server=Server(router, engines, runtime.clock, runtime.metrics),
             holder=runtime.holder,
@@ -85,10 +92,18 @@
             max_body_bytes=self.settings.max_body_bytes,
         )
 
+    def _start_steps(self) -> None:
+        start = self.runtime.start_step
+        start(self._poll_groups, GROUP_POLL_S, 'poll_groups')
+        start(self._probe, PROBE_INTERVAL_S, 'probe')
+        start(self.cache_watch.step, ROUTING_TICK_S, 'routing')
+
     def _register_state(self) -> None:
         state = self.runtime.state
         state.register('groups', self.directory.dump)
         state.register('evidence', self.prober.book.dump)
+        state.register('routing', self.cache_watch.router.dump)
+        state.register('retry_budget', self.callers.server.retries.dump)
         state.register('in_flight', lambda: sorted(self.callers.in_flight))
 
     async def _poll_groups(self) -> None:
--- a/primroserudder/request/attempts.py
+++ b/primroserudder/request/attempts.py
@@ -1,6 +1,6 @@
 """Serves one request by one or more attempts."""
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 
@@ -17,8 +17,10 @@
 from ..process.groups import GroupRecord
 from ..process.metrics import Metrics
 from .caller import CallerRequest
+from .flight import no_progress
 from .passage import Passage
 from .relay import Send, StreamRelay
+from .retries import RetryBudget
 from .routing import Router
 
 MAX_ATTEMPTS = 4
@@ -32,6 +34,7 @@
     engines: EngineClient
     clock: Clock
     metrics: Metrics
+    retries: RetryBudget = field(default_factory=RetryBudget)
 
     async def stream(
         self,
@@ -47,7 +50,7 @@
             The answer could not be completed.
         """
         relay = StreamRelay(send)
-        run = _Run(self, request, passage)
+        run = _Run(self, request, passage, lambda: relay.position)
         while not relay.is_complete:
             try:
                 async with run.attempt(relay.position) as answer:
@@ -77,6 +80,7 @@
     server: Server
     request: CallerRequest
     passage: Passage
+    progress: Callable[[], int] = no_progress
     attempts: int = 0
     tried: set[str] = field(default_factory=set)
 
@@ -86,13 +90,12 @@
         group = self.server.router.choose(self.request, self.tried)
         self.attempts += 1
         self.tried.add(group.group_id)
-        outstanding = self.server.router.outstanding_by_group
-        outstanding[group.group_id] += 1
-        try:
+        with self.server.router.dispatched(self.request, group) as flight:
+            flight.progress = self.progress
             async with self._open(group, position) as answer:
+                flight.note_answer(answer.headers)
                 yield answer
-        finally:
-            outstanding[group.group_id] -= 1
+        self.server.retries.note_success()
 
     def decide_retry(self, lost: RudderError) -> None:
         """Return if another attempt is allowed, else raise the error."""
@@ -104,6 +107,9 @@
         is_late = self.server.clock.monotonic() >= self.request.deadline
         if not may_repeat or is_late or self.attempts >= MAX_ATTEMPTS:
             raise lost
+        if not self.server.retries.take():
+            self.server.metrics.count('retries_refused', code=lost.code)
+            raise lost
         self.server.metrics.count('retries', code=lost.code)
 
     @asynccontextmanager
--- /dev/null
+++ b/primroserudder/request/blocks.py
@@ -0,0 +1,27 @@
+"""Names of prompt blocks, as engines name them in their cache events."""
+
+from collections.abc import Sequence
+
+import xxhash
+
+BLOCK_WORDS = 16
+
+
+def block_names(words: Sequence[str]) -> Sequence[str]:
+    """Return the names of a prompt's whole blocks, each with its prefix.
+
+    Examples
+    ========
+    >>> short, long = ['kiln'] * 16, ['kiln'] * 40
+    >>> [len(block_names(words)) for words in (short, long)]
+    [1, 2]
+    >>> block_names(long)[0] == block_names(short)[0]
+    True
+    """
+    digest = xxhash.xxh3_64()
+    names = []
+    for start in range(0, len(words) - BLOCK_WORDS + 1, BLOCK_WORDS):
+        block = words[start : start + BLOCK_WORDS]
+        digest.update('\0'.join(block).encode())
+        names.append(digest.hexdigest())
+    return names
--- a/primroserudder/standins/engine.py
+++ b/primroserudder/standins/engine.py
@@ -9,18 +9,15 @@
 """
 
 import asyncio
-import heapq
-import itertools
-from collections import OrderedDict
-from collections.abc import AsyncIterator, Sequence
-from contextlib import ExitStack
+import random
+from collections.abc import AsyncIterator
+from contextlib import AsyncExitStack, ExitStack
 from dataclasses import dataclass, field, replace
 
 import xxhash
 
 from ..process.clock import Clock
 from ..process.engines import (
-    CacheEvent,
     EngineLoad,
     EngineOrder,
     EngineStatus,
@@ -28,13 +25,16 @@
     UpstreamLost,
     UpstreamRefused,
 )
+from .cache import EventLog, PrefixCache
 from .faults import EngineFaults
+from .loadlog import LoadLog
+from .slots import Slots
 
 WORDS = (
     'charcoal', 'kiln', 'sack', 'burn', 'grade', 'yard', 'smoke', 'ember',
     'batch', 'log', 'truck', 'jar', 'gate', 'lane', 'depot', 'note',
 )  # fmt: skip
-BLOCK_WORDS = 16
+EVENT_SEED = 1
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,6 +49,7 @@
     load_report_lag_s: float = 0.5
     event_lag_s: float = 1
     event_loss: float = 0
+    prefills_one_by_one: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,47 +67,6 @@
     resume_from: int = 0
 
 
-@dataclass(slots=True)
-class PrefixCache:
-    """Prompt blocks that an engine has cached, oldest first."""
-
-    capacity: int
-    blocks: OrderedDict[str, None] = field(default_factory=OrderedDict)
-    events: list[CacheEvent] = field(default_factory=list)
-
-    def uncached_words(self, prompt: str) -> int:
-        """Return how many words of a prompt must be prefilled; cache them."""
-        words = prompt.split()
-        names = block_names(words)
-        hits = sum(
-            1 for _ in itertools.takewhile(self.blocks.__contains__, names)
-        )
-        self._store(names)
-        return len(words) - hits * BLOCK_WORDS
-
-    def _store(self, names: Sequence[str]) -> None:
-        stored = [name for name in names if name not in self.blocks]
-        for name in names:
-            self.blocks[name] = None
-            self.blocks.move_to_end(name)
-        surplus = max(0, len(self.blocks) - self.capacity)
-        evicted = [self.blocks.popitem(last=False)[0] for _ in range(surplus)]
-        if stored or evicted:
-            number = len(self.events) + 1
-            self.events.append(CacheEvent(number, stored, evicted))
-
-
-def block_names(words: Sequence[str]) -> Sequence[str]:
-    """Return the names of a prompt's whole blocks, each with its prefix."""
-    digest = xxhash.xxh3_64()
-    names = []
-    for start in range(0, len(words) - BLOCK_WORDS + 1, BLOCK_WORDS):
-        block = words[start : start + BLOCK_WORDS]
-        digest.update('\0'.join(block).encode())
-        names.append(digest.hexdigest())
-    return names
-
-
 def token_text(prompt: str, seed: int, position: int) -> str:
     """Return the token that stands at a position of an answer."""
     place = f'{seed}/{position}/{prompt}'
@@ -134,31 +94,45 @@
     starts: int = 1
     order: EngineOrder | None = None
     ready_at: float = 0
-    running: int = 0
     runs_by_request: dict[str, int] = field(default_factory=dict)
     cancelled: set[str] = field(default_factory=set)
     cache: PrefixCache = field(init=False)
-    _waiting: list[tuple[int, int, asyncio.Event]] = field(
-        default_factory=list,
-    )
-    _arrivals: int = 0
+    loads: LoadLog = field(init=False)
+    backlog_words: int = 0
+    prefilling: asyncio.Lock = field(default_factory=asyncio.Lock)
+    hit_words: int = 0
+    asked_words: int = 0
+    slots: Slots = field(init=False)
 
     def __post_init__(self) -> None:
         """Begin with an empty cache."""
-        self.cache = PrefixCache(self.speed.cache_blocks)
+        self.slots = Slots(self.speed.slots)
+        self.cache = _empty_cache(self.speed, self.clock)
+        self.loads = LoadLog(self.clock, self.speed.load_report_lag_s)
 
     @property
     def incarnation(self) -> str:
         """Return the name of this start of the engine."""
         return f'{self.vm_id}#{self.starts}'
 
-    def status(self) -> EngineStatus:
-        """Return the engine's view of itself."""
-        load = EngineLoad(
+    @property
+    def running(self) -> int:
+        """Return how many requests hold a slot."""
+        return self.slots.running
+
+    @property
+    def load(self) -> EngineLoad:
+        """Return the load as it is now, without any lag."""
+        return EngineLoad(
             running=self.running,
-            waiting=len(self._waiting),
+            waiting=len(self.slots.waiting),
+            token_backlog=self.backlog_words,
             slots=self.speed.slots,
         )
+
+    def status(self) -> EngineStatus:
+        """Return the engine's view of itself."""
+        load = self.loads.reported(EngineLoad(slots=self.speed.slots))
         status = EngineStatus(self.vm_id, self.incarnation, load=load)
         if self.order is None:
             return status
@@ -198,11 +172,9 @@
         """End the process and start an empty one under the same address."""
         self.starts += 1
         self.order = None
-        self.running = 0
-        self.cache = PrefixCache(self.speed.cache_blocks)
-        for _, _, turn in self._waiting:
-            turn.set()
-        self._waiting.clear()
+        self.slots.reset()
+        self.backlog_words = 0
+        self.cache = _empty_cache(self.speed, self.clock)
 
     def cancel(self, request_id: str) -> None:
         """Stop all attempts of a request."""
@@ -218,9 +190,11 @@
         EngineCrashed
             The engine ended meanwhile.
         """
-        self._check_generation(wanted)
+        if self.checks_generation:
+            _check_generation(self.status(), wanted)
         incarnation = self.incarnation
-        await self._take_slot(wanted.priority)
+        await self.slots.take(wanted.priority)
+        self.loads.note(self.load)
         self._check_alive(incarnation)
         runs = self.runs_by_request.get(wanted.request_id, 0)
         self.runs_by_request[wanted.request_id] = runs + 1
@@ -231,7 +205,8 @@
 
     def _end_run(self, incarnation: str) -> None:
         if incarnation == self.incarnation:
-            self._give_slot()
+            self.slots.give()
+            self.loads.note(self.load)
 
     async def _run(
         self,
@@ -240,14 +215,31 @@
     ) -> AsyncIterator[str]:
         if self.faults.crash_on and self.faults.crash_on in wanted.prompt:
             self.crash()
-        words = self.cache.uncached_words(wanted.prompt)
-        await self._pass(words * self.speed.prefill_word_s, incarnation)
+        await self._prefill(wanted.prompt, incarnation)
         for position in range(wanted.resume_from, wanted.max_tokens):
             await self._pass(self.speed.token_s, incarnation)
             if wanted.request_id in self.cancelled:
                 return
             yield token_text(wanted.prompt, wanted.seed, position)
 
+    async def _prefill(self, prompt: str, incarnation: str) -> None:
+        words = self.cache.uncached_words(prompt)
+        asked = len(prompt.split())
+        self.asked_words += asked
+        self.hit_words += asked - words
+        self.backlog_words += words
+        self.loads.note(self.load)
+        async with AsyncExitStack() as stack:
+            stack.callback(self._end_prefill, words, incarnation)
+            if self.speed.prefills_one_by_one:
+                await stack.enter_async_context(self.prefilling)
+            await self._pass(words * self.speed.prefill_word_s, incarnation)
+
+    def _end_prefill(self, words: int, incarnation: str) -> None:
+        if incarnation == self.incarnation:
+            self.backlog_words -= words
+            self.loads.note(self.load)
+
     async def _pass(self, seconds: float, incarnation: str) -> None:
         await asyncio.sleep(seconds * self.faults.slowdown)
         while self.faults.is_paused:
@@ -258,45 +250,21 @@
         if incarnation != self.incarnation or self.faults.is_dead:
             raise EngineCrashed(f'{self.vm_id} crashed')
 
-    def _check_generation(self, wanted: Generation) -> None:
-        status = self.status()
-        if not self.checks_generation:
-            return
-        may_run = status.ready and not status.draining
-        held = (status.group_id, status.generation, may_run)
-        if held != (wanted.group_id, wanted.generation, True):
-            raise UpstreamRefused(
-                f'{self.vm_id} holds {held}: expected group '
-                f'{wanted.group_id} generation {wanted.generation}',
-            )
-
-    async def _take_slot(self, priority: int) -> None:
-        if self.running < self.speed.slots:
-            self.running += 1
-            return
-        turn = asyncio.Event()
-        self._arrivals += 1
-        place = (-priority, self._arrivals, turn)
-        heapq.heappush(self._waiting, place)
-        try:
-            await turn.wait()
-        except asyncio.CancelledError:
-            self._leave_queue(place)
-            raise
-
-    def _leave_queue(self, place: tuple[int, int, asyncio.Event]) -> None:
-        if place in self._waiting:
-            self._waiting.remove(place)
-            heapq.heapify(self._waiting)
-        else:
-            self._give_slot()
-
-    def _give_slot(self) -> None:
-        if self._waiting:
-            _, _, turn = heapq.heappop(self._waiting)
-            turn.set()
-            return
-        self.running -= 1
+
+def _check_generation(status: EngineStatus, wanted: Generation) -> None:
+    may_run = status.ready and not status.draining
+    held = (status.group_id, status.generation, may_run)
+    if held != (wanted.group_id, wanted.generation, True):
+        raise UpstreamRefused(
+            f'{status.vm_id} holds {held}: expected group '
+            f'{wanted.group_id} generation {wanted.generation}',
+        )
+
+
+def _empty_cache(speed: EngineSpeed, clock: Clock) -> PrefixCache:
+    rng = random.Random(EVENT_SEED)
+    log = EventLog(clock, speed.event_lag_s, speed.event_loss, rng)
+    return PrefixCache(speed.cache_blocks, log)
 
 
 def _is_other_work(held: EngineOrder, order: EngineOrder) -> bool:
--- a/primroserudder/standins/enginehttp.py
+++ b/primroserudder/standins/enginehttp.py
@@ -7,7 +7,14 @@
 import orjson
 from aiohttp import web
 
-from ..process.engines import EngineOrder, OrderRefused, UpstreamRefused
+from ..process.engines import (
+    LOAD_HEADER,
+    EngineLoad,
+    EngineOrder,
+    OrderRefused,
+    UpstreamRefused,
+    load_to_header,
+)
 from ..request.caller import prompt_text
 from .engine import Engine, EngineCrashed, Generation
 from .faults import change_faults
@@ -72,7 +79,7 @@
     async def cache_events(self, request: web.Request) -> web.Response:
         """Return the cache events after a number."""
         after = int(request.query['after'])
-        events = self.engine.cache.events[after:]
+        events = self.engine.cache.events.after(after)
         return _json([asdict(event) for event in events])
 
     async def generate(self, request: web.Request) -> web.StreamResponse:
@@ -107,7 +114,7 @@
         call: _Call,
     ) -> web.StreamResponse:
         wanted = call.generation
-        response = web.StreamResponse(headers=_headers(call))
+        response = web.StreamResponse(headers=_headers(call, self.engine.load))
         response.content_type = 'text/event-stream'
         position = wanted.resume_from
         async for text in self.engine.generate(wanted):
@@ -143,7 +150,7 @@
         )
         return web.Response(
             body=body,
-            headers=_headers(call),
+            headers=_headers(call, self.engine.load),
             content_type='application/json',
         )
 
@@ -165,8 +172,11 @@
     return web.Response(status=HTTPStatus.INTERNAL_SERVER_ERROR)
 
 
-def _headers(call: _Call) -> Mapping[str, str]:
-    return {'Engine-Attempt': str(call.generation.attempt)}
+def _headers(call: _Call, load: EngineLoad) -> Mapping[str, str]:
+    return {
+        'Engine-Attempt': str(call.generation.attempt),
+        LOAD_HEADER: load_to_header(load),
+    }
 
 
 def _parse(request: web.Request, body: Mapping[str, object]) -> _Call:
--- /dev/null
+++ b/primroserudder/standins/loadlog.py
@@ -0,0 +1,35 @@
+"""The load of a stand-in engine, as it is and as it is reported."""
+
+from collections import deque
+from dataclasses import dataclass, field
+
+from ..process.clock import Clock
+from ..process.engines import EngineLoad
+
+
+@dataclass(slots=True)
+class LoadLog:
+    """Loads of the last moments; a report shows the load of ``lag_s`` ago."""
+
+    clock: Clock
+    lag_s: float
+    _loads: deque[tuple[float, EngineLoad]] = field(default_factory=deque)
+
+    def note(self, load: EngineLoad) -> None:
+        """Note a load that changed."""
+        self._loads.append((self.clock.monotonic(), load))
+        self._drop_old()
+
+    def reported(self, idle: EngineLoad) -> EngineLoad:
+        """Return the load as it is reported now."""
+        self._drop_old()
+        latest = self.clock.monotonic() - self.lag_s
+        if not self._loads or self._loads[0][0] > latest:
+            return idle
+        return self._loads[0][1]
+
+    def _drop_old(self) -> None:
+        latest = self.clock.monotonic() - self.lag_s
+        loads = self._loads
+        while len(loads) > 1 and loads[1][0] <= latest:
+            loads.popleft()
--- a/primroserudder/testing/fakes.py
+++ b/primroserudder/testing/fakes.py
@@ -9,12 +9,14 @@
 
 from ..process.clock import Clock
 from ..process.engines import (
+    LOAD_HEADER,
     CacheEvent,
     EngineAnswer,
     EngineCall,
     EngineOrder,
     EngineStatus,
     UpstreamUnreachable,
+    load_to_header,
 )
 from ..process.groups import GroupRecord
 from ..request.caller import prompt_text
@@ -72,7 +74,8 @@
         # A refusal comes before the answer's headers.
         first = await anext(frames, b'')
         body = _rest(first, frames)
-        yield FakeAnswer(body)
+        headers = {LOAD_HEADER: load_to_header(engine.load)}
+        yield FakeAnswer(body, headers=headers)
         await body.aclose()
         await frames.aclose()
 
@@ -86,7 +89,7 @@
         after: int,
     ) -> Sequence[CacheEvent]:
         """Return the cache events after a number."""
-        return self._reach(address).cache.events[after:]
+        return self._reach(address).cache.events.after(after)
 
     async def export_cache(self, address: str, request_id: str) -> bytes:
         """Return the KV cache of a request."""
