--- a/primroserudder/programs/entrynode.py
+++ b/primroserudder/programs/entrynode.py
@@ -6,6 +6,7 @@
 
 from ..connection.callers import Callers
 from ..connection.enginehttp import EngineHttp
+from ..connection.http import bound_port
 from ..process.evidence import PROBE_INTERVAL_S, EvidenceBook, Prober
 from ..process.groups import (
     GROUP_PREFIX,
@@ -22,6 +23,7 @@
 GROUP_POLL_S = 1
 ROUTING_TICK_S = 1
 DRAIN_NOTICE_S = 3
+SWEEP_S = 1
 
 
 @dataclass(slots=True)
@@ -47,14 +49,8 @@
         await runtime.open_clients()
         await runtime.open_peers()
         self._wire()
-        await runtime.start_peers()
-        self.operators_port = await runtime.listen_operators(self.is_ready)
-        self.callers_port = await runtime.listen_http(
-            self.callers.app(),
-            self.settings.callers,
-            'callers',
-        )
         self._register_state()
+        await self._listen()
         runtime.start_common_steps()
         self._start_steps()
 
@@ -69,6 +65,21 @@
         await asyncio.sleep(DRAIN_NOTICE_S if self.callers.in_flight else 0)
         await self.runtime.close()
 
+    async def _listen(self) -> None:
+        await self.runtime.start_peers()
+        self.operators_port = await self.runtime.listen_operators(
+            self.is_ready,
+        )
+        guard = self.callers.guard
+        runner = await self.runtime.listen_http(
+            self.callers.app(),
+            self.settings.callers,
+            'callers',
+        )
+        guard.runner = runner
+        self.callers_port = bound_port(runner)
+        self.runtime.start_step(guard.sweep, SWEEP_S, 'sweep')
+
     def _wire(self) -> None:
         runtime = self.runtime
         engines = EngineHttp(runtime.session)
