--- a/primroserudder/programs/entrynode.py
+++ b/primroserudder/programs/entrynode.py
@@ -18,6 +18,7 @@
 from ..request.cachewatch import CacheWatch
 from ..request.pinning import wanted_version
 from ..request.routing import Router
+from ..request.subset import Subset, living_entries
 from .node import NodeRuntime
 
 GROUP_POLL_S = 1
@@ -92,6 +93,10 @@
             runtime.rng,
             runtime.metrics,
             partial(wanted_version, runtime.holder),
+            Subset(
+                runtime.membership.own.node_id,
+                partial(living_entries, runtime.membership),
+            ),
         )
         self.cache_watch = CacheWatch(router, engines)
         self.callers = Callers(
--- a/primroserudder/request/catalogue.py
+++ b/primroserudder/request/catalogue.py
@@ -2,8 +2,10 @@
 
 import bisect
 from collections import Counter
-from collections.abc import Mapping, Sequence
+from collections.abc import Collection, Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
+from types import MappingProxyType
+from typing import TypeAlias
 
 import xxhash
 
@@ -13,6 +15,9 @@
 CATALOGUE_LIFETIME_S = 0.25
 RING_POINTS = 8
 
+# Model version and failure domain.
+PoolKey: TypeAlias = tuple[str, str]
+
 
 @dataclass(frozen=True, slots=True)
 class Pool:
@@ -35,6 +40,9 @@
         return [self.groups[index] for index in found]
 
 
+NO_GROUPS = Pool((), MappingProxyType({}), ())
+
+
 def _point(name: str) -> int:
     return xxhash.xxh3_64_intdigest(name.encode())
 
@@ -55,7 +63,7 @@
     """What a deployment's pools were at a time."""
 
     made_at: float
-    pools: Mapping[tuple[str, str], Pool]
+    pools: Mapping[PoolKey, Pool]
     pools_by_version: dict[str, dict[str, Pool]] = field(default_factory=dict)
     groups_by_version: Counter[str] = field(default_factory=Counter)
 
@@ -79,6 +87,8 @@
 
     directory: GroupDirectory
     evidence: EvidenceBook
+    failure_domain: str
+    _turn: int = 0
     _shelves_by_deployment: dict[str, _Shelf] = field(default_factory=dict)
 
     def pools(
@@ -114,17 +124,42 @@
         now: float,
         known: _Shelf | None,
     ) -> _Shelf:
-        groups: dict[tuple[str, str], list[GroupRecord]] = {}
+        by_domain: dict[str, list[GroupRecord]] = {}
         for group in self.directory.of_deployment(deployment):
-            if self.evidence.is_serving(group):
-                key = (group.model_version, group.failure_domain)
-                groups.setdefault(key, []).append(group)
+            by_domain.setdefault(group.failure_domain, []).append(group)
         before = known.pools if known else {}
+        due = self._due(sorted(by_domain)) if before else by_domain.keys()
         pools = {
-            key: _renew(before.get(key), found) for key, found in groups.items()
+            key: pool
+            for key, pool in before.items()
+            if key[1] in by_domain and key[1] not in due
         }
+        for domain in due & by_domain.keys():
+            pools.update(self._pools_of(by_domain[domain], before))
         return _Shelf(now, pools)
 
+    def _due(self, domains: Sequence[str]) -> Collection[str]:
+        # Groups of other failure domains are looked at in turn: there may be
+        # many, and few requests go there.
+        self._turn += 1
+        in_turn = domains[self._turn % len(domains)] if domains else ''
+        return {self.failure_domain, in_turn}
+
+    def _pools_of(
+        self,
+        groups: Iterable[GroupRecord],
+        before: Mapping[PoolKey, Pool],
+    ) -> Mapping[PoolKey, Pool]:
+        found: dict[PoolKey, list[GroupRecord]] = {}
+        for group in groups:
+            if self.evidence.is_serving(group):
+                key = (group.model_version, group.failure_domain)
+                found.setdefault(key, []).append(group)
+        return {
+            key: _renew(before.get(key), listed)
+            for key, listed in found.items()
+        }
+
 
 def _renew(known: Pool | None, groups: Sequence[GroupRecord]) -> Pool:
     # The ring is the dear part; it stays while the groups stay.
--- a/primroserudder/request/flight.py
+++ b/primroserudder/request/flight.py
@@ -42,6 +42,8 @@
         prompt: Prompt,
     ) -> 'Flight':
         """Count a new attempt in."""
+        # A new generation drops what was known, so it is begun first.
+        scorer.load(group)
         words = scorer.uncached_words(group, prompt)
         scorer.prefixes.note(group.group_id, prompt.names)
         flight = cls(scorer, group, words)
--- a/primroserudder/request/load.py
+++ b/primroserudder/request/load.py
@@ -32,10 +32,10 @@
     >>> load = GroupLoad()
     >>> load.report(EngineLoad(running=3, slots=8), as_of=1)
     >>> load.change(Change(at=2, requests=1, words=100))
-    >>> load.in_flight, load.words
+    >>> load.in_flight, load.words(now=3, word_s=0.01)
     (4, 100)
     >>> load.report(EngineLoad(running=5, slots=8), as_of=3)
-    >>> load.in_flight, load.words
+    >>> load.in_flight, load.words(now=3, word_s=0.01)
     (5, 100)
     """
 
@@ -44,6 +44,7 @@
     is_known: bool = False
     own_requests: int = 0
     own_words: int = 0
+    sent_at: float = float('-inf')
     _changes: deque[Change] = field(default_factory=deque)
     _requests: int = 0
     _words: int = 0
@@ -63,6 +64,8 @@
     def change(self, change: Change) -> None:
         """Note what this entry does to the load."""
         self._changes.append(change)
+        if change.requests > 0:
+            self.sent_at = change.at
         self._requests += change.requests
         self._words += change.words
         self.own_requests += change.requests
@@ -74,10 +77,15 @@
         reported = self.reported.running + self.reported.waiting
         return max(self.own_requests, reported + self._requests)
 
-    @property
-    def words(self) -> int:
-        """Return how many prompt words wait for their prefill."""
-        reported = self.reported.token_backlog
+    def words(self, now: float, word_s: float) -> float:
+        """Return how many prompt words still wait for their prefill.
+
+        Explanation
+        ===========
+        An engine works on while its report ages.
+        """
+        done = max(0, now - self.as_of) / word_s
+        reported = max(0, self.reported.token_backlog - done)
         return max(self.own_words, reported + self._words)
 
     @property
--- a/primroserudder/request/ranking.py
+++ b/primroserudder/request/ranking.py
@@ -1,25 +1,48 @@
 """Ranks a few groups by what a request would wait for at each."""
 
 import random
-from collections.abc import Collection, Iterable, Sequence
+from collections.abc import Collection, Iterable, Iterator, Mapping, Sequence
 from dataclasses import dataclass, field
-from operator import itemgetter
+from typing import NamedTuple
 
 from ..process.groups import GroupRecord
 from .caller import CallerRequest
-from .catalogue import Catalogue, Pool
+from .catalogue import NO_GROUPS, Catalogue, Pool
 from .scoring import Families, Prompt, Scorer
 from .spill import SpillOver
+from .subset import Subset
 
 SCORE_ALL_UP_TO = 16
 SAMPLE = 8
 HOMES = 2
+OWN = 4
 SPILL_TARGETS = 2
 SPILL_PENALTY_S = 0.02
 EJECTED_PENALTY_S = 1000.0
+TIE_S = 0.01
 HOME_DISCOUNT = 0.5
 
 
+class _Scored(NamedTuple):
+    """A group, what a request would wait there, and its last request."""
+
+    seconds: float
+    is_foreign: bool
+    sent_at: float
+    group: GroupRecord
+
+    def rank(self) -> tuple[int, bool, float]:
+        """Return the key of the ranking; the least is the best.
+
+        Explanation
+        ===========
+        The estimate is no better than ``TIE_S``. Among equals the turn goes
+        to the groups that this entry prefers, and of them to the one that
+        waited longest for a request of this entry.
+        """
+        return round(self.seconds / TIE_S), self.is_foreign, self.sent_at
+
+
 @dataclass(slots=True)
 class Ranker:
     """Scores the candidates of a decision; their number is bounded."""
@@ -29,6 +52,7 @@
     catalogue: Catalogue
     spill: SpillOver
     rng: random.Random
+    subset: Subset
     families: Families = field(default_factory=Families)
 
     def rank(
@@ -41,26 +65,23 @@
         """Return a few groups, the best first."""
         deployment = request.service.deployment
         pools = self.catalogue.pools(deployment, version, now)
-        own = pools.get(self.failure_domain)
-        seconds_by_group: dict[str, tuple[float, GroupRecord]] = {}
-        if own is not None:
-            self._score(own, prompt, now, 0, seconds_by_group)
+        scored = list(self._score(self._own(pools), prompt, now))
         if self.spill.is_spilling(deployment, pools, now):
             targets = self.spill.targets(deployment, pools, now)
             for pool in targets[:SPILL_TARGETS]:
-                penalty = SPILL_PENALTY_S
-                self._score(pool, prompt, now, penalty, seconds_by_group)
-        ranked = sorted(seconds_by_group.values(), key=itemgetter(0))
-        return [group for _, group in ranked]
+                scored.extend(self._score(pool, prompt, now, SPILL_PENALTY_S))
+        return [each.group for each in sorted(scored, key=_Scored.rank)]
+
+    def _own(self, pools: Mapping[str, Pool]) -> Pool:
+        return pools.get(self.failure_domain) or NO_GROUPS
 
     def _score(
         self,
         pool: Pool,
         prompt: Prompt,
         now: float,
-        penalty: float,
-        seconds_by_group: dict[str, tuple[float, GroupRecord]],
-    ) -> None:
+        penalty: float = 0,
+    ) -> Iterator['_Scored']:
         scorer = self.scorer
         homes = self._homes(pool, prompt)
         for group in self._candidates(pool, prompt, homes):
@@ -70,10 +91,12 @@
             seconds = scorer.seconds(group, words, now) + penalty
             if scorer.outliers.is_ejected(group.group_id, now):
                 seconds += EJECTED_PENALTY_S
-            seconds_by_group[group.group_id] = (seconds, group)
+            is_foreign = group.group_id not in self.subset.preferred
+            sent_at = scorer.load(group).sent_at
+            yield _Scored(seconds, is_foreign, sent_at, group)
 
     def _homes(self, pool: Pool, prompt: Prompt) -> Collection[str]:
-        if not prompt.names:
+        if not prompt.names or not pool.groups:
             return ()
         homes = pool.homes(prompt.names[0], HOMES)
         return {group.group_id for group in homes}
@@ -90,5 +113,7 @@
         sampled = self.rng.sample(pool.groups, SAMPLE)
         named = (*homes, *self.scorer.prefixes.holders(prompt.names))
         chosen = {group.group_id: group for group in sampled}
+        own = self.subset.by_deployment.get(sampled[0].deployment, ())
+        named = (*named, *[group.group_id for group in own[:OWN]])
         chosen.update({name: by_id[name] for name in named if name in by_id})
         return chosen.values()
--- a/primroserudder/request/routing.py
+++ b/primroserudder/request/routing.py
@@ -20,6 +20,7 @@
 from .pinning import VersionPins
 from .ranking import Ranker
 from .scoring import Prompt, Scorer, read_prompt
+from .subset import Subset
 from .spill import SpillOver
 
 
@@ -56,6 +57,7 @@
     rng: random.Random
     metrics: Metrics = field(default_factory=Metrics)
     wanted_version: Callable[[str], str] = field(default=_no_wanted_version)
+    subset: Subset = field(default_factory=Subset)
     scorer: Scorer = field(init=False)
     catalogue: Catalogue = field(init=False)
     ranker: Ranker = field(init=False)
@@ -66,13 +68,18 @@
     def __post_init__(self) -> None:
         """Make the parts."""
         self.scorer = Scorer(self.evidence)
-        self.catalogue = Catalogue(self.directory, self.evidence)
+        self.catalogue = Catalogue(
+            self.directory,
+            self.evidence,
+            self.failure_domain,
+        )
         self.ranker = Ranker(
             self.failure_domain,
             self.scorer,
             self.catalogue,
             SpillOver(self.failure_domain, self.scorer, self.metrics),
             self.rng,
+            self.subset,
         )
 
     def choose(
@@ -81,7 +88,7 @@
         avoided: Collection[str] = (),
         model_version: str = '',
     ) -> GroupRecord:
-        """Return the group for the next attempt.
+        """Return the group for the next attempt and note the time it took.
 
         Parameters
         ==========
@@ -98,17 +105,12 @@
         NoGroupServes
             No group of the deployment is whole.
         """
-        now = self.evidence.clock.monotonic()
-        prompt = self._read(request)
-        if not avoided:
-            self.ranker.families.note(prompt)
-        version = model_version or self._pinned(request, now)
-        ranked = self.ranker.rank(request, prompt, version, now)
-        for group in ranked:
-            if group.group_id not in avoided and self._may_take(group, request):
-                self._note_hits(group, prompt)
-                return group
-        return self._choose_of_all(request, avoided, model_version)
+        clock = self.evidence.clock
+        now = clock.monotonic()
+        chosen = self._choose(request, avoided, model_version, now)
+        took = clock.monotonic() - now
+        self.metrics.latency('routing_decision').record(took)
+        return chosen
 
     def serving(self, deployment: str) -> Sequence[GroupRecord]:
         """Return the groups that may be given a request now."""
@@ -137,6 +139,11 @@
         for flight in tuple(self.flights):
             flight.measure()
         self.scorer.keep_only(self.directory.by_id.keys())
+        self.subset.renew(
+            group
+            for group in self.directory.by_id.values()
+            if group.failure_domain == self.failure_domain
+        )
 
     def dump(self) -> dict[str, object]:
         """Return what decides on routes, for the state dump."""
@@ -148,6 +155,24 @@
             'repeated_prefix_share': round(self.ranker.families.share, 3),
         }
 
+    def _choose(
+        self,
+        request: CallerRequest,
+        avoided: Collection[str],
+        model_version: str,
+        now: float,
+    ) -> GroupRecord:
+        prompt = self._read(request)
+        if not avoided:
+            self.ranker.families.note(prompt)
+        version = model_version or self._pinned(request, now)
+        ranked = self.ranker.rank(request, prompt, version, now)
+        for group in ranked:
+            if group.group_id not in avoided and self._may_take(group, request):
+                self._note_hits(group, prompt)
+                return group
+        return self._choose_of_all(request, avoided, model_version)
+
     def _read(self, request: CallerRequest) -> Prompt:
         # Choice and dispatch follow each other without a pause.
         request_id, prompt = self._read_last
--- a/primroserudder/request/scoring.py
+++ b/primroserudder/request/scoring.py
@@ -104,14 +104,13 @@
         load = self.load(group)
         slots = max(1, load.reported.slots)
         per_token = self.outliers.median(now) or self.costs.token_s
-        prefill = (load.words + words) * self.costs.prefill_word_s
+        word_s = self.costs.prefill_word_s
+        prefill = (load.words(now, word_s) + words) * word_s
         is_full = load.is_known and load.in_flight >= slots
         beyond = load.waiting + 1 if is_full else 0
         queue = beyond / slots * self.costs.queued_tokens * per_token
-        # Of two idle groups the emptier one is the better.
-        batch = load.in_flight / slots * per_token
         factor = self.outliers.factor(group.group_id, now)
-        return (prefill + queue + batch) * factor
+        return (prefill + queue) * factor
 
     def utilisation(self, groups: Iterable[GroupRecord]) -> float:
         """Return the share of the groups' slots that is taken."""
@@ -132,7 +131,7 @@
             group_id: {
                 'in_flight': load.in_flight,
                 'own': load.own_requests,
-                'words': load.words,
+                'words': load.own_words,
                 'slots': load.reported.slots,
             }
             for group_id, load in self.load_by_group.items()
