--- a/primroserudder/programs/entrynode.py
+++ b/primroserudder/programs/entrynode.py
@@ -1,10 +1,10 @@
 """An entry: takes callers' requests to whole groups."""
 
-import asyncio
 from dataclasses import dataclass, field
 from functools import partial
 
 from ..connection.callers import Callers
+from ..connection.drain import Drain
 from ..connection.enginehttp import EngineHttp
 from ..connection.http import bound_port
 from ..process.evidence import PROBE_INTERVAL_S, EvidenceBook, Prober
@@ -19,11 +19,12 @@
 from ..request.pinning import wanted_version
 from ..request.routing import Router
 from ..request.subset import Subset, living_entries
+from ..request.watch import WATCH_INTERVAL_S
+from .admitting import start_admission
 from .node import NodeRuntime
 
 GROUP_POLL_S = 1
 ROUTING_TICK_S = 1
-DRAIN_NOTICE_S = 3
 SWEEP_S = 1
 
 
@@ -35,6 +36,7 @@
     runtime: NodeRuntime = field(init=False)
     directory: GroupDirectory = field(default_factory=GroupDirectory)
     callers: Callers = field(init=False)
+    drain: Drain = field(init=False)
     prober: Prober = field(init=False)
     cache_watch: CacheWatch = field(init=False)
     callers_port: int = 0
@@ -43,6 +45,7 @@
     def __post_init__(self) -> None:
         """Make the common parts."""
         self.runtime = NodeRuntime(self.settings, 'entry')
+        self.drain = Drain(self.runtime.metrics, self.settings.drain_notice_s)
 
     async def start(self) -> None:
         """Open the ports and start the steps."""
@@ -57,13 +60,16 @@
 
     def is_ready(self) -> bool:
         """Return whether the balancer may send new work."""
-        is_configured = self.runtime.holder.current.number > 0
-        return is_configured and not self.runtime.is_draining
+        runtime = self.runtime
+        is_configured = runtime.holder.current.number > 0
+        is_current = is_configured and runtime.spread.is_caught_up()
+        return is_current and not runtime.is_draining
 
     async def stop(self) -> None:
         """Take no new work, let requests in flight finish, then close."""
         self.runtime.is_draining = True
-        await asyncio.sleep(DRAIN_NOTICE_S if self.callers.in_flight else 0)
+        if self.callers_port:
+            await self.drain.run()
         await self.runtime.close()
 
     async def _listen(self) -> None:
@@ -73,7 +79,7 @@
         )
         guard = self.callers.guard
         runner = await self.runtime.listen_http(
-            self.callers.app(),
+            self.drain.attach(self.callers.app()),
             self.settings.callers,
             'callers',
         )
@@ -106,7 +112,10 @@
             metrics=runtime.metrics,
             invariants=runtime.invariants,
             max_body_bytes=self.settings.max_body_bytes,
+            admission=start_admission(runtime, router),
         )
+        watch = self.callers.server.watch
+        runtime.start_step(watch.step, WATCH_INTERVAL_S, 'watch_attempts')
 
     def _start_steps(self) -> None:
         start = self.runtime.start_step
@@ -120,6 +129,7 @@
         state.register('evidence', self.prober.book.dump)
         state.register('routing', self.cache_watch.router.dump)
         state.register('retry_budget', self.callers.server.retries.dump)
+        state.register('drain', self.drain.dump)
         state.register('in_flight', lambda: sorted(self.callers.in_flight))
 
     async def _poll_groups(self) -> None:
--- a/primroserudder/request/catalogue.py
+++ b/primroserudder/request/catalogue.py
@@ -1,8 +1,15 @@
 """The groups of each deployment, arranged for quick decisions."""
 
 import bisect
+import itertools
 from collections import Counter
-from collections.abc import Collection, Iterable, Mapping, Sequence
+from collections.abc import (
+    Collection,
+    Iterable,
+    Mapping,
+    Sequence,
+)
+from collections.abc import Set as AbstractSet
 from dataclasses import dataclass, field
 from types import MappingProxyType
 from typing import TypeAlias
@@ -107,6 +114,25 @@
         """Return how many serving groups each model version has."""
         return self._shelf(deployment, now).groups_by_version
 
+    def domains(self, deployment: str, now: float) -> AbstractSet[str]:
+        """Return the failure domains with serving groups."""
+        shelf = self._shelf(deployment, now)
+        return {domain for _, domain in shelf.pools}
+
+    def groups(
+        self,
+        deployment: str,
+        failure_domain: str,
+        now: float,
+    ) -> Iterable[GroupRecord]:
+        """Yield the serving groups of a failure domain, of any version."""
+        shelf = self._shelf(deployment, now)
+        return itertools.chain.from_iterable(
+            pool.groups
+            for (_, domain), pool in shelf.pools.items()
+            if domain == failure_domain
+        )
+
     def drop(self, deployment: str) -> None:
         """Let the next look make the pools anew."""
         self._shelves_by_deployment.pop(deployment, None)
--- a/primroserudder/request/spill.py
+++ b/primroserudder/request/spill.py
@@ -7,8 +7,8 @@
 from .catalogue import Pool
 from .scoring import Scorer
 
-SPILL_ABOVE = 0.95
-RETURN_BELOW = 0.8
+SPILL_ABOVE = 0.9
+RETURN_BELOW = 0.75
 SPILL_INTO_BELOW = 0.85
 AGGREGATE_LIFETIME_S = 0.25
 
--- a/primroserudder/request/subset.py
+++ b/primroserudder/request/subset.py
@@ -10,6 +10,9 @@
 from ..process.groups import GroupRecord
 from ..process.membership import Membership
 
+FORGOTTEN_S = 600.0
+NEVER = float('-inf')
+
 
 def _no_peers() -> Sequence[str]:
     return ()
@@ -74,5 +77,21 @@
     ]
 
 
+def site_entries(membership: Membership) -> Sequence[str]:
+    """Return all entries that may be alive, whether they can be reached or not.
+
+    Explanation
+    ===========
+    One that was heard once and then not for ``FORGOTTEN_S`` is taken for gone.
+    """
+    earliest = membership.clock.monotonic() - FORGOTTEN_S
+    return [
+        peer.node.node_id
+        for peer in membership.by_id.values()
+        if peer.node.role == 'entry'
+        and (peer.heard_at >= earliest or peer.heard_at == NEVER)
+    ]
+
+
 def _scattered(group_id: str) -> int:
     return xxhash.xxh3_64_intdigest(group_id.encode())
--- a/primroserudder/standins/enginehttp.py
+++ b/primroserudder/standins/enginehttp.py
@@ -12,11 +12,12 @@
     EngineLoad,
     EngineOrder,
     OrderRefused,
+    UpstreamLost,
     UpstreamRefused,
     load_to_header,
 )
 from ..request.caller import prompt_text
-from .engine import Engine, EngineCrashed, Generation
+from .engine import Engine, Generation
 from .faults import change_faults
 from .frames import CHAT_PATH, STREAM_END, token_event, whole_answer
 
@@ -95,7 +96,7 @@
                 text=str(refused),
                 headers={'Engine-Not-Run': 'true'},
             )
-        except EngineCrashed:
+        except UpstreamLost:
             return _break_off(request)
 
     async def change_faults(self, request: web.Request) -> web.Response:
@@ -174,6 +175,7 @@
 
 def _headers(call: _Call, load: EngineLoad) -> Mapping[str, str]:
     return {
+        'Engine-Request-Id': call.generation.request_id,
         'Engine-Attempt': str(call.generation.attempt),
         LOAD_HEADER: load_to_header(load),
     }
