--- a/primroserudder/request/gate.py
+++ b/primroserudder/request/gate.py
@@ -85,10 +85,10 @@
     def expected_wait(self, ticket: Ticket) -> float:
         """Return how long a ticket would wait, in seconds."""
         flow = self.queue.flows_by_workspace[ticket.workspace]
-        # Whoever is not waiting leaves its share to those that are.
-        waiting = sum(one.weight for one in self.queue.candidates())
-        total = waiting if flow.waiting else waiting + flow.weight
-        rate = max(1, self.window.size) * flow.weight / total
+        # A flow that holds slots drains at their number, in seconds of a slot
+        # for each second; one below its share will hold that share soon.
+        share = self.queue.share(flow) * self.window.size
+        rate = max(1, flow.in_flight, share)
         return flow.queued_cost * self.scale / rate
 
     def dump(self) -> Mapping[str, object]:
@@ -152,8 +152,9 @@
         if not self.window.base:
             return True
         flow = self.queue.flows_by_workspace[ticket.workspace]
-        kept = self.window.reserve if self._is_over_share(flow) else 0
-        return self.in_flight + 1 <= max(1, self.window.size - kept)
+        is_over = self._is_over_share(flow)
+        free = self.window.open_size if is_over else self.window.full_size
+        return self.in_flight + 1 <= max(1, free)
 
     def _is_over_share(self, flow: Flow) -> bool:
         share = self.queue.share(flow)
--- a/primroserudder/request/limits.py
+++ b/primroserudder/request/limits.py
@@ -117,7 +117,7 @@
         wait = min(bucket.wait(rate), LONGEST_RETRY_AFTER_S)
         name = '/'.join(key)
         raise LimitReached(
-            f'{name}: the limit of {limit:g} a second is used up',
+            f'{name}: the limit of {limit} a second is used up',
             retry_after=wait,
         )
 
--- a/primroserudder/request/ranking.py
+++ b/primroserudder/request/ranking.py
@@ -8,7 +8,7 @@
 from ..process.groups import GroupRecord
 from .caller import CallerRequest
 from .catalogue import NO_GROUPS, Catalogue, Pool
-from .scoring import Families, Prompt, Scorer
+from .scoring import FULL_PENALTY_S, Families, Prompt, Scorer
 from .spill import SpillOver
 from .subset import Subset
 
@@ -20,6 +20,7 @@
 SPILL_PENALTY_S = 0.02
 EJECTED_PENALTY_S = 1000.0
 TIE_S = 0.01
+NEARLY_FULL = 0.85
 HOME_DISCOUNT = 0.5
 
 
@@ -28,10 +29,11 @@
 
     seconds: float
     is_foreign: bool
+    running: int
     sent_at: float
     group: GroupRecord
 
-    def rank(self) -> tuple[int, bool, float]:
+    def rank(self) -> tuple[int, bool, int, float]:
         """Return the key of the ranking; the least is the best.
 
         Explanation
@@ -40,7 +42,8 @@
         to the groups that this entry prefers, and of them to the one that
         waited longest for a request of this entry.
         """
-        return round(self.seconds / TIE_S), self.is_foreign, self.sent_at
+        tied = round(self.seconds / TIE_S)
+        return tied, self.is_foreign, self.running, self.sent_at
 
 
 @dataclass(slots=True)
@@ -84,16 +87,31 @@
     ) -> Iterator['_Scored']:
         scorer = self.scorer
         homes = self._homes(pool, prompt)
+        is_full = self._is_own_part_full(pool)
         for group in self._candidates(pool, prompt, homes):
             words = float(scorer.uncached_words(group, prompt))
             if group.group_id in homes and words == prompt.words:
                 words *= 1 - HOME_DISCOUNT * self.families.share
+            is_foreign = group.group_id not in self.subset.preferred
+            words += scorer.waiting_words(group, now)
             seconds = scorer.seconds(group, words, now) + penalty
+            if is_foreign and is_full:
+                seconds += FULL_PENALTY_S
             if scorer.outliers.is_ejected(group.group_id, now):
                 seconds += EJECTED_PENALTY_S
-            is_foreign = group.group_id not in self.subset.preferred
-            sent_at = scorer.load(group).sent_at
-            yield _Scored(seconds, is_foreign, sent_at, group)
+            load = scorer.load(group)
+            # Reports are too old to tell idle groups apart; near the limit
+            # this entry's own counts decide where a slot is free.
+            running = load.in_flight if is_full else 0
+            yield _Scored(seconds, is_foreign, running, load.sent_at, group)
+
+    def _is_own_part_full(self, pool: Pool) -> bool:
+        # What other entries sent to their groups lately can't be seen. Those
+        # groups are taken to be as full as the ones that this entry prefers.
+        if not pool.groups:
+            return False
+        own = self.subset.by_deployment.get(pool.groups[0].deployment, ())
+        return self.scorer.utilisation(own[:OWN]) > NEARLY_FULL
 
     def _homes(self, pool: Pool, prompt: Prompt) -> Collection[str]:
         if not prompt.names or not pool.groups:
--- a/primroserudder/request/retries.py
+++ b/primroserudder/request/retries.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 
 BURST_RETRIES = 256.0
-RETRIES_PER_SUCCESS = 0.2
+RETRIES_PER_SUCCESS = 0.25
 
 
 @dataclass(slots=True)
--- a/primroserudder/request/scoring.py
+++ b/primroserudder/request/scoring.py
@@ -14,6 +14,7 @@
 
 MAX_BLOCKS = 512
 RECENT_FAMILIES = 512
+FULL_PENALTY_S = 1.0
 SHARE_SMOOTHING = 0.02
 
 
@@ -89,6 +90,11 @@
         depth = self.prefixes.depth(group.group_id, prompt.names)
         return prompt.words - depth * BLOCK_WORDS
 
+    def waiting_words(self, group: GroupRecord, now: float) -> float:
+        """Return how many words are before a request at a group."""
+        word_s = self.costs.prefill_word_s
+        return self.load(group).words(now, word_s)
+
     def seconds(self, group: GroupRecord, words: float, now: float) -> float:
         """Return the estimated time to first token.
 
@@ -97,18 +103,21 @@
         group : GroupRecord
             Where the request would go.
         words : float
-            Words of its prompt that are not cached there.
+            Words to prefill before it: those that wait there and those of
+            its prompt that are not cached there.
         now : float
             The time of the process's clock.
         """
         load = self.load(group)
         slots = max(1, load.reported.slots)
         per_token = self.outliers.median(now) or self.costs.token_s
-        word_s = self.costs.prefill_word_s
-        prefill = (load.words(now, word_s) + words) * word_s
+        prefill = words * self.costs.prefill_word_s
         is_full = load.is_known and load.in_flight >= slots
         beyond = load.waiting + 1 if is_full else 0
         queue = beyond / slots * self.costs.queued_tokens * per_token
+        if is_full:
+            # Waiting belongs to the entry, where the order is fair.
+            queue += FULL_PENALTY_S
         factor = self.outliers.factor(group.group_id, now)
         return (prefill + queue) * factor
 
--- a/primroserudder/request/window.py
+++ b/primroserudder/request/window.py
@@ -4,10 +4,10 @@
 from dataclasses import dataclass
 
 RENEWAL_S = 0.25
-WAITING_SHARE = 0.02
-IDLE_SHARE = 0.1
-DECREASE = 0.9
-INCREASE = 1.05
+WAITING_SHARE = 0.05
+IDLE_SHARE = 0.15
+DECREASE = 0.97
+INCREASE = 1.01
 RETURN = 0.02
 LEAST_FACTOR = 0.5
 RESERVE_SHARE = 0.06
@@ -52,6 +52,16 @@
         """Return the part that only workspaces within their share may use."""
         return max(LEAST_RESERVE, self.size * RESERVE_SHARE)
 
+    @property
+    def open_size(self) -> float:
+        """Return what workspaces beyond their share may use."""
+        return self.size - self.reserve
+
+    @property
+    def full_size(self) -> float:
+        """Return what workspaces within their share may use."""
+        return max(self.size, self.base)
+
     def is_due(self, now: float) -> bool:
         """Return whether the window should be adapted again."""
         return now - self.renewed_at >= RENEWAL_S
--- /dev/null
+++ b/primroserudder/testing/overloadreport.py
@@ -0,0 +1,45 @@
+"""The command ``bin/overload-bench``: one workspace floods a fleet."""
+
+import argparse
+import asyncio
+import pathlib
+import sys
+from dataclasses import asdict
+
+import orjson
+
+from .overloadbench import flood, overload, unloaded
+from .refusalbench import measure_refusals
+
+UNEVEN = (4, 2, 1, 1)
+
+
+def main() -> None:
+    """Print the figures as JSON."""
+    made = argparse.ArgumentParser(prog='bin/overload-bench')
+    made.add_argument('--seconds', type=float, default=40)
+    made.add_argument('--seed', type=int, default=1)
+    made.add_argument('--sockets-only', action='store_true')
+    made.add_argument('--json', type=pathlib.Path, metavar='FILE.json')
+    arguments = made.parse_args()
+    report: dict[str, object] = {}
+    if not arguments.sockets_only:
+        loads_by_name = {
+            'unloaded': unloaded(),
+            'overload': overload(),
+            'overload_uneven_balancer': overload(UNEVEN),
+        }
+        report = {
+            name: asdict(flood(load, arguments.seconds, arguments.seed))
+            for name, load in loads_by_name.items()
+        }
+    refusals = asyncio.run(measure_refusals())
+    report['refusals_over_sockets'] = asdict(refusals)
+    text = orjson.dumps(report, option=orjson.OPT_INDENT_2).decode()
+    sys.stdout.write(f'{text}\n')
+    if arguments.json is not None:
+        arguments.json.write_text(text, encoding='utf-8')
+
+
+if __name__ == '__main__':
+    main()
