--- a/primroserudder/connection/callers.py
+++ b/primroserudder/connection/callers.py
@@ -33,6 +33,7 @@
     problem_body,
     problem_headers,
 )
+from ..request.servicecall import ServiceCall, keyed_call
 from ..version.holder import VersionHolder
 from .callerstream import CallerStream
 from .guard import ConnectionGuard, read_body
@@ -41,6 +42,10 @@
 ARRIVED_AT = web.RequestKey('arrived_at', float)
 
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+KeyedHandler = Callable[
+    [web.Request, ServiceCall],
+    Awaitable[web.StreamResponse],
+]
 
 
 class InternalFault(RudderError):
@@ -68,6 +73,8 @@
     max_body_bytes: int
     admission: Admission | None = None
     in_flight: set[str] = field(default_factory=set)
+    routes: list[web.RouteDef] = field(default_factory=list)
+    serve_keyed: KeyedHandler | None = None
     guard: ConnectionGuard = field(init=False)
 
     def __post_init__(self) -> None:
@@ -85,6 +92,7 @@
                 web.get('/v1/models', self.models),
                 web.post('/v1/completions', self.complete),
                 web.post('/v1/chat/completions', self.complete),
+                *self.routes,
             ]
         )
         return app
@@ -113,10 +121,21 @@
             created=int(self.clock.wall()),
         )
         wanted = parse_completion(arrival, workspace, version)
-        with self._counted(wanted.request_id):
+        with self.counted(wanted.request_id):
+            if wanted.idempotency_key and self.serve_keyed is not None:
+                call = keyed_call(arrival, workspace)
+                return await self.serve_keyed(request, call)
             async with self._admitted(wanted):
                 return await self._serve(request, wanted)
 
+    @contextmanager
+    def counted(self, request_id: str) -> Iterator[None]:
+        """Count a request as in flight."""
+        self.in_flight.add(request_id)
+        with ExitStack() as stack:
+            stack.callback(self.in_flight.discard, request_id)
+            yield
+
     def _admitted(
         self,
         wanted: CallerRequest,
@@ -125,13 +144,6 @@
             return nullcontext()
         return self.admission.admitted(wanted)
 
-    @contextmanager
-    def _counted(self, request_id: str) -> Iterator[None]:
-        self.in_flight.add(request_id)
-        with ExitStack() as stack:
-            stack.callback(self.in_flight.discard, request_id)
-            yield
-
     async def _serve(
         self,
         request: web.Request,
--- /dev/null
+++ b/primroserudder/connection/keyedhttp.py
@@ -0,0 +1,195 @@
+"""Handles keyed requests and calls to plain services on the callers' port."""
+
+from collections.abc import Callable
+from contextlib import AbstractContextManager
+from dataclasses import dataclass
+from http import HTTPStatus
+
+from aiohttp import web
+
+from ..errors import Ran, RudderError
+from ..process.clock import Clock
+from ..process.invariants import Invariants
+from ..process.metrics import Metrics
+from ..request.answer import AnswerHead
+from ..request.identity import authenticate
+from ..request.keyrecord import record_to_fields, row_key
+from ..request.keyrouting import KeyRouting
+from ..request.mintedkey import MINTED_LIFETIME_S, is_minted
+from ..request.passage import Passage
+from ..request.problem import RAN_HEADER, REQUEST_ID_HEADER, problem_event
+from ..request.servicecall import Executor, ServiceCall
+from ..version.holder import VersionHolder
+from .callers import REQUEST_ID, json_response
+from .guard import read_body
+
+EVENT_STREAM = 'text/event-stream'
+
+
+class MintingDisabled(RudderError):
+    """The settings name no secret to sign keys with."""
+
+    code = 'minting_disabled'
+    status = HTTPStatus.NOT_IMPLEMENTED
+    ran = Ran.NO
+    default_remedy = "set minting_secret in all entries' settings"
+
+
+class KeyUnknown(RudderError):
+    """There is no record of the key."""
+
+    code = 'key_unknown'
+    status = HTTPStatus.NOT_FOUND
+    ran = Ran.NO
+    default_remedy = 'check workspace and key; records are kept for a day'
+
+
+class BadLookUp(RudderError):
+    """The key can't be looked up."""
+
+    code = 'bad_look_up'
+    status = HTTPStatus.BAD_REQUEST
+    ran = Ran.NO
+    default_remedy = 'name the workspace and a key of its own, not a minted one'
+
+
+@dataclass(slots=True)
+class HttpSink:
+    """Gives an answer to a caller over HTTP."""
+
+    request: web.Request
+    response: web.StreamResponse | None = None
+
+    async def begin(self, head: AnswerHead) -> None:
+        """Send the head."""
+        self.response = web.StreamResponse(
+            status=head.status,
+            headers={
+                **head.headers,
+                RAN_HEADER: Ran.YES.value,
+                REQUEST_ID_HEADER: self.request[REQUEST_ID],
+            },
+        )
+        await self.response.prepare(self.request)
+
+    async def send(self, part: bytes) -> None:
+        """Send a part of the body."""
+        if self.response is not None:
+            await self.response.write(part)
+
+    async def end(self) -> web.StreamResponse:
+        """End the answer and return it."""
+        response = self.response or web.Response()
+        if response.prepared:
+            await response.write_eof()
+        return response
+
+    async def break_off(self, error: RudderError) -> web.StreamResponse:
+        """End an answer that began so that its caller sees the fault."""
+        response = self.response
+        if response is None:
+            raise error
+        if response.content_type == EVENT_STREAM:
+            request_id = self.request[REQUEST_ID]
+            await response.write(problem_event(error, request_id))
+            await response.write_eof()
+        elif self.request.transport is not None:
+            # Without its end mark the body is seen to be short.
+            self.request.transport.abort()
+        return response
+
+
+@dataclass(slots=True)
+class KeyedHttp:
+    """Handles the requests; it lives as long as the process."""
+
+    routing: KeyRouting
+    plain: Executor
+    holder: VersionHolder
+    clock: Clock
+    metrics: Metrics
+    invariants: Invariants
+    has_secret: bool
+    counted: Callable[[str], AbstractContextManager[None]]
+
+    def routes(self) -> list[web.RouteDef]:
+        """Return the routes of the callers' port."""
+        return [
+            web.post('/v1/idempotency-keys', self.mint),
+            web.route('*', '/services/{tail:.+}', self.call_plain),
+        ]
+
+    def operator_routes(self) -> list[web.RouteDef]:
+        """Return the routes of the operators' port."""
+        return [web.get('/v1/keys', self.look_up)]
+
+    async def mint(self, request: web.Request) -> web.Response:
+        """Mint a key that binds a request to this process."""
+        workspace = authenticate(request.headers, self.holder.current)
+        if not self.has_secret:
+            raise MintingDisabled('got no minting_secret in the settings')
+        self.metrics.count('keys_minted')
+        key = self.routing.requests.minter.mint(workspace)
+        return json_response(
+            {'idempotency_key': key, 'expires_in_s': MINTED_LIFETIME_S},
+        )
+
+    async def call_plain(self, request: web.Request) -> web.StreamResponse:
+        """Serve a call to a plain service."""
+        workspace = authenticate(request.headers, self.holder.current)
+        call = ServiceCall(
+            request_id=request[REQUEST_ID],
+            workspace=workspace,
+            method=request.method,
+            target=request.raw_path,
+            headers=dict(request.headers),
+            body=await read_body(request),
+            arrived_at=self.clock.monotonic(),
+            created=int(self.clock.wall()),
+        )
+        with self.counted(call.request_id):
+            if call.key:
+                return await self.serve_keyed(request, call)
+            return await self._serve_unkeyed(request, call)
+
+    async def serve_keyed(
+        self,
+        request: web.Request,
+        call: ServiceCall,
+    ) -> web.StreamResponse:
+        """Serve a call that carries an idempotency key."""
+        sink = HttpSink(request)
+        try:
+            await self.routing.serve(call, sink)
+        except RudderError as error:
+            self.metrics.count('keyed_refusals', code=error.code)
+            return await sink.break_off(error)
+        return await sink.end()
+
+    async def look_up(self, request: web.Request) -> web.Response:
+        """Return the record of a workspace's key."""
+        workspace = request.query.get('workspace', '')
+        key = request.query.get('key', '')
+        if not workspace or not key or is_minted(key):
+            raise BadLookUp('expected workspace and key in the query')
+        requests = self.routing.requests
+        record = await requests.store.look_up(row_key(workspace, key))
+        if record is None:
+            raise KeyUnknown(f'workspace {workspace} has no record of the key')
+        shown = dict(record_to_fields(record))
+        shown['answer_kept'] = shown.pop('answer') is not None
+        shown['owner_living'] = requests.is_living(record.owner)
+        return json_response(shown)
+
+    async def _serve_unkeyed(
+        self,
+        request: web.Request,
+        call: ServiceCall,
+    ) -> web.StreamResponse:
+        passage = Passage(self.invariants, call.request_id)
+        sink = HttpSink(request)
+        try:
+            await self.plain.execute(call, passage, sink)
+        except RudderError as error:
+            return await sink.break_off(passage.close(error))
+        return await sink.end()
--- a/primroserudder/process/settings.py
+++ b/primroserudder/process/settings.py
@@ -86,6 +86,8 @@
     callers: Listener
     drain_notice_s: float = Field(default=DRAIN_NOTICE_S, ge=0)
     max_body_bytes: int = Field(default=DEFAULT_BODY_BYTES, gt=0)
+    # Signs the keys that entries mint; the same for all entries.
+    minting_secret: str = Field(default='', pattern='^(.{16,})?$')
 
 
 class ControllerSettings(NodeSettings):
--- a/primroserudder/programs/common.py
+++ b/primroserudder/programs/common.py
@@ -8,11 +8,12 @@
 import sys
 from collections.abc import Awaitable, Callable
 from importlib.metadata import version
-from typing import Protocol, TypeVar
+from typing import NoReturn, Protocol, TypeVar
 
 import uvloop
 from loguru import logger
 from pydantic import BaseModel
+from uvloop.loop import libuv_get_version  # type: ignore[attr-defined]
 
 from ..errors import RudderError
 from ..process.logs import configure_logs
@@ -26,6 +27,9 @@
 
 # The brief rules out io_uring, which libuv would use if it is not told.
 _LIBUV_SETTING = 'UV_USE_IO_URING'
+_FIRST_LIBUV_THAT_ALWAYS_RINGS = (1, 49)
+_BYTE_BITS = 8
+_BYTE_VALUES = 256
 
 _Settings = TypeVar('_Settings', bound=BaseModel)
 
@@ -41,7 +45,16 @@
 
 
 def new_loop() -> asyncio.AbstractEventLoop:
-    """Return an event loop that uses no io_uring."""
+    """Return an event loop that uses no io_uring.
+
+    Explanation
+    ===========
+    From version 1.49 on, libuv opens a ring for its calls of ``epoll_ctl``
+    whatever the environment says, so that such a uvloop is not used.
+    """
+    found = divmod(libuv_get_version() >> _BYTE_BITS, _BYTE_VALUES)
+    if found >= _FIRST_LIBUV_THAT_ALWAYS_RINGS:
+        return asyncio.new_event_loop()
     os.environ[_LIBUV_SETTING] = '0'
     return uvloop.new_event_loop()
 
@@ -56,9 +69,18 @@
     return await main
 
 
+class OneLineParser(argparse.ArgumentParser):
+    """Tells wrong use in one line that names the remedy."""
+
+    def error(self, message: str) -> NoReturn:
+        """Write the fault and end."""
+        program = self.prog
+        self.exit(EXIT_USAGE, f'wrong_use: {message}; see {program} --help\n')
+
+
 def parser(program: str, description: str) -> argparse.ArgumentParser:
     """Return a parser with the flags of all programs."""
-    made = argparse.ArgumentParser(prog=program, description=description)
+    made = OneLineParser(prog=program, description=description)
     made.add_argument(
         '--version',
         action='version',
@@ -88,9 +110,10 @@
     return made
 
 
-def complain(error: RudderError) -> None:
+def complain(error: RudderError, told_code: str = '') -> None:
     """Write one line that names the fault and the remedy."""
-    sys.stderr.write(f'{error.code}: {error}; {error.remedy}\n')
+    code = told_code or error.code
+    sys.stderr.write(f'{code}: {error}; {error.remedy}\n')
 
 
 def serve_from_settings(
--- a/primroserudder/programs/crashes.py
+++ b/primroserudder/programs/crashes.py
@@ -15,7 +15,7 @@
 )
 from ..process.platform import Transaction, Write
 from ..standins.engine import Engine
-from .demo import EXAMPLE
+from .demo import DEMO_KEY, EXAMPLE
 from .entrynode import EntryNode
 from .local import FAILURE_DOMAINS, LOCAL_TOKEN, Local
 from .operatorclient import OperatorClient
@@ -26,6 +26,20 @@
 ORDER_LIFETIME_S = 5
 
 
+def drill_session() -> aiohttp.ClientSession:
+    """Return a session for any number of calls with the example's key."""
+    return aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(limit=0),
+        headers={'Authorization': f'Bearer {DEMO_KEY}'},
+    )
+
+
+def callers_urls(local: Local) -> list[str]:
+    """Return the callers' ports of all entries."""
+    ports = local.ports()['callers'].values()
+    return [f'http://127.0.0.1:{port}' for port in ports]
+
+
 async def ready_local(session: aiohttp.ClientSession, local: Local) -> None:
     """Apply the example and wait until every entry sees all groups serve."""
     operators = local.ports()['operators'][FAILURE_DOMAINS[0]]
@@ -76,39 +90,16 @@
                 await self._crash(self.rng.choice(busy))
 
     def _load(self, group: GroupRecord) -> int:
-        return self._engines(group)[0].running
-
-    def _engines(self, group: GroupRecord) -> list[Engine]:
-        by_vm = self.local.standins.engines_by_vm
-        return [by_vm[member.vm_id] for member in group.members]
+        return engines_of(self.local, group)[0].running
 
     async def _crash(self, group: GroupRecord) -> None:
         self.crashes += 1
         self.streams_cut += self._load(group)
-        engines = self._engines(group)
+        engines = engines_of(self.local, group)
         for engine in engines:
             engine.crash()
         await asyncio.sleep(self.rng.uniform(0, PAUSE_S))
-        await self._restore(group, engines)
-
-    async def _restore(
-        self,
-        group: GroupRecord,
-        engines: list[Engine],
-    ) -> None:
-        # In the place of a controller, so that the drill needs no minutes.
-        formed = replace(
-            group,
-            generation=group.generation + 1,
-            members=tuple(
-                replace(member, incarnation=engine.incarnation)
-                for member, engine in zip(group.members, engines, strict=True)
-            ),
-        )
-        for rank, engine in enumerate(engines):
-            engine.take_order(_order(formed, rank))
-        write = Write(formed.key, group_to_fields(formed))
-        await self.local.standins.platform.commit(Transaction((), (write,)))
+        await restore(self.local, group)
 
 
 def _order(group: GroupRecord, rank: int) -> EngineOrder:
@@ -132,3 +123,48 @@
         known.get(group.group_id) == group and book.is_serving(group)
         for group in groups
     )
+
+
+@dataclass(slots=True)
+class Repair:
+    """Forms groups anew whose leaders crashed by themselves."""
+
+    local: Local
+
+    async def run(self) -> None:
+        """Look after all groups."""
+        while self.local.entries_by_domain:
+            for group in listed_groups(self.local):
+                leader = engines_of(self.local, group)[0]
+                if leader.incarnation != group.leader.incarnation:
+                    await restore(self.local, group)
+            await asyncio.sleep(PAUSE_S)
+
+
+def engines_of(local: Local, group: GroupRecord) -> list[Engine]:
+    """Return the engines of a group, its leader first."""
+    by_vm = local.standins.engines_by_vm
+    return [by_vm[member.vm_id] for member in group.members]
+
+
+async def restore(local: Local, group: GroupRecord) -> None:
+    """Form a group anew from the engines that took the old ones' place.
+
+    Explanation
+    ===========
+    This stands in the place of a controller, so that a drill of many
+    crashes needs no hours.
+    """
+    engines = engines_of(local, group)
+    formed = replace(
+        group,
+        generation=group.generation + 1,
+        members=tuple(
+            replace(member, incarnation=engine.incarnation)
+            for member, engine in zip(group.members, engines, strict=True)
+        ),
+    )
+    for rank, engine in enumerate(engines):
+        engine.take_order(_order(formed, rank))
+    write = Write(formed.key, group_to_fields(formed))
+    await local.standins.platform.commit(Transaction((), (write,)))
--- a/primroserudder/programs/ctl.py
+++ b/primroserudder/programs/ctl.py
@@ -3,11 +3,12 @@
 import argparse
 import os
 import sys
+from functools import singledispatch
 
 import aiohttp
 
 from ..errors import RudderError
-from . import ctlconfig, ctlstate, ctlstops
+from . import ctlconfig, ctlkeys, ctlstate, ctlstops
 from .common import (
     EXIT_FAILED,
     EXIT_REFUSED,
@@ -16,14 +17,17 @@
     parser,
     run,
 )
-from .operatorclient import OperatorClient, ProcessUnreachable
+from .operatorclient import OperatorClient, ProcessUnreachable, Refused
 from .outcome import show
 
 EPILOG = """\
 exit codes: 0 done; 1 internal fault; 2 wrong use; 3 refused, nothing
-changed; 4 the process gave no answer; 5 not reached before --timeout
+changed; 4 the process gave no answer; 5 not reached before --timeout;
+6 not known whether it took effect: give the same command again with its id
 """
 
+EXIT_UNDECIDED = 6
+
 
 class InternalFault(RudderError):
     """A fault of ``rudderctl`` itself."""
@@ -57,20 +61,35 @@
     ctlconfig.add_commands(commands)
     ctlstate.add_commands(commands)
     ctlstops.add_commands(commands)
+    ctlkeys.add_commands(commands)
     return made
 
 
+@singledispatch
+def _ended_by(error: RudderError) -> int:
+    complain(error)
+    return EXIT_REFUSED
+
+
+@_ended_by.register
+def _(error: ProcessUnreachable) -> int:
+    complain(error)
+    return EXIT_UNREACHABLE
+
+
+@_ended_by.register
+def _(error: Refused) -> int:
+    complain(error, error.told_code)
+    return EXIT_UNDECIDED if error.is_undecided else EXIT_REFUSED
+
+
 async def _run(arguments: argparse.Namespace) -> int:
     async with aiohttp.ClientSession() as session:
         client = OperatorClient(session, arguments.url, arguments.token)
         try:
             outcome = await arguments.command(client, arguments)
-        except ProcessUnreachable as error:
-            complain(error)
-            return EXIT_UNREACHABLE
         except RudderError as error:
-            complain(error)
-            return EXIT_REFUSED
+            return _ended_by(error)
         except Exception as fault:
             kind = type(fault).__name__
             complain(InternalFault(f'{kind}: {fault}'))
--- a/primroserudder/programs/entrynode.py
+++ b/primroserudder/programs/entrynode.py
@@ -17,12 +17,15 @@
 from ..process.settings import EntrySettings
 from ..request.attempts import Server
 from ..request.cachewatch import CacheWatch
+from ..request.keyed import KeyedRequests
 from ..request.pinning import wanted_version
 from ..request.routing import Router
 from ..request.subset import Subset, living_entries
 from ..request.watch import WATCH_INTERVAL_S
 from .admitting import start_admission
+from .keyedparts import wire_keyed
 from .node import NodeRuntime
+from .suspectnode import share_suspects
 
 GROUP_POLL_S = 1
 ROUTING_TICK_S = 1
@@ -41,6 +44,7 @@
     stops: EntryStops = field(init=False)
     prober: Prober = field(init=False)
     cache_watch: CacheWatch = field(init=False)
+    keyed: KeyedRequests = field(init=False)
     callers_port: int = 0
     operators_port: int = 0
 
@@ -58,7 +62,7 @@
         runtime = self.runtime
         await runtime.open_clients()
         await runtime.open_peers()
-        self._wire()
+        await self._wire()
         self._register_state()
         await self._listen()
         runtime.start_common_steps()
@@ -83,6 +87,8 @@
 
     async def _listen(self) -> None:
         await self.runtime.start_peers()
+        # Runs under a key go on without their callers: wait for them.
+        self.runtime.stack.push_async_callback(self.keyed.wait_until_idle)
         self.operators_port = await self.runtime.listen_operators(
             self.is_ready,
         )
@@ -102,7 +108,7 @@
         )
         self.runtime.start_step(self.stops.step, STOP_POLL_S, 'entry_stop')
 
-    def _wire(self) -> None:
+    async def _wire(self) -> None:
         runtime = self.runtime
         engines = EngineHttp(runtime.session)
         evidence = EvidenceBook(runtime.clock)
@@ -131,6 +137,20 @@
         )
         watch = self.callers.server.watch
         runtime.start_step(watch.step, WATCH_INTERVAL_S, 'watch_attempts')
+        share_suspects(runtime, self.callers.server.isolation)
+        await self._wire_keyed()
+
+    async def _wire_keyed(self) -> None:
+        handlers = await wire_keyed(
+            self.runtime,
+            self.settings,
+            self.callers.server,
+            self.callers.counted,
+        )
+        self.keyed = handlers.routing.requests
+        self.callers.serve_keyed = handlers.serve_keyed
+        self.callers.routes.extend(handlers.routes())
+        self.runtime.operator_routes.extend(handlers.operator_routes())
 
     def _start_steps(self) -> None:
         start = self.runtime.start_step
--- a/primroserudder/programs/local.py
+++ b/primroserudder/programs/local.py
@@ -85,6 +85,7 @@
                 peers=any_port,
                 callers=any_port,
                 drain_notice_s=0,
+                minting_secret=LOCAL_TOKEN,
             ),
         )
         await entry.start()
--- a/primroserudder/programs/node.py
+++ b/primroserudder/programs/node.py
@@ -52,6 +52,7 @@
     stack: AsyncExitStack = field(default_factory=AsyncExitStack)
     is_draining: bool = False
     tasks: list[asyncio.Task[None]] = field(default_factory=list)
+    operator_routes: list[web.RouteDef] = field(default_factory=list)
     invariants: Invariants = field(init=False)
     channels: PeerChannels = field(init=False)
     session: ClientSession = field(init=False)
@@ -140,7 +141,7 @@
             is_ready=is_ready,
             publish=self.spread.publish,
             site=Site(self.state, self.membership, self.channels),
-            routes=list(stops.routes()),
+            routes=[*stops.routes(), *self.operator_routes],
         )
         app = operators.app()
         runner = await self.listen_http(
--- a/primroserudder/programs/operatorclient.py
+++ b/primroserudder/programs/operatorclient.py
@@ -14,6 +14,10 @@
 # A submission repeats what the platform does not answer for about 12 s.
 CALL_TIMEOUT_S = 30
 
+UNDECIDED_CODES = frozenset(
+    ('submission_unknown', 'stop_undecided', 'platform_outcome_unknown'),
+)
+
 
 class ProcessUnreachable(RudderError):
     """The process gave no answer."""
@@ -36,6 +40,12 @@
             remedy=str(problem.get('remedy', '')),
         )
         self.problem = problem
+        self.told_code = str(problem.get('code', self.code))
+
+    @property
+    def is_undecided(self) -> bool:
+        """Return whether the order may have taken effect all the same."""
+        return self.told_code in UNDECIDED_CODES
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/primroserudder/programs/suspectnode.py
@@ -0,0 +1,26 @@
+"""Connects an entry's isolation of suspects with its peers and operators."""
+
+from ..connection.suspectpeers import GrpcSuspectPeers, SuspectsService
+from ..connection.suspectroutes import SuspectRoutes
+from ..request.isolation import Isolation
+from ..wire import suspects_pb2_grpc
+from .node import NodeRuntime
+
+EXPIRY_S = 5
+
+
+def share_suspects(runtime: NodeRuntime, isolation: Isolation) -> None:
+    """Tell and hear of suspects; show them to operators."""
+    isolation.peers = GrpcSuspectPeers(
+        runtime.clock,
+        runtime.membership,
+        runtime.channels,
+        isolation.permits,
+    )
+    suspects_pb2_grpc.add_SuspectsServicer_to_server(
+        SuspectsService(runtime.clock, isolation.book, isolation.permits),
+        runtime.peer_server,
+    )
+    runtime.operator_routes.extend(SuspectRoutes(isolation).routes())
+    runtime.state.register('suspects', isolation.book.dump)
+    runtime.start_step(isolation.step, EXPIRY_S, 'expire_suspects')
--- a/primroserudder/programs/tests/test_broken.py
+++ b/primroserudder/programs/tests/test_broken.py
@@ -14,6 +14,7 @@
 from ...version.store import VersionStore
 from .. import ctl, entry
 from ..common import EXIT_REFUSED, EXIT_USAGE
+from ..operatorclient import Refused
 
 Break: TypeAlias = Callable[[dict[str, Any]], object]
 CLOSED_URL = 'http://127.0.0.1:9'
@@ -231,3 +232,37 @@
     path.write_text(json.dumps(_SETTINGS))
     code = _run(entry.main, monkeypatch, '--settings', str(path), '--check')
     assert code == 0
+
+
+@pytest.mark.parametrize(
+    'arguments',
+    [
+        ('--colour', 'status'),
+        ('status', '--colour'),
+        ('stop', 'plan', 'moon', 'x'),
+        (),
+    ],
+)
+def test_wrong_use_gives_one_line_with_the_remedy(
+    arguments: tuple[str, ...],
+    monkeypatch: pytest.MonkeyPatch,
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    monkeypatch.setattr('sys.argv', ['rudderctl', *arguments])
+    with pytest.raises(SystemExit):
+        ctl.main()
+    shown = capsys.readouterr().err
+    assert shown.startswith('wrong_use: ')
+    assert '; see rudderctl' in shown
+    assert shown.count('\n') == 1
+
+
+@pytest.mark.parametrize(
+    ('code', 'expected'),
+    [('submission_unknown', True), ('version_conflict', False)],
+)
+def test_unknown_outcome_is_not_taken_for_a_refusal(
+    code: str,
+    expected: bool,
+) -> None:
+    assert Refused({'code': code}).is_undecided is expected
--- a/primroserudder/request/attempts.py
+++ b/primroserudder/request/attempts.py
@@ -1,13 +1,15 @@
 """Serves one request by one or more attempts."""
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import (
     AbstractAsyncContextManager,
+    AsyncExitStack,
     asynccontextmanager,
     suppress,
 )
 from dataclasses import dataclass, field
+from typing import TypeVar
 
 import orjson
 
@@ -24,17 +26,27 @@
 from ..process.groups import GroupRecord
 from ..process.metrics import Metrics
 from .caller import CallerRequest
+from .fingerprint import fingerprint
+from .isolation import (
+    SUSPECT_POLL_S,
+    SUSPECT_WAIT_S,
+    Isolation,
+    SuspectMustWait,
+)
 from .passage import Passage
+from .permits import PermitOutcome, PermitWish
 from .relay import Send, StreamRelay
 from .retries import RetryBudget
 from .routing import NoGroupServes, Router
 from .watch import Watch
 
-MAX_RUNS = 4
+MAX_RUNS = 8
 MAX_REFUSALS_BEFORE_RUN = 3
 # A request that was lost waits this long for a group that can take over.
 TAKEOVER_WAIT_S = 10
 TAKEOVER_POLL_S = 0.1
+_Used = TypeVar('_Used')
+LOSSES = (UpstreamLost, UpstreamRefused, UpstreamUnreachable)
 
 
 @dataclass(slots=True)
@@ -47,10 +59,12 @@
     metrics: Metrics
     retries: RetryBudget = field(default_factory=RetryBudget)
     watch: Watch = field(init=False)
+    isolation: Isolation = field(init=False)
 
     def __post_init__(self) -> None:
         """Watch the attempts by the evidence that the router uses."""
         self.watch = Watch(self.clock, self.router.evidence, self.metrics)
+        self.isolation = Isolation(self.clock, self.engines, self.metrics)
 
     async def stream(
         self,
@@ -67,12 +81,10 @@
         """
         relay = StreamRelay(send)
         run = _Run(self, request, passage, relay)
-        while not relay.is_complete:
-            try:
-                async with run.attempt() as answer:
-                    await relay.run(answer)
-            except (UpstreamLost, UpstreamRefused, UpstreamUnreachable) as lost:
-                run.decide_retry(lost)
+        async with run.permits:
+            while not relay.is_complete:
+                await run.try_once(relay.run)
+            await self.isolation.note_complete(run.fingerprint)
 
     async def whole(
         self,
@@ -81,12 +93,12 @@
     ) -> bytes:
         """Return the whole answer to a request that is not streamed."""
         run = _Run(self, request, passage, StreamRelay(_refuse_events))
-        while True:
-            try:
-                async with run.attempt() as answer:
-                    return await _whole_body(answer)
-            except (UpstreamLost, UpstreamRefused, UpstreamUnreachable) as lost:
-                run.decide_retry(lost)
+        body = None
+        async with run.permits:
+            while body is None:
+                body = await run.try_once(_whole_body)
+            await self.isolation.note_complete(run.fingerprint)
+        return body
 
 
 @dataclass(slots=True)
@@ -102,29 +114,53 @@
     losses: int = 0
     lost_at: float = 0
     tried: set[str] = field(default_factory=set)
+    permits: AsyncExitStack = field(default_factory=AsyncExitStack)
+    is_isolated: bool = False
+    fingerprint: str = field(init=False)
+    group: GroupRecord = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Recognise the request by its content."""
+        self.fingerprint = fingerprint(self.request)
+
+    async def try_once(
+        self,
+        use: Callable[[EngineAnswer], Awaitable[_Used]],
+    ) -> _Used | None:
+        """Use the answer of one attempt, or return if another may follow."""
+        try:
+            async with self.attempt() as answer:
+                return await use(answer)
+        except LOSSES as lost:
+            await self.decide_retry(lost)
+        return None
 
     @asynccontextmanager
     async def attempt(self) -> AsyncIterator[EngineAnswer]:
         """Open the next attempt at a group chosen for it."""
-        group = await self._choose()
+        self.server.isolation.admit(self.fingerprint)
+        # A permit is given back only now, when a loss has been told.
+        await self.permits.aclose()
+        group = await self._isolate(await self._choose())
         self.attempts += 1
+        self.group = group
         self.tried.add(group.group_id)
         if not self.relay.position:
             self.model_version = group.model_version
         with self.server.router.dispatched(self.request, group) as flight:
             flight.progress = self._position
-            async with self._watched(group), self._open(group) as answer:
-                flight.note_answer(answer.headers)
-                yield answer
+            with self.server.isolation.running(self.fingerprint):
+                async with self._watched(group), self._open(group) as answer:
+                    flight.note_answer(answer.headers)
+                    yield answer
         self.server.retries.note_success()
 
-    def decide_retry(self, lost: RudderError) -> None:
+    async def decide_retry(self, lost: RudderError) -> None:
         """Return if another attempt is allowed, else raise the error."""
         if isinstance(lost, UpstreamRefused | UpstreamUnreachable):
             self.passage.take_back(self.attempts)
         else:
-            self.losses += 1
-            self.lost_at = self.server.clock.monotonic()
+            await self._note_loss()
         may_repeat = (
             self.request.is_idempotent or not self.passage.open_attempts
         )
@@ -135,6 +171,49 @@
             raise lost
         self.server.metrics.count('retries', code=lost.code)
 
+    async def _note_loss(self) -> None:
+        isolation = self.server.isolation
+        self.losses += 1
+        await isolation.note_loss(
+            self.fingerprint,
+            self.group,
+            self.relay.position,
+            is_isolated=self.is_isolated,
+        )
+        self.lost_at = self.server.clock.monotonic()
+        isolation.admit(self.fingerprint)
+
+    async def _isolate(self, group: GroupRecord) -> GroupRecord:
+        # A suspect needs a permit; all others run where they were placed.
+        server = self.server
+        latest = server.clock.monotonic() + SUSPECT_WAIT_S
+        taken: set[str] = set()
+        self.is_isolated = False
+        while server.isolation.book.is_suspect(self.fingerprint):
+            wish = PermitWish(
+                self.fingerprint,
+                group.group_id,
+                self.request.request_id,
+            )
+            outcome = await server.isolation.ask(wish)
+            if outcome is PermitOutcome.GRANTED:
+                await self.permits.enter_async_context(
+                    server.isolation.held(wish),
+                )
+                self.is_isolated = True
+                break
+            if server.clock.monotonic() > latest:
+                raise SuspectMustWait(
+                    'found no replica free for a run in isolation',
+                    retry_after=SUSPECT_WAIT_S,
+                )
+            taken.add(group.group_id)
+            group = server.router.choose(self.request, self.tried | taken)
+            if group.group_id in taken or outcome is PermitOutcome.REQUEST_RUNS:
+                taken.clear()
+                await asyncio.sleep(SUSPECT_POLL_S)
+        return group
+
     def _has_given_up(self) -> bool:
         now = self.server.clock.monotonic()
         if now >= self.request.deadline:
--- a/primroserudder/request/caller.py
+++ b/primroserudder/request/caller.py
@@ -111,9 +111,9 @@
         max_tokens=max_tokens,
         is_streamed=bool(body.get('stream')),
         created=arrival.created,
-        deadline=arrival.arrived_at + _deadline(arrival.headers),
+        deadline=arrival.arrived_at + deadline_s(arrival.headers),
         priority=_priority(arrival.headers, service),
-        is_idempotent=_is_idempotent(arrival.headers),
+        is_idempotent=is_idempotent(arrival.headers, service, arrival.path),
         idempotency_key=arrival.headers.get('Idempotency-Key', ''),
     )
 
@@ -169,7 +169,14 @@
     return xxhash.xxh32_intdigest(workspace.encode() + body) & HIGHEST_SEED
 
 
-def _deadline(headers: Mapping[str, str]) -> float:
+def deadline_s(headers: Mapping[str, str]) -> float:
+    """Return the seconds that a caller gives its request.
+
+    Raises
+    ======
+    BadRequest
+        The header is malformed.
+    """
     given = headers.get('Rudder-Deadline-S')
     if given is None:
         return DEFAULT_DEADLINE_S
@@ -197,10 +204,21 @@
     return min(int(given), service.priority)
 
 
-def _is_idempotent(headers: Mapping[str, str]) -> bool:
+def is_idempotent(
+    headers: Mapping[str, str],
+    service: Service,
+    path: str,
+) -> bool:
+    """Return whether a request may run more than once.
+
+    Raises
+    ======
+    BadRequest
+        The header is malformed.
+    """
     given = headers.get('Rudder-Idempotent', 'true').lower()
     if given not in {'true', 'false'}:
         raise BadRequest(
             f'got Rudder-Idempotent {given!r}: expected true or false',
         )
-    return given == 'true'
+    return given == 'true' and path not in service.non_idempotent_routes
--- /dev/null
+++ b/primroserudder/request/execution.py
@@ -0,0 +1,91 @@
+"""Runs keyed calls to model services and to plain services."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, replace
+from http import HTTPStatus
+from types import MappingProxyType
+
+from ..version.holder import VersionHolder
+from .answer import AnswerHead, Sink
+from .attempts import Server
+from .caller import Arrival, CallerRequest, parse_completion
+from .passage import Passage
+from .servicecall import Executor, ServiceCall
+
+PLAIN_PREFIX = '/services/'
+
+JSON_HEADERS: Mapping[str, str] = MappingProxyType(
+    {'Content-Type': 'application/json'},
+)
+STREAM_HEADERS: Mapping[str, str] = MappingProxyType(
+    {'Content-Type': 'text/event-stream', 'Cache-Control': 'no-cache'},
+)
+
+
+@dataclass(slots=True)
+class ModelExecution:
+    """Runs calls to model services, none of which may repeat."""
+
+    server: Server
+    holder: VersionHolder
+
+    async def execute(
+        self,
+        call: ServiceCall,
+        passage: Passage,
+        sink: Sink,
+    ) -> None:
+        """Run a completion and give its answer to a sink."""
+        request = self._request(call)
+        if request.is_streamed:
+            stream = _StreamToSink(sink)
+            await self.server.stream(request, passage, stream.send)
+            return
+        body = await self.server.whole(request, passage)
+        await sink.begin(AnswerHead(HTTPStatus.OK, JSON_HEADERS))
+        await sink.send(body)
+
+    def _request(self, call: ServiceCall) -> CallerRequest:
+        arrival = Arrival(
+            request_id=call.request_id,
+            path=call.target.partition('?')[0],
+            headers=call.headers,
+            body=call.body,
+            arrived_at=call.arrived_at,
+            created=call.created,
+        )
+        request = parse_completion(arrival, call.workspace, self.holder.current)
+        return replace(request, is_idempotent=False)
+
+
+@dataclass(slots=True)
+class Execution:
+    """Runs calls to either kind of service."""
+
+    model: Executor
+    plain: Executor
+
+    async def execute(
+        self,
+        call: ServiceCall,
+        passage: Passage,
+        sink: Sink,
+    ) -> None:
+        """Run a call and give its answer to a sink."""
+        is_plain = call.target.startswith(PLAIN_PREFIX)
+        kind = self.plain if is_plain else self.model
+        await kind.execute(call, passage, sink)
+
+
+@dataclass(slots=True)
+class _StreamToSink:
+    """Begins an answer with its first events."""
+
+    sink: Sink
+    has_begun: bool = False
+
+    async def send(self, events: bytes) -> None:
+        if not self.has_begun:
+            self.has_begun = True
+            await self.sink.begin(AnswerHead(HTTPStatus.OK, STREAM_HEADERS))
+        await self.sink.send(events)
--- /dev/null
+++ b/primroserudder/request/isolation.py
@@ -0,0 +1,192 @@
+"""Runs suspects in isolation and refuses what was condemned."""
+
+import asyncio
+from collections.abc import AsyncIterator, Iterator
+from contextlib import (
+    AsyncExitStack,
+    ExitStack,
+    asynccontextmanager,
+    contextmanager,
+)
+from dataclasses import dataclass, field
+
+from loguru import logger
+
+from ..errors import Ran, RudderError
+from ..process.clock import Clock
+from ..process.engines import EngineClient
+from ..process.evidence import holds_order
+from ..process.groups import GroupRecord, Member
+from ..process.metrics import Metrics
+from .permits import (
+    NoPeers,
+    PermitOutcome,
+    PermitTable,
+    PermitWish,
+    SuspectPeers,
+)
+from .suspects import Strike, SuspectBook
+
+CHECK_TIMEOUT_S = 1
+RENEWAL_S = 1
+SUSPECT_WAIT_S = 60
+SUSPECT_POLL_S = 0.1
+
+
+class RequestQuarantined(RudderError):
+    """The request's content crashed replicas and is refused for a time."""
+
+    code = 'request_quarantined'
+    status = 422
+    ran = Ran.NO
+    default_remedy = (
+        'do not repeat this request before Retry-After; an operator can '
+        'clear its content'
+    )
+
+
+class SuspectMustWait(RudderError):
+    """A request under suspicion found no replica for a run in isolation."""
+
+    code = 'suspect_must_wait'
+    status = 503
+    ran = Ran.NO
+    default_remedy = 'repeat after the time in Retry-After'
+
+
+@dataclass(slots=True)
+class Isolation:
+    """Keeps contents that may crash replicas apart from each other."""
+
+    clock: Clock
+    engines: EngineClient
+    metrics: Metrics
+    book: SuspectBook = field(init=False)
+    permits: PermitTable = field(init=False)
+    peers: SuspectPeers = field(init=False)
+    checks: dict[tuple[str, int], asyncio.Task[bool]] = field(
+        default_factory=dict,
+    )
+
+    def __post_init__(self) -> None:
+        """Begin without peers."""
+        self.book = SuspectBook(self.clock)
+        self.permits = PermitTable(self.clock)
+        self.peers = NoPeers(self.permits)
+
+    def admit(self, fingerprint: str) -> None:
+        """Return unless the content is in quarantine.
+
+        Raises
+        ======
+        RequestQuarantined
+            It crashed replicas; the answer comes at once.
+        """
+        remaining_s = self.book.condemned_for_s(fingerprint)
+        if remaining_s <= 0:
+            return
+        self.metrics.count('quarantined_requests')
+        raise RequestQuarantined(
+            f'content {fingerprint} crashed the replicas that ran it',
+            retry_after=remaining_s,
+        )
+
+    async def ask(self, wish: PermitWish) -> PermitOutcome:
+        """Ask for a run in isolation.
+
+        Raises
+        ======
+        RequestQuarantined
+            The content was condemned meanwhile.
+        """
+        strikes = self.book.of((wish.fingerprint,))
+        running = await self.peers.tell(self.book, strikes)
+        self.admit(wish.fingerprint)
+        if wish.fingerprint in running:
+            return PermitOutcome.REQUEST_RUNS
+        return await self.peers.ask(wish)
+
+    @asynccontextmanager
+    async def held(self, wish: PermitWish) -> AsyncIterator[None]:
+        """Renew a permit while the suspect runs; give it back after."""
+        self.metrics.count('isolated_runs')
+        renewal = asyncio.create_task(self._renew(wish))
+        async with AsyncExitStack() as stack:
+            stack.push_async_callback(self.peers.release, wish)
+            stack.callback(renewal.cancel)
+            yield
+
+    @contextmanager
+    def running(self, fingerprint: str) -> Iterator[None]:
+        """Count a content as running while the context is open."""
+        self.book.running[fingerprint] += 1
+        with ExitStack() as stack:
+            stack.callback(self.book.end_run, fingerprint)
+            yield
+
+    async def note_loss(
+        self,
+        fingerprint: str,
+        group: GroupRecord,
+        position: int,
+        *,
+        is_isolated: bool,
+    ) -> None:
+        """Note a strike if the replica itself was lost, and tell it."""
+        if not await self._is_lost(group):
+            return
+        loss = self.book.note_loss(group)
+        strike = Strike(fingerprint, loss, position, is_isolated)
+        self.book.strike(strike)
+        self.metrics.count('strikes', isolated=str(is_isolated).lower())
+        await self.peers.tell(self.book, [strike])
+        if self.book.condemned_for_s(fingerprint) > 0:
+            logger.warning('content {} is in quarantine', fingerprint)
+
+    async def note_complete(self, fingerprint: str) -> None:
+        """Clear a content whose answer is complete."""
+        if self.book.clear(fingerprint, self.clock.monotonic()):
+            self.metrics.count('cleared_suspects')
+            await self.peers.tell_cleared(fingerprint)
+
+    async def clear(self, fingerprint: str) -> bool:
+        """Clear a content here and elsewhere, as an operator asks."""
+        was_known = self.book.clear(fingerprint, self.clock.monotonic())
+        await self.peers.tell_cleared(fingerprint)
+        logger.info('content {} cleared by an operator', fingerprint)
+        return was_known
+
+    async def step(self) -> None:
+        """Forget what is too old."""
+        self.book.expire()
+
+    async def _renew(self, wish: PermitWish) -> None:
+        while True:
+            await asyncio.sleep(RENEWAL_S)
+            await self.peers.ask(wish)
+
+    async def _is_lost(self, group: GroupRecord) -> bool:
+        # All requests that ran on a replica share one look at it.
+        key = (group.group_id, group.generation)
+        if key in self.book.losses_by_key:
+            return True
+        check = self.checks.get(key)
+        if check is None:
+            check = asyncio.create_task(self._look(group))
+            self.checks[key] = check
+            check.add_done_callback(lambda _: self.checks.pop(key, None))
+        return await asyncio.shield(check)
+
+    async def _look(self, group: GroupRecord) -> bool:
+        found = await asyncio.gather(
+            *(self._holds(group, member) for member in group.members),
+        )
+        return not all(found)
+
+    async def _holds(self, group: GroupRecord, member: Member) -> bool:
+        try:
+            async with asyncio.timeout(CHECK_TIMEOUT_S):
+                status = await self.engines.status(member.address)
+        except (RudderError, TimeoutError):
+            return False
+        return holds_order(status, group, member)
--- /dev/null
+++ b/primroserudder/request/keymemory.py
@@ -0,0 +1,114 @@
+"""Minted keys that this process has run, kept in memory."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field, replace
+
+from ..errors import Ran
+from ..process.clock import Clock
+from .answer import KeptAnswer
+from .keyerrors import KeyMemoryFull
+from .mintedkey import MINTED_LIFETIME_S
+
+MAX_RECORDS = 20_000
+MAX_ANSWER_BYTES = 8_388_608
+RETRY_AFTER_S = 5
+
+
+@dataclass(frozen=True, slots=True)
+class MemoryRecord:
+    """The one attempt of a minted key."""
+
+    digest: str
+    started_at: float
+    is_ended: bool = False
+    ran: Ran = Ran.UNKNOWN
+    answer: KeptAnswer | None = None
+
+
+@dataclass(slots=True)
+class KeyMemory:
+    """Remembers each used key for as long as it may be used.
+
+    Explanation
+    ===========
+    A record is never dropped while its key is valid: a full memory refuses
+    new keys instead. Of the answers, the oldest give way to the newest.
+    """
+
+    clock: Clock
+    max_records: int = MAX_RECORDS
+    max_answer_bytes: int = MAX_ANSWER_BYTES
+    by_nonce: dict[int, MemoryRecord] = field(default_factory=dict)
+    answer_bytes: int = 0
+    _answered: dict[int, int] = field(default_factory=dict)
+
+    def find(self, nonce: int) -> MemoryRecord | None:
+        """Return the record of a key, if it was used."""
+        return self.by_nonce.get(nonce)
+
+    def start(self, nonce: int, digest: str) -> None:
+        """Note that the one attempt begins.
+
+        Raises
+        ======
+        KeyMemoryFull
+            There is no room; the key has not run.
+        """
+        self._drop_expired()
+        if len(self.by_nonce) >= self.max_records:
+            raise KeyMemoryFull(
+                f'got {self.max_records} keys in use here already',
+                retry_after=RETRY_AFTER_S,
+            )
+        now = self.clock.monotonic()
+        self.by_nonce[nonce] = MemoryRecord(digest, now)
+
+    def finish(
+        self,
+        nonce: int,
+        ran: Ran,
+        answer: KeptAnswer | None = None,
+    ) -> None:
+        """Note how the attempt ended."""
+        record = self.by_nonce.get(nonce)
+        if record is None:
+            return
+        self.by_nonce[nonce] = replace(
+            record,
+            is_ended=True,
+            ran=ran,
+            answer=answer,
+        )
+        if answer is not None:
+            self._answered[nonce] = len(answer.body)
+            self.answer_bytes += len(answer.body)
+            self._drop_answers()
+
+    def release(self, nonce: int) -> None:
+        """Forget a key whose attempt did not run."""
+        self.by_nonce.pop(nonce, None)
+
+    def dump(self) -> Mapping[str, int]:
+        """Return the sizes for the state dump."""
+        return {
+            'records': len(self.by_nonce),
+            'answers': len(self._answered),
+            'answer_bytes': self.answer_bytes,
+        }
+
+    def _drop_answers(self) -> None:
+        while self.answer_bytes > self.max_answer_bytes:
+            oldest = next(iter(self._answered))
+            record = self.by_nonce[oldest]
+            self.by_nonce[oldest] = replace(record, answer=None)
+            self.answer_bytes -= self._answered.pop(oldest)
+
+    def _drop_expired(self) -> None:
+        # Records stand in the order in which they were started.
+        earliest = self.clock.monotonic() - MINTED_LIFETIME_S
+        while self.by_nonce:
+            oldest = next(iter(self.by_nonce))
+            if self.by_nonce[oldest].started_at >= earliest:
+                return
+            self.by_nonce.pop(oldest)
+            self.answer_bytes -= self._answered.pop(oldest, 0)
--- /dev/null
+++ b/primroserudder/request/keyrecord.py
@@ -0,0 +1,126 @@
+"""The record of an idempotency key, as it stands in the platform's table."""
+
+import base64
+import enum
+import hashlib
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from ..errors import Ran
+from ..process.platform import JsonObject, Row
+from .answer import AnswerHead, KeptAnswer
+
+KEY_PREFIX = 'keys/'
+
+
+class KeyState(enum.StrEnum):
+    """Where the one attempt of a key stands."""
+
+    STARTED = 'started'
+    DONE = 'done'
+    FAILED = 'failed'
+
+
+@dataclass(frozen=True, slots=True)
+class KeyOwner:
+    """The entry whose attempt it is."""
+
+    node_id: str
+    incarnation: str
+
+
+@dataclass(frozen=True, slots=True)
+class KeyRecord:
+    """The one attempt that a key allows.
+
+    Explanation
+    ===========
+    ``claim`` is unique to the attempt, so that its owner recognises its own
+    record after a lost answer. ``epoch`` counts the table's epochs and
+    decides when the record may be removed.
+    """
+
+    row_key: str
+    workspace: str
+    digest: str
+    claim: str
+    owner: KeyOwner
+    epoch: int
+    state: KeyState = KeyState.STARTED
+    ran: Ran = Ran.UNKNOWN
+    answer: KeptAnswer | None = None
+
+
+def row_key(workspace: str, key: str) -> str:
+    """Return the key of a record's row; workspaces never share one.
+
+    Examples
+    ========
+    >>> row_key('yard', 'k1') == row_key('yard-k', '1')
+    False
+    """
+    named = f'{workspace}\0{key}'.encode()
+    digest = hashlib.sha256(named).hexdigest()
+    return f'{KEY_PREFIX}{digest}'
+
+
+def request_digest(method: str, target: str, body: bytes) -> str:
+    """Return the digest by which a repeat is told from another request."""
+    head = f'{method}\0{target}\0'.encode()
+    return hashlib.sha256(head + body).hexdigest()
+
+
+def record_to_fields(record: KeyRecord) -> JsonObject:
+    """Return a record as the fields of its row."""
+    return {
+        'workspace': record.workspace,
+        'digest': record.digest,
+        'claim': record.claim,
+        'node_id': record.owner.node_id,
+        'incarnation': record.owner.incarnation,
+        'epoch': record.epoch,
+        'state': record.state.value,
+        'ran': record.ran.value,
+        'answer': _answer_to_fields(record.answer),
+    }
+
+
+def record_from_row(row: Row) -> KeyRecord:
+    """Return the record that a row holds."""
+    fields = row.fields
+    return KeyRecord(
+        row_key=row.key,
+        workspace=str(fields['workspace']),
+        digest=str(fields['digest']),
+        claim=str(fields['claim']),
+        owner=KeyOwner(str(fields['node_id']), str(fields['incarnation'])),
+        epoch=row_epoch(row),
+        state=KeyState(str(fields['state'])),
+        ran=Ran(str(fields['ran'])),
+        answer=_answer_from_fields(fields['answer']),
+    )
+
+
+def row_epoch(row: Row) -> int:
+    """Return the epoch in which a row was claimed."""
+    return int(str(row.fields['epoch']))
+
+
+def _answer_to_fields(answer: KeptAnswer | None) -> JsonObject | None:
+    if answer is None:
+        return None
+    return {
+        'status': answer.head.status,
+        'headers': dict(answer.head.headers),
+        'body': base64.b64encode(answer.body).decode(),
+    }
+
+
+def _answer_from_fields(fields: object) -> KeptAnswer | None:
+    if not isinstance(fields, Mapping):
+        return None
+    headers = {
+        str(name): str(given) for name, given in fields['headers'].items()
+    }
+    head = AnswerHead(int(fields['status']), headers)
+    return KeptAnswer(head, base64.b64decode(fields['body']))
--- a/primroserudder/request/problem.py
+++ b/primroserudder/request/problem.py
@@ -6,11 +6,12 @@
 
 import orjson
 
-from ..errors import RudderError
+from ..errors import Ran, RudderError
 
 PROBLEM_TYPE = 'application/problem+json'
 RAN_HEADER = 'Rudder-Ran'
 REQUEST_ID_HEADER = 'Rudder-Request-Id'
+SHOULD_RETRY_HEADER = 'x-should-retry'
 
 _KINDS_BY_STATUS: Mapping[int, str] = MappingProxyType(
     {
@@ -58,6 +59,10 @@
         RAN_HEADER: error.ran.value,
         REQUEST_ID_HEADER: request_id,
     }
+    if error.ran is not Ran.NO:
+        # The OpenAI client repeats by itself on many statuses, which would
+        # run a request twice, unless it is told not to.
+        headers[SHOULD_RETRY_HEADER] = 'false'
     if error.retry_after is not None:
         headers['Retry-After'] = str(max(1, round(error.retry_after)))
     return headers
--- a/primroserudder/testing/builders.py
+++ b/primroserudder/testing/builders.py
@@ -1,8 +1,9 @@
 """Builders of test data."""
 
 import json
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import replace
+from typing import Any
 
 from ..process.engines import EngineOrder, EngineStatus
 from ..process.groups import GroupRecord, GroupState, Member
@@ -63,6 +64,28 @@
     }
 
 
+def with_plain(
+    urls: Iterable[str],
+    routes: Sequence[str] = (),
+) -> dict[str, Any]:
+    """Return the changes that add a plain service named ``refunds``."""
+    changes: dict[str, Any] = document()
+    endpoints = [{'url': url, 'failure_domain': DOMAIN} for url in urls]
+    changes['deployments']['refunds'] = {
+        'kind': 'plain',
+        'endpoints': endpoints,
+    }
+    changes['templates']['refunds'] = {
+        'service': {
+            'deployment': 'refunds',
+            'non_idempotent_routes': list(routes),
+        },
+    }
+    services = changes['workspaces'][WORKSPACE]['services']
+    services['refunds'] = {'template': 'refunds'}
+    return changes
+
+
 def document_body(**changes: object) -> bytes:
     """Return the configuration as it is submitted."""
     return json.dumps(document(**changes)).encode()
--- a/primroserudder/testing/virtualtime.py
+++ b/primroserudder/testing/virtualtime.py
@@ -1,52 +1,71 @@
-"""An event loop on virtual time, for longer runs than tests.
-
-Explanation
-===========
-Whenever all tasks wait, the clock jumps to the next timer, so that a run has
-no input and output besides timers and takes the same course each time.
-"""
+"""An event loop whose time passes only when all tasks wait."""
 
 import asyncio
 import selectors
-from collections.abc import Coroutine
+from collections.abc import Coroutine, Mapping
 from typing import Any, TypeVar
 
 _Returned = TypeVar('_Returned')
 
 
-class _JumpingSelector(selectors.SelectSelector):
-    """Waits for nothing and moves the clock on instead."""
+class _SkippingSelector(selectors.SelectSelector):
+    """Skips waiting and counts the time that it would have taken."""
 
     def __init__(self) -> None:
-        """Begin at zero."""
         super().__init__()
-        self.now: float = 0
+        self.skipped_s: float = 0
 
     def select(
         self,
         timeout: float | None = None,
     ) -> list[tuple[selectors.SelectorKey, int]]:
-        """Let the time-out pass at once."""
-        if timeout is None:
-            raise RuntimeError('all tasks wait for ever')
-        self.now += max(0, timeout)
-        return []
+        """Return what is ready now; let virtual time pass instead."""
+        if timeout:
+            self.skipped_s += timeout
+        return super().select(0)
 
 
-class VirtualLoop(asyncio.SelectorEventLoop):
-    """An event loop whose time passes only by its timers."""
+class VirtualTimeLoop(asyncio.SelectorEventLoop):
+    """A loop in virtual time, for long randomised runs without a network.
+
+    Examples
+    ========
+    >>> loop = VirtualTimeLoop()
+    >>> loop.run_until_complete(asyncio.sleep(3600))
+    >>> round(loop.time())
+    3600
+    >>> loop.close()
+    """
 
     def __init__(self) -> None:
-        """Begin at time zero."""
-        self._jumping = _JumpingSelector()
-        super().__init__(self._jumping)
+        """Begin at zero."""
+        self.skipping = _SkippingSelector()
+        self.errors: list[Mapping[str, Any]] = []
+        super().__init__(self.skipping)
+        self.set_exception_handler(self._keep_error)
 
     def time(self) -> float:
         """Return the virtual time in seconds."""
-        return self._jumping.now
+        return self.skipping.skipped_s
+
+    def close_all(self) -> None:
+        """Cancel all tasks, wait for their ends and close."""
+        tasks = asyncio.all_tasks(self)
+        for task in tasks:
+            task.cancel()
+        if tasks:
+            self.run_until_complete(asyncio.wait(tasks))
+        self.close()
+
+    def _keep_error(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        context: Mapping[str, Any],
+    ) -> None:
+        self.errors.append(context)
 
 
 def run_virtual(main: Coroutine[Any, Any, _Returned]) -> _Returned:
-    """Run a coroutine on virtual time."""
-    with asyncio.Runner(loop_factory=VirtualLoop) as runner:
+    """Run a coroutine on virtual time and return what it returns."""
+    with asyncio.Runner(loop_factory=VirtualTimeLoop) as runner:
         return runner.run(main)
--- a/primroserudder/testing/wired.py
+++ b/primroserudder/testing/wired.py
@@ -56,7 +56,7 @@
             invariants=Invariants(self.bench.metrics),
             max_body_bytes=BODY_BYTES,
         )
-        address = await self._listen(self.callers.app())
+        address = await self.listen(self.callers.app())
         self.url = f'http://{address}'
         return self
 
@@ -64,18 +64,19 @@
         """Close all ports."""
         await self.stack.aclose()
 
+    async def listen(self, app: web.Application) -> str:
+        """Serve an application and return its address."""
+        runner = await serve(app, Listener(port=0), 'test')
+        self.stack.push_async_callback(runner.cleanup)
+        port = bound_port(runner)
+        return f'127.0.0.1:{port}'
+
     async def _wire(self, group: GroupRecord) -> None:
         engines = self.bench.engines.by_address
         members = []
         for member in group.members:
             engine = engines.pop(member.address)
-            address = await self._listen(EngineStandin(engine).app())
+            address = await self.listen(EngineStandin(engine).app())
             engines[address] = engine
             members.append(replace(member, address=address))
         self.bench.directory.learn(replace(group, members=tuple(members)))
-
-    async def _listen(self, app: web.Application) -> str:
-        runner = await serve(app, Listener(port=0), 'test')
-        self.stack.push_async_callback(runner.cleanup)
-        port = bound_port(runner)
-        return f'127.0.0.1:{port}'
