--- a/primroserudder/connection/callers.py
+++ b/primroserudder/connection/callers.py
@@ -2,7 +2,12 @@
 
 import uuid
 from collections.abc import Awaitable, Callable, Iterator
-from contextlib import ExitStack, contextmanager
+from contextlib import (
+    AbstractAsyncContextManager,
+    ExitStack,
+    contextmanager,
+    nullcontext,
+)
 from dataclasses import dataclass, field
 from http import HTTPStatus
 
@@ -14,6 +19,7 @@
 from ..process.clock import Clock
 from ..process.invariants import Invariants
 from ..process.metrics import Metrics
+from ..request.admission import Admission
 from ..request.attempts import Server
 from ..request.caller import (
     Arrival,
@@ -68,6 +74,7 @@
     metrics: Metrics
     invariants: Invariants
     max_body_bytes: int
+    admission: Admission | None = None
     in_flight: set[str] = field(default_factory=set)
     routes: list[web.RouteDef] = field(default_factory=list)
     serve_keyed: KeyedHandler | None = None
@@ -121,7 +128,8 @@
             if wanted.idempotency_key and self.serve_keyed is not None:
                 call = keyed_call(arrival, workspace)
                 return await self.serve_keyed(request, call)
-            return await self._serve(request, wanted)
+            async with self._admitted(wanted):
+                return await self._serve(request, wanted)
 
     @contextmanager
     def counted(self, request_id: str) -> Iterator[None]:
@@ -131,6 +139,14 @@
             stack.callback(self.in_flight.discard, request_id)
             yield
 
+    def _admitted(
+        self,
+        wanted: CallerRequest,
+    ) -> AbstractAsyncContextManager[None]:
+        if self.admission is None:
+            return nullcontext()
+        return self.admission.admitted(wanted)
+
     async def _serve(
         self,
         request: web.Request,
--- a/primroserudder/programs/entrynode.py
+++ b/primroserudder/programs/entrynode.py
@@ -2,6 +2,7 @@
 
 from collections import Counter
 from dataclasses import dataclass, field
+from functools import partial
 
 from ..connection.callers import Callers
 from ..connection.drain import Drain
@@ -15,15 +16,20 @@
 )
 from ..process.settings import EntrySettings
 from ..request.attempts import Server
+from ..request.cachewatch import CacheWatch
 from ..request.keyed import KeyedRequests
+from ..request.pinning import wanted_version
 from ..request.routing import Router
+from ..request.subset import Subset, living_entries
 from ..request.watch import WATCH_INTERVAL_S
+from .admitting import start_admission
 from .evidencesteps import EvidenceSteps
 from .keyedparts import wire_keyed
 from .node import NodeRuntime
 from .suspectnode import share_suspects
 
 GROUP_POLL_S = 1
+ROUTING_TICK_S = 1
 SWEEP_S = 1
 
 
@@ -38,6 +44,7 @@
     drain: Drain = field(init=False)
     evidence: EvidenceSteps = field(init=False)
     stops: EntryStops = field(init=False)
+    cache_watch: CacheWatch = field(init=False)
     keyed: KeyedRequests = field(init=False)
     callers_port: int = 0
     operators_port: int = 0
@@ -60,8 +67,7 @@
         self._register_state()
         await self._listen()
         runtime.start_common_steps()
-        runtime.start_step(self._poll_groups, GROUP_POLL_S, 'poll_groups')
-        self.evidence.start()
+        self._start_steps()
 
     def is_ready(self) -> bool:
         """Return whether the balancer may send new work."""
@@ -119,8 +125,15 @@
             self.directory,
             self.evidence.book,
             runtime.rng,
+            runtime.metrics,
+            partial(wanted_version, runtime.holder),
+            Subset(
+                runtime.membership.own.node_id,
+                partial(living_entries, runtime.membership),
+            ),
             in_flight_by_group,
         )
+        self.cache_watch = CacheWatch(router, engines)
         self.callers = Callers(
             server=Server(router, engines, runtime.clock, runtime.metrics),
             holder=runtime.holder,
@@ -128,6 +141,7 @@
             metrics=runtime.metrics,
             invariants=runtime.invariants,
             max_body_bytes=self.settings.max_body_bytes,
+            admission=start_admission(runtime, router),
         )
         watch = self.callers.server.watch
         runtime.start_step(watch.step, WATCH_INTERVAL_S, 'watch_attempts')
@@ -146,9 +160,17 @@
         self.callers.routes.extend(handlers.routes())
         self.runtime.operator_routes.extend(handlers.operator_routes())
 
+    def _start_steps(self) -> None:
+        start = self.runtime.start_step
+        start(self._poll_groups, GROUP_POLL_S, 'poll_groups')
+        start(self.cache_watch.step, ROUTING_TICK_S, 'routing')
+        self.evidence.start()
+
     def _register_state(self) -> None:
         state = self.runtime.state
         state.register('groups', self.directory.dump)
+        state.register('routing', self.cache_watch.router.dump)
+        state.register('retry_budget', self.callers.server.retries.dump)
         state.register('drain', self.drain.dump)
         state.register('in_flight', lambda: sorted(self.callers.in_flight))
 
--- a/primroserudder/request/attempts.py
+++ b/primroserudder/request/attempts.py
@@ -1,7 +1,7 @@
 """Serves one request by one or more attempts."""
 
 import asyncio
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable, Collection
 from contextlib import (
     AbstractAsyncContextManager,
     AsyncExitStack,
@@ -36,6 +36,7 @@
 from .passage import Passage
 from .permits import PermitOutcome, PermitWish
 from .relay import Send, StreamRelay
+from .retries import RetryBudget
 from .routing import NoGroupServes, Router
 from .watch import Watch
 
@@ -56,6 +57,7 @@
     engines: EngineClient
     clock: Clock
     metrics: Metrics
+    retries: RetryBudget = field(default_factory=RetryBudget)
     watch: Watch = field(init=False)
     isolation: Isolation = field(init=False)
 
@@ -107,6 +109,7 @@
     request: CallerRequest
     passage: Passage
     relay: StreamRelay
+    model_version: str = ''
     attempts: int = 0
     losses: int = 0
     lost_at: float = 0
@@ -142,14 +145,15 @@
         self.attempts += 1
         self.group = group
         self.tried.add(group.group_id)
-        outstanding = self.server.router.outstanding_by_group
-        outstanding[group.group_id] += 1
-        try:
+        if not self.relay.position:
+            self.model_version = group.model_version
+        with self.server.router.dispatched(self.request, group) as flight:
+            flight.progress = self._position
             with self.server.isolation.running(self.fingerprint):
                 async with self._watched(group), self._open(group) as answer:
+                    flight.note_answer(answer.headers)
                     yield answer
-        finally:
-            outstanding[group.group_id] -= 1
+        self.server.retries.note_success()
 
     async def decide_retry(self, lost: RudderError) -> None:
         """Return if another attempt is allowed, else raise the error."""
@@ -162,6 +166,9 @@
         )
         if not may_repeat or self._has_given_up():
             raise lost
+        if not self.server.retries.take():
+            self.server.metrics.count('retries_refused', code=lost.code)
+            raise lost
         self.server.metrics.count('retries', code=lost.code)
 
     async def _note_loss(self) -> None:
@@ -183,30 +190,40 @@
         taken: set[str] = set()
         self.is_isolated = False
         while server.isolation.book.is_suspect(self.fingerprint):
-            wish = PermitWish(
-                self.fingerprint,
-                group.group_id,
-                self.request.request_id,
-            )
-            outcome = await server.isolation.ask(wish)
-            if outcome is PermitOutcome.GRANTED:
-                await self.permits.enter_async_context(
-                    server.isolation.held(wish),
-                )
-                self.is_isolated = True
+            outcome = await self._ask_permit(group)
+            # The wait for the permit may have outlived the choice.
+            if self.is_isolated and server.router.may_take(group, self.request):
                 break
-            if server.clock.monotonic() > latest:
-                raise SuspectMustWait(
-                    'found no replica free for a run in isolation',
-                    retry_after=SUSPECT_WAIT_S,
-                )
+            await self._leave_permit(latest)
             taken.add(group.group_id)
-            group = server.router.choose(self.request, self.tried | taken)
+            group = self._next_group(taken)
             if group.group_id in taken or outcome is PermitOutcome.REQUEST_RUNS:
                 taken.clear()
                 await asyncio.sleep(SUSPECT_POLL_S)
         return group
 
+    async def _ask_permit(self, group: GroupRecord) -> PermitOutcome:
+        isolation = self.server.isolation
+        wish = PermitWish(
+            self.fingerprint,
+            group.group_id,
+            self.request.request_id,
+        )
+        outcome = await isolation.ask(wish)
+        if outcome is PermitOutcome.GRANTED:
+            await self.permits.enter_async_context(isolation.held(wish))
+            self.is_isolated = True
+        return outcome
+
+    async def _leave_permit(self, latest: float) -> None:
+        self.is_isolated = False
+        await self.permits.aclose()
+        if self.server.clock.monotonic() > latest:
+            raise SuspectMustWait(
+                'found no replica free for a run in isolation',
+                retry_after=SUSPECT_WAIT_S,
+            )
+
     def _has_given_up(self) -> bool:
         now = self.server.clock.monotonic()
         if now >= self.request.deadline:
@@ -219,17 +236,25 @@
     async def _choose(self) -> GroupRecord:
         # The caller may hold a part of the answer, so that it is worth a
         # short wait until the groups around the lost one are whole again.
-        choose = self.server.router.choose
         clock = self.server.clock
         latest = self.lost_at + TAKEOVER_WAIT_S
         while self.losses and clock.monotonic() < latest:
             with suppress(NoGroupServes):
-                group = choose(self.request, self.tried)
+                group = self._next_group()
                 if group.group_id not in self.tried:
                     return group
             self.tried.clear()
             await asyncio.sleep(TAKEOVER_POLL_S)
-        return choose(self.request, self.tried)
+        return self._next_group()
+
+    def _next_group(self, taken: Collection[str] = ()) -> GroupRecord:
+        # An answer that has begun is continued by the same model version.
+        version = self.model_version if self.relay.position else ''
+        avoided = self.tried.union(taken)
+        return self.server.router.choose(self.request, avoided, version)
+
+    def _position(self) -> int:
+        return self.relay.position
 
     def _watched(
         self,
--- a/primroserudder/testing/fakes.py
+++ b/primroserudder/testing/fakes.py
@@ -10,6 +10,7 @@
 
 from ..process.clock import Clock
 from ..process.engines import (
+    LOAD_HEADER,
     CacheEvent,
     ConnectionRefused,
     EngineAnswer,
@@ -17,6 +18,7 @@
     EngineOrder,
     EngineStatus,
     UpstreamUnreachable,
+    load_to_header,
 )
 from ..process.groups import GroupRecord
 from ..request.caller import prompt_text
@@ -88,8 +90,9 @@
         frames = _frames(engine, call)
         # A refusal comes before the answer's headers.
         first = await anext(frames, b'')
+        headers = {LOAD_HEADER: load_to_header(engine.load)}
         async with aclosing(frames), aclosing(_rest(first, frames)) as body:
-            yield FakeAnswer(body)
+            yield FakeAnswer(body, headers=headers)
 
     async def cancel(self, address: str, request_id: str) -> None:
         """Stop a request."""
@@ -101,7 +104,7 @@
         after: int,
     ) -> Sequence[CacheEvent]:
         """Return the cache events after a number."""
-        return self._reach(address).cache.events[after:]
+        return self._reach(address).cache.events.after(after)
 
     async def export_cache(self, address: str, request_id: str) -> bytes:
         """Return the KV cache of a request."""
