Work out the two-year target and name what does not hold

Cause: the page held no lines on evidence, platform and controller, and no word on which mechanism gives way first.

Change: bin/bench also measures routing decisions and the digests of 8, 20 and 34 entries; the page states its reading, the first bottleneck, the lines over budget and what is not measured.

--- a/primroserudder/programs/bench/collect.py
+++ b/primroserudder/programs/bench/collect.py
@@ -11,6 +11,7 @@
 
 COMMAND = 'bin/bench'
 _REPORT = TypeAdapter(RestReport)
+_EVIDENCE = TypeAdapter(dict[str, float])
 
 # Each part: the slope's name, the field of the report, and its unit.
 BY_ENTRIES = (
@@ -20,6 +21,10 @@
     ('platform_reads_by_entry', 'platform_reads_per_s', 'reads a second'),
     ('platform_writes_by_entry', 'platform_writes_per_s', 'writes a second'),
 )
+EVIDENCE = (
+    ('evidence_bytes', 'peer_bytes_sent_each_s', 'bytes a second'),
+    ('evidence_cpu', 'cpu_percent_with_grpc', '% of a core'),
+)
 BY_ENGINES = (
     ('entry_cpu_by_engine', 'entry_cpu_share', 'cores'),
     ('entry_rss_by_engine', 'entry_rss_bytes', 'bytes'),
@@ -35,6 +40,7 @@
     made.add_argument('--slopes', type=pathlib.Path, nargs='+', required=True)
     made.add_argument('--by-entries', type=pathlib.Path, nargs='+')
     made.add_argument('--by-engines', type=pathlib.Path, nargs='+')
+    made.add_argument('--evidence', type=pathlib.Path, nargs='+')
     made.add_argument('--out', type=pathlib.Path, required=True)
     arguments = made.parse_args()
     slopes = [
@@ -42,11 +48,26 @@
         for path in arguments.slopes
         for slope in read_slopes(path).values()
     ]
+    slopes += _evidence_slopes(arguments.evidence)
     slopes += _rest_slopes(arguments.by_entries, BY_ENTRIES, 'entries')
     slopes += _rest_slopes(arguments.by_engines, BY_ENGINES, 'engines')
     write_slopes(arguments.out, slopes)
 
 
+def _evidence_slopes(paths: Sequence[pathlib.Path]) -> Sequence[Slope]:
+    reports = [_EVIDENCE.validate_json(path.read_bytes()) for path in paths]
+    return [
+        fit(
+            name,
+            unit,
+            'entry of the failure domain',
+            COMMAND,
+            [Point(report['entries'], report[field]) for report in reports],
+        )
+        for name, field, unit in EVIDENCE
+    ]
+
+
 def _rest_slopes(
     paths: Sequence[pathlib.Path],
     wanted: Sequence[tuple[str, str, str]],
--- /dev/null
+++ b/primroserudder/programs/bench/decisions.py
@@ -0,0 +1,27 @@
+"""Measures what one routing decision costs by the number of engines."""
+
+import argparse
+import pathlib
+
+from ...testing.decisionbench import SIZES, measure_decisions
+from .slope import Point, fit, write_slopes
+
+COMMAND = 'bin/bench'
+DECISIONS = 2000
+SEED = 1
+MICROSECOND = 1e-6
+
+
+def main() -> None:
+    """Write the slope to a file."""
+    made = argparse.ArgumentParser(description='Measures decisions.')
+    made.add_argument('--out', type=pathlib.Path, required=True)
+    arguments = made.parse_args()
+    costs = [measure_decisions(size, DECISIONS, SEED) for size in SIZES]
+    points = [Point(cost.engines, cost.mean_us * MICROSECOND) for cost in costs]
+    slope = fit('decision_cpu', 'CPU seconds', 'engine', COMMAND, points)
+    write_slopes(arguments.out, [slope])
+
+
+if __name__ == '__main__':
+    main()
--- a/primroserudder/programs/bench/lines.py
+++ b/primroserudder/programs/bench/lines.py
@@ -36,7 +36,13 @@
 PERCENT = 0.01
 CONTROL_MIB = 32
 CONTROL_CPU_PERCENT = 4
-CORE_PERCENT = 100
+CONTROL_BYTES_PER_S = 4096
+PLATFORM_READS_PER_S = 2000
+# The users say several hundred.
+PLATFORM_WRITES_PER_S = 300
+LEASE_RENEWAL_S = 3
+BATCHES_PER_S = 10
+WRITES_PER_CHANGE = 2
 
 
 @dataclass(frozen=True, slots=True)
@@ -99,4 +105,123 @@
         budget=CONTROL_CPU_PERCENT,
         divisor=PERCENT,
     ),
+    Line(
+        role='entry',
+        what='evidence of life, told to peers',
+        unit='bytes/s',
+        terms=(
+            Term('evidence_bytes', ENTRIES_BY_DOMAIN, 'entries of a domain'),
+            Term('evidence_bytes', 1, '', at_zero=True),
+        ),
+        mechanism='`process/sharing`, digests over `proto/evidence.proto`',
+        budget=CONTROL_BYTES_PER_S,
+    ),
+    Line(
+        role='entry',
+        what='evidence of life, processor',
+        unit='% of a core',
+        terms=(
+            Term('evidence_cpu', ENTRIES_BY_DOMAIN, 'entries of a domain'),
+            Term('evidence_cpu', 1, '', at_zero=True),
+        ),
+        mechanism='`process/probing`, `process/sharing`',
+        budget=CONTROL_CPU_PERCENT,
+    ),
+    Line(
+        role='entry',
+        what='all control at rest, processor',
+        unit='% of a core',
+        terms=(
+            Term('entry_cpu_by_entry', NODES, 'entries'),
+            Term('entry_cpu_by_entry', 1, '', at_zero=True),
+        ),
+        mechanism='exchange with every known node (`process/membership`)',
+        budget=CONTROL_CPU_PERCENT,
+        divisor=PERCENT,
+    ),
+    Line(
+        role='entry',
+        what='routing decisions',
+        unit='% of a core',
+        terms=(
+            Term(
+                'decision_cpu',
+                REQUESTS_BY_NODE * ENGINES,
+                'requests a second x engines',
+            ),
+            Term('decision_cpu', REQUESTS_BY_NODE, 'requests a second', True),
+        ),
+        mechanism='`request/routing` over a bounded set of groups',
+        divisor=PERCENT,
+    ),
+    Line(
+        role='controller',
+        what='control state, growth over an empty process',
+        unit='MiB',
+        terms=(
+            Term(
+                'controller_rss_by_engine',
+                ENGINES_BY_DOMAIN,
+                'engines of a domain',
+            ),
+        ),
+        mechanism='`process/controller`, one failure domain each',
+        budget=CONTROL_MIB,
+        divisor=MIB,
+    ),
+    Line(
+        role='controller',
+        what='control at rest, processor',
+        unit='% of a core',
+        terms=(
+            Term(
+                'controller_cpu_by_engine',
+                ENGINES_BY_DOMAIN,
+                'engines of a domain',
+            ),
+            Term('controller_cpu_by_engine', 1, '', at_zero=True),
+        ),
+        mechanism='`process/controller`, evidence from its entries',
+        budget=CONTROL_CPU_PERCENT,
+        divisor=PERCENT,
+    ),
+    Line(
+        role='platform',
+        what='reads at rest',
+        unit='reads/s',
+        terms=(Term('platform_reads_by_entry', NODES, 'entries'),),
+        mechanism='polls of groups, stops, nodes and the head row',
+        budget=PLATFORM_READS_PER_S,
+    ),
+    Line(
+        role='platform',
+        what='writes at rest: registration, leases',
+        unit='writes/s',
+        terms=(
+            Term('platform_writes_by_entry', NODES, 'entries'),
+            Term('', DOMAINS / LEASE_RENEWAL_S, 'renewals of leases'),
+        ),
+        mechanism='`process/membership`, `process/lease`',
+        budget=PLATFORM_WRITES_PER_S,
+    ),
+    Line(
+        role='platform',
+        what="records of callers' own idempotency keys",
+        unit='writes/s',
+        terms=(
+            Term('', NODES * BATCHES_PER_S, 'batches, one entry each 100 ms'),
+        ),
+        mechanism='`request/keybatch`; minted keys need no write',
+        budget=PLATFORM_WRITES_PER_S,
+    ),
+    Line(
+        role='platform',
+        what='accepted changes',
+        unit='writes/s',
+        terms=(
+            Term('', WRITES_PER_CHANGE * CHANGES_PER_S, 'object and head row'),
+        ),
+        mechanism='`version/store`',
+        budget=PLATFORM_WRITES_PER_S,
+    ),
 )
