Let a dark fabric domain condemn nobody: look before an isolated run

The domain has two groups. A stream lost with the first was sent in isolation to the second, which was gone already while its evidence was still fresh, and so the content had two losses to its name. Ruled out: the rule that voids strikes of a dark domain, which asks for a lost group on which the content did not run.

Change: with the permit in hand the group's members are asked at once; one that does not answer is left, and the run is placed elsewhere or waits for a group to take over.

Conclusion: a replica that was gone before the run no longer counts against the content.

--- a/primroserudder/request/attempts.py
+++ b/primroserudder/request/attempts.py
@@ -196,7 +196,7 @@
                 break
             await self._leave_permit(latest)
             taken.add(group.group_id)
-            group = self._next_group(taken)
+            group = await self._choose(taken)
             if group.group_id in taken or outcome is PermitOutcome.REQUEST_RUNS:
                 taken.clear()
                 await asyncio.sleep(SUSPECT_POLL_S)
@@ -212,7 +212,9 @@
         outcome = await isolation.ask(wish)
         if outcome is PermitOutcome.GRANTED:
             await self.permits.enter_async_context(isolation.held(wish))
-            self.is_isolated = True
+            # Evidence may be older than the loss of a whole fabric domain;
+            # a replica that was gone before must not count as the content's.
+            self.is_isolated = await isolation.answers(group)
         return outcome
 
     async def _leave_permit(self, latest: float) -> None:
@@ -233,19 +235,19 @@
             return is_late or self.losses >= MAX_RUNS
         return self.attempts >= MAX_REFUSALS_BEFORE_RUN
 
-    async def _choose(self) -> GroupRecord:
+    async def _choose(self, taken: Collection[str] = ()) -> GroupRecord:
         # The caller may hold a part of the answer, so that it is worth a
         # short wait until the groups around the lost one are whole again.
         clock = self.server.clock
         latest = self.lost_at + TAKEOVER_WAIT_S
         while self.losses and clock.monotonic() < latest:
             with suppress(NoGroupServes):
-                group = self._next_group()
+                group = self._next_group(taken)
                 if group.group_id not in self.tried:
                     return group
             self.tried.clear()
             await asyncio.sleep(TAKEOVER_POLL_S)
-        return self._next_group()
+        return self._next_group(taken)
 
     def _next_group(self, taken: Collection[str] = ()) -> GroupRecord:
         # An answer that has begun is continued by the same model version.
--- a/primroserudder/request/isolation.py
+++ b/primroserudder/request/isolation.py
@@ -156,6 +156,13 @@
         logger.info('content {} cleared by an operator', fingerprint)
         return was_known
 
+    async def answers(self, group: GroupRecord) -> bool:
+        """Return whether all members answer now and hold their order."""
+        found = await asyncio.gather(
+            *(self._holds(group, member) for member in group.members),
+        )
+        return all(found)
+
     async def step(self) -> None:
         """Forget what is too old and remind an entry of what is condemned."""
         self.book.expire()
@@ -181,10 +188,7 @@
         return await asyncio.shield(check)
 
     async def _look(self, group: GroupRecord) -> bool:
-        found = await asyncio.gather(
-            *(self._holds(group, member) for member in group.members),
-        )
-        return not all(found)
+        return not await self.answers(group)
 
     async def _holds(self, group: GroupRecord, member: Member) -> bool:
         try:
