Make the soak's check of tasks strict again

Cause: the check had been eased by one task for each peer after a soak of 60 s failed it by two, on a guess about peers' streams that no trace showed.

Change: no process may hold more tasks after a soak than before, as it was first written.

Conclusion: the soak stays red until the tasks are traced.

--- a/primroserudder/programs/soak.py
+++ b/primroserudder/programs/soak.py
@@ -173,10 +173,8 @@
 
 
 def _is_clean(report: Mapping[str, Any]) -> bool:
-    # A process holds one task for each stream to a peer; those come and go.
-    streams = len(report['tasks_before'])
     tasks_grew = any(
-        after > before + streams
+        after > before
         for before, after in zip(
             report['tasks_before'],
             report['tasks_after'],
