--- /dev/null
+++ b/primroserudder/fleet/call.py
@@ -0,0 +1,54 @@
+"""One caller's request while it is served."""
+
+import asyncio
+from dataclasses import dataclass, field
+
+from multidict import CIMultiDictProxy
+
+from ..platform.headers import RequestFacts
+from ..request.passage import Passage
+from .directory import pool_name
+from .repeating import Progress
+from .routes import Destination
+
+
+@dataclass(slots=True, eq=False)
+class Call:
+    """A request that was read, and how far it has come.
+
+    Explanation
+    ===========
+    Times are the event loop's. ``last_event_id`` moves on with each event
+    that was passed to the caller.
+    """
+
+    method: str
+    raw_path: str
+    headers: CIMultiDictProxy[str]
+    body: bytes
+    facts: RequestFacts
+    destination: Destination
+    received_at: float
+    deadline_at: float
+    progress: Progress
+    passage: Passage
+    last_event_id: str = ''
+    tried: set[str] = field(default_factory=set)
+
+    @property
+    def left_s(self) -> float:
+        """Return the seconds left until the deadline."""
+        return self.deadline_at - asyncio.get_running_loop().time()
+
+    @property
+    def age_s(self) -> float:
+        """Return the seconds since the request was read."""
+        return asyncio.get_running_loop().time() - self.received_at
+
+    @property
+    def pool(self) -> str:
+        """Return the name of the places that this request waits for."""
+        service = self.destination.service
+        return pool_name(
+            service.name, self.facts.model if service.engine else ''
+        )
--- /dev/null
+++ b/primroserudder/fleet/health.py
@@ -0,0 +1,78 @@
+"""Which targets are avoided for now, and which groups are given up.
+
+Explanation
+===========
+Answers an engine that refuses connections or fails part of its requests
+while its own health check is good, and a group whose streams all stand
+still.
+"""
+
+import asyncio
+from collections import OrderedDict
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from ..process.clock import Clock
+from .attempt import AttemptResult
+from .model import Target
+from .repeating import Ending
+
+AVOID_UNREACHABLE_S = 1.0
+AVOID_REFUSING_S = 0.15
+FAILURES_TO_AVOID = 2
+MOST_LOST_GROUPS = 500
+
+
+@dataclass(slots=True)
+class TargetHealth:
+    """What this VM's own attempts and others' news tell of targets."""
+
+    clock: Clock
+    avoided_until: dict[str, float] = field(default_factory=dict)
+    failures_by_engine: dict[str, int] = field(default_factory=dict)
+    lost_by_group: OrderedDict[str, asyncio.Event] = field(
+        default_factory=OrderedDict,
+    )
+    silent: set[str] = field(default_factory=set)
+
+    def avoided(self) -> set[str]:
+        """Return the engines that get no new work now."""
+        now = self.clock.monotonic()
+        timed = {
+            engine_id
+            for engine_id, until in self.avoided_until.items()
+            if until > now
+        }
+        return timed | self.silent
+
+    def note(self, target: Target, outcome: AttemptResult, now: float) -> None:
+        """Take over how an attempt at a target ended."""
+        engine_id = target.engine_id
+        if outcome.ending is Ending.DELIVERED:
+            self.failures_by_engine.pop(engine_id, None)
+            return
+        if outcome.ending is Ending.NOT_RUN:
+            is_refusal = outcome.reason != 'no connection'
+            pause = AVOID_REFUSING_S if is_refusal else AVOID_UNREACHABLE_S
+            self.avoided_until[engine_id] = now + pause
+            return
+        failures = self.failures_by_engine.get(engine_id, 0) + 1
+        self.failures_by_engine[engine_id] = failures
+        if failures >= FAILURES_TO_AVOID:
+            self.avoided_until[engine_id] = now + AVOID_UNREACHABLE_S
+
+    def lost_event(self, group: str) -> asyncio.Event:
+        """Return what is set once a group is known to be broken."""
+        known = self.lost_by_group.get(group)
+        if known is None:
+            known = asyncio.Event()
+            self.lost_by_group[group] = known
+        self.lost_by_group.move_to_end(group)
+        while len(self.lost_by_group) > MOST_LOST_GROUPS:
+            self.lost_by_group.popitem(last=False)
+        return known
+
+    def lose(self, groups: Iterable[str]) -> None:
+        """Give up the streams of groups that are broken."""
+        for group in groups:
+            self.lost_event(group).set()
--- /dev/null
+++ b/primroserudder/fleet/ordering.py
@@ -0,0 +1,119 @@
+"""Gives the orders that groups need, each again until its effect shows."""
+
+import asyncio
+from collections.abc import Coroutine
+from dataclasses import dataclass, field
+from functools import singledispatchmethod
+
+from ..platform.orders import EngineOrders, OrderOutcome
+from ..process.clock import Clock
+from ..process.decisions import DecisionLog
+from ..process.metrics import Metrics
+from .formations import Standing
+from .model import Engine, Formation
+from .needs import Close, Join, Leave, Open, Order
+
+# An order shows in the list in a few milliseconds, an opening in 300.
+ORDER_RETRY_S = 0.6
+DELIVERED = frozenset((OrderOutcome.BEGUN, OrderOutcome.DONE))
+
+
+@dataclass(slots=True)
+class OrderGiver:
+    """Sends orders beside the holder's rounds and notes their answers."""
+
+    orders: EngineOrders
+    clock: Clock
+    log: DecisionLog
+    metrics: Metrics
+    wake: asyncio.Event
+    _ordered_at: dict[tuple[str, str], float] = field(default_factory=dict)
+    _tasks: set[asyncio.Task[None]] = field(default_factory=set)
+
+    def is_due(self, need: Order) -> bool:
+        """Return whether an order was not given a moment ago."""
+        known = self._ordered_at.get(_key(need), 0)
+        return self.clock.monotonic() - known >= ORDER_RETRY_S
+
+    def give(self, need: Order, standing: Standing) -> None:
+        """Begin to send an order."""
+        self._ordered_at[_key(need)] = self.clock.monotonic()
+        self.start(self._give(need, standing))
+
+    def hold(self, engine: Engine, formation: Formation) -> None:
+        """Let a spare engine hold a model in memory."""
+        self.start(self._hold(engine, formation))
+
+    def stage(self, engine: Engine, model: str) -> None:
+        """Let an engine load a model onto its host."""
+        self.start(self._stage(engine, model))
+
+    def start(self, work: Coroutine[object, object, None]) -> None:
+        """Run something beside the rounds."""
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    @singledispatchmethod
+    async def _give(self, need: Order, standing: Standing) -> None:
+        """Give one order and note what its answer tells."""
+        raise NotImplementedError(type(need).__name__)
+
+    @_give.register
+    async def _give_join(self, need: Join, standing: Standing) -> None:
+        outcome = await self.orders.join(need.engine, standing.formation)
+        self._note('join', need.engine, standing.formation, outcome)
+
+    @_give.register
+    async def _give_open(self, need: Open, standing: Standing) -> None:
+        standing.is_open_asked = True
+        outcome = await self.orders.open(need.engine, standing.formation)
+        self._note('open', need.engine, standing.formation, outcome)
+
+    @_give.register
+    async def _give_close(self, need: Close, standing: Standing) -> None:
+        outcome = await self.orders.close(
+            need.engine, standing.formation, at_once=need.at_once
+        )
+        if outcome in DELIVERED or outcome is OrderOutcome.UNFIT:
+            standing.is_closed = True
+        self._note('close', need.engine, standing.formation, outcome)
+
+    @_give.register
+    async def _give_leave(self, need: Leave, standing: Standing) -> None:
+        outcome = await self.orders.leave(need.engine, standing.formation)
+        if outcome in DELIVERED:
+            now = self.clock.monotonic()
+            standing.note_left(need.engine.engine_id, now)
+        self._note('leave', need.engine, standing.formation, outcome)
+
+    async def _hold(self, engine: Engine, formation: Formation) -> None:
+        outcome = await self.orders.join(engine, formation)
+        self._note('hold', engine, formation, outcome)
+
+    async def _stage(self, engine: Engine, model: str) -> None:
+        outcome = await self.orders.stage(engine, model)
+        self._note('stage', engine, Formation('', 0, model, ()), outcome)
+
+    def _note(
+        self,
+        order: str,
+        engine: Engine,
+        formation: Formation,
+        outcome: OrderOutcome,
+    ) -> None:
+        if outcome in DELIVERED:
+            self.wake.set()
+        self.metrics.count('orders', order=order, outcome=outcome.value)
+        self.log.note(
+            'order',
+            order=order,
+            engine=engine.engine_id,
+            group=formation.name,
+            model=formation.model,
+            outcome=outcome.value,
+        )
+
+
+def _key(need: Order) -> tuple[str, str]:
+    return need.engine.engine_id, type(need).__name__
--- /dev/null
+++ b/primroserudder/fleet/places.py
@@ -0,0 +1,66 @@
+"""Places and requests by pool, measured for planning and for the logs."""
+
+import asyncio
+from collections.abc import Callable, Mapping
+from dataclasses import asdict, dataclass
+
+from ..process.clock import Clock
+from ..process.decisions import DecisionLog
+from .demand import DemandMeter
+from .directory import Directory
+from .loadbook import LoadBook
+
+PLACES_INTERVAL_S = 0.5
+
+
+@dataclass(frozen=True, slots=True)
+class PoolUse:
+    """How a pool's places are used by all VMs."""
+
+    targets: int
+    slots: int
+    running: int
+    waiting: int
+
+
+@dataclass(slots=True)
+class PlaceMeter:
+    """Measures pools at intervals; the lease's holder logs them."""
+
+    directory: Directory
+    book: LoadBook
+    demand: DemandMeter
+    clock: Clock
+    log: DecisionLog
+    is_holder: Callable[[], bool]
+
+    async def run(self) -> None:
+        """Measure until cancelled."""
+        while True:
+            await asyncio.sleep(PLACES_INTERVAL_S)
+            use_by_pool = self.use_by_pool()
+            load_by_pool = {
+                pool: use.running + use.waiting
+                for pool, use in use_by_pool.items()
+            }
+            self.demand.note(load_by_pool, self.clock.monotonic())
+            if self.is_holder():
+                self.log.note('places', by_pool=self.dump())
+
+    def use_by_pool(self) -> Mapping[str, PoolUse]:
+        """Return each pool's use as far as this VM knows it."""
+        return {
+            pool: PoolUse(
+                targets=len(targets),
+                slots=sum(target.slots for target in targets),
+                running=sum(
+                    self.book.running(target.engine_id) for target in targets
+                ),
+                waiting=self.book.waiting(pool),
+            )
+            for pool, targets in self.directory.targets_by_pool().items()
+        }
+
+    def dump(self) -> Mapping[str, Mapping[str, int]]:
+        """Return the pools' use for the logs and the state dump."""
+        return {pool: asdict(use) for pool, use in self.use_by_pool().items()}
--- /dev/null
+++ b/primroserudder/fleet/serving.py
@@ -0,0 +1,300 @@
+"""Serves one caller's request: place, attempts, and the final answer."""
+
+import asyncio
+import random
+from collections import defaultdict
+from collections.abc import AsyncIterator, Callable, Collection, Iterator
+from contextlib import asynccontextmanager, contextmanager
+from dataclasses import dataclass, field
+from typing import Any
+
+import aiohttp
+
+from ..errors import Ran, RudderError
+from ..process.clock import Clock
+from ..process.decisions import DecisionLog
+from ..process.metrics import Metrics
+from .attempt import Attempt, AttemptResult, StreamSink, StreamWatch
+from .call import Call
+from .choice import choose
+from .directory import Directory
+from .health import TargetHealth
+from .loadbook import LoadBook
+from .model import RouteKind, Target
+from .repeating import Ending, RepeatBudgets, Step
+from .strikes import StrikeBook, content_digest
+from .waiting import RETRY_AFTER_NO_GROUP_S, NoPlace, WaitingRoom, patience_s
+
+# A request that was refused by an engine or lost its connection tries again
+# this soon, so that a moment's fault does not use up its offers.
+PAUSE_BETWEEN_OFFERS_S = 0.02
+
+
+class MayHaveRun(RudderError):
+    """No whole answer came and the request may have run."""
+
+    code = 'may_have_run'
+    status = 502
+    ran = Ran.UNKNOWN
+    default_remedy = 'find out whether it took effect before repeating it'
+
+
+class TooLate(RudderError):
+    """The deadline or the route's timeout passed."""
+
+    code = 'too_late'
+    status = 504
+    ran = Ran.UNKNOWN
+    default_remedy = 'allow more time, or ask for less'
+
+
+class Quarantined(RudderError):
+    """The same content lost several groups; it is not run again."""
+
+    code = 'quarantined'
+    status = 503
+    ran = Ran.NO
+    default_remedy = 'change the request; its content crashes engines'
+
+
+class BudgetSpent(RudderError):
+    """The request has not run, and the budget of repeats is used up."""
+
+    code = 'repeat_budget_spent'
+    status = 503
+    ran = Ran.NO
+    default_remedy = 'repeat the request after the time given'
+
+
+@dataclass(slots=True)
+class Server:
+    """Finds places for requests, sends them, and decides what follows."""
+
+    failure_domain: str
+    session: aiohttp.ClientSession
+    clock: Clock
+    directory: Directory
+    book: LoadBook
+    health: TargetHealth
+    strikes: StrikeBook
+    log: DecisionLog
+    metrics: Metrics
+    budgets: RepeatBudgets
+    count_vms: Callable[[], int]
+    broken_groups: Callable[[], Collection[str]]
+    draw: random.Random = field(default_factory=random.Random)
+    rooms_by_pool: dict[str, WaitingRoom] = field(default_factory=dict)
+    watches_by_head: defaultdict[str, dict[int, StreamWatch]] = field(
+        default_factory=lambda: defaultdict(dict),
+    )
+
+    async def serve(self, call: Call, sink: StreamSink) -> AttemptResult:
+        """Serve a request to its end and return the last attempt.
+
+        Raises
+        ======
+        RudderError
+            There is no answer of an engine to pass on.
+        """
+        digest = content_digest(call)
+        if self.strikes.is_quarantined(digest):
+            raise Quarantined('the same content lost several groups')
+        budget = self.budgets.of_service(call.destination.service.name)
+        budget.note_request(self.clock.monotonic())
+        try:
+            async with asyncio.timeout_at(call.deadline_at):
+                return await self._serve(call, sink, digest)
+        except TimeoutError as error:
+            raise self._overdue(call) from error
+
+    def look(self) -> None:
+        """Give places that became free to those who wait."""
+        for room in self.rooms_by_pool.values():
+            room.look()
+
+    def _overdue(self, call: Call) -> RudderError:
+        if call.passage.ran is Ran.NO:
+            return call.passage.close(NoPlace('no place in time'))
+        return call.passage.close(TooLate('the time for the request is over'))
+
+    async def _serve(
+        self,
+        call: Call,
+        sink: StreamSink,
+        digest: str,
+    ) -> AttemptResult:
+        while True:
+            target = await self._take_place(call)
+            outcome = await self._attempt(call, target, sink)
+            self._learn(call, target, outcome, digest)
+            call.progress.count(outcome.ending)
+            step = call.progress.next_step(outcome.ending, call.left_s)
+            if step is Step.REPEAT and not self._take_repeat(call):
+                step = _without_repeat(outcome.ending, call)
+            if step is not Step.REPEAT:
+                return self._finish(step, call, outcome)
+            self._note_repeat(call, target, outcome)
+            await asyncio.sleep(PAUSE_BETWEEN_OFFERS_S)
+
+    async def _take_place(self, call: Call) -> Target:
+        room = self._room(call.pool)
+        route = call.destination.route
+        has_run = bool(call.progress.runs)
+        wait_s = patience_s(route.objective_s, call.age_s, call.left_s)
+        if has_run:
+            # What was begun is finished, also when that takes longer.
+            wait_s = call.left_s
+        if not has_run and not self._targets(call):
+            raise NoPlace(
+                'no group serves the model',
+                retry_after=RETRY_AFTER_NO_GROUP_S,
+            )
+        rank = (0 if has_run else 1, float(call.destination.priority))
+        return await room.take(lambda: self._find(call), rank, wait_s)
+
+    def _targets(self, call: Call) -> list[Target]:
+        service = call.destination.service
+        broken = self.broken_groups()
+        return [
+            target
+            for target in self.directory.targets(service, call.facts.model)
+            if target.group not in broken or not target.group
+        ]
+
+    def _find(self, call: Call) -> Target | None:
+        targets = self._targets(call)
+        avoided = self.health.avoided() | call.tried
+        found = choose(targets, self.book.running, self.failure_domain, avoided)
+        if found is None and call.tried:
+            avoided = self.health.avoided()
+            found = choose(
+                targets, self.book.running, self.failure_domain, avoided
+            )
+        return found
+
+    async def _attempt(
+        self,
+        call: Call,
+        target: Target,
+        sink: StreamSink,
+    ) -> AttemptResult:
+        number = call.progress.offers + 1
+        call.passage.open(number)
+        with self._watched(call, target) as watch:
+            attempt = Attempt(self.session, call, target, sink, watch)
+            outcome = await self._until_broken(attempt)
+        if outcome.ending is Ending.NOT_RUN:
+            call.passage.take_refusal(number)
+        return outcome
+
+    @contextmanager
+    def _watched(self, call: Call, target: Target) -> Iterator[StreamWatch]:
+        """Give the place back when the attempt ends, however it does."""
+        watch = StreamWatch(asyncio.get_running_loop().time())
+        watches = self.watches_by_head[target.engine_id]
+        watches[id(watch)] = watch
+        try:
+            yield watch
+        finally:
+            watches.pop(id(watch))
+            self._room(call.pool).leave(target)
+
+    async def _until_broken(self, attempt: Attempt) -> AttemptResult:
+        """Run an attempt; give a stream up once its group is known broken."""
+        if attempt.call.destination.route.kind is not RouteKind.STREAM:
+            return await attempt.run()
+        lost = self.health.lost_event(attempt.target.group)
+        running = asyncio.ensure_future(attempt.run())
+        losing = asyncio.ensure_future(lost.wait())
+        async with _ending(losing, running):
+            await asyncio.wait(
+                (running, losing), return_when=asyncio.FIRST_COMPLETED
+            )
+        if not running.cancelled():
+            return running.result()
+        ending = Ending.CUT if attempt.sink.is_started else Ending.UNKNOWN
+        return AttemptResult(ending, 'group broken')
+
+    def _learn(
+        self,
+        call: Call,
+        target: Target,
+        outcome: AttemptResult,
+        digest: str,
+    ) -> None:
+        call.tried.add(target.engine_id)
+        self.health.note(target, outcome, self.clock.monotonic())
+        if outcome.ending is Ending.DELIVERED:
+            self.strikes.clear(digest)
+        elif outcome.has_crashed and target.group:
+            self.strikes.strike(digest, target.group)
+
+    def _take_repeat(self, call: Call) -> bool:
+        budget = self.budgets.of_service(call.destination.service.name)
+        return budget.take(self.clock.monotonic(), self.count_vms())
+
+    def _finish(
+        self,
+        step: Step,
+        call: Call,
+        outcome: AttemptResult,
+    ) -> AttemptResult:
+        if step in {Step.FINISH, Step.PASS_FAILURE}:
+            return outcome
+        if step is Step.REFUSE and call.passage.ran is Ran.NO:
+            error: RudderError = BudgetSpent(outcome.reason, retry_after=1)
+        elif call.left_s <= 0:
+            error = TooLate(outcome.reason)
+        else:
+            error = MayHaveRun(outcome.reason)
+        raise call.passage.close(error)
+
+    def _note_repeat(
+        self,
+        call: Call,
+        target: Target,
+        outcome: AttemptResult,
+    ) -> None:
+        self.metrics.count('repeats', ending=outcome.ending.value)
+        self.log.note(
+            'repeat',
+            request=call.facts.attempt_id,
+            engine=target.engine_id,
+            group=target.group,
+            ending=outcome.ending.value,
+            reason=outcome.reason,
+            runs=call.progress.runs,
+            last_event=call.last_event_id,
+        )
+
+    def _room(self, pool: str) -> WaitingRoom:
+        room = self.rooms_by_pool.get(pool)
+        if room is None:
+            room = WaitingRoom(pool, self.book, self.clock)
+            self.rooms_by_pool[pool] = room
+        return room
+
+
+@asynccontextmanager
+async def _ending(*tasks: asyncio.Task[Any]) -> AsyncIterator[None]:
+    """Cancel what still runs at the end, and wait until it has ended."""
+    try:
+        yield
+    finally:
+        unfinished = [task for task in tasks if not task.done()]
+        await _cancel(unfinished)
+
+
+async def _cancel(tasks: Collection[asyncio.Task[Any]]) -> None:
+    for task in tasks:
+        task.cancel()
+    if tasks:
+        await asyncio.wait(tasks)
+
+
+def _without_repeat(ending: Ending, call: Call) -> Step:
+    if ending is Ending.FAILED:
+        return Step.PASS_FAILURE
+    if ending is Ending.NOT_RUN and not call.progress.runs:
+        return Step.REFUSE
+    return Step.GIVE_UP
--- /dev/null
+++ b/primroserudder/fleet/silence.py
@@ -0,0 +1,38 @@
+"""Finds heads whose streams all stand still.
+
+Explanation
+===========
+Answers an engine that goes dark: its head's streams stop at once, while the
+platform's list shows the loss seconds later. A head that reads long prompts
+pauses too, so that only a pause of all its streams counts, and it leads to a
+question to the members, not to a verdict.
+"""
+
+from collections.abc import Iterable, Mapping
+
+from .attempt import StreamWatch
+
+# Some five times the pause between events of a group whose batch is full.
+SILENT_STREAM_S = 0.35
+# A first event may wait for other prompts to be read.
+SILENT_START_S = 0.9
+
+
+def silent_heads(
+    watches_by_head: Mapping[str, Mapping[int, StreamWatch]],
+    now: float,
+) -> tuple[str, ...]:
+    """Return the engines with streams none of which moved lately."""
+    return tuple(
+        head
+        for head, watches in watches_by_head.items()
+        if watches and _are_silent(watches.values(), now)
+    )
+
+
+def _are_silent(watches: Iterable[StreamWatch], now: float) -> bool:
+    return all(now - watch.moved_at > _allowed_s(watch) for watch in watches)
+
+
+def _allowed_s(watch: StreamWatch) -> float:
+    return SILENT_STREAM_S if watch.events else SILENT_START_S
--- /dev/null
+++ b/primroserudder/fleet/siteview.py
@@ -0,0 +1,78 @@
+"""What this VM knows of the site: configuration and listed engines."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from ..platform import decode_configuration, decode_engine
+from ..platform.names import (
+    CONFIGURATION_KEY,
+    ENGINES_TABLE,
+    OPERATOR_TABLE,
+)
+from ..process.clock import Clock
+from ..process.decisions import DecisionLog
+from ..process.tables import TableFollower, TableSource
+from .directory import Directory
+from .holding import ConfigurationHolder
+from .model import Configuration
+
+# A connection that fell silent is noticed after this and the call's slack.
+FEED_WAIT_S = 1.5
+# The lease's holder hears of engines at once; the others let changes gather.
+FEED_PAUSE_S = 0.3
+
+
+@dataclass(slots=True)
+class SiteView:
+    """Follows the store's tables and decodes what they hold."""
+
+    source: TableSource
+    clock: Clock
+    log: DecisionLog
+    is_holder: Callable[[], bool]
+    on_change: Callable[[], None]
+    directory: Directory = field(init=False)
+    holder: ConfigurationHolder = field(init=False)
+    configurations: TableFollower = field(init=False)
+    engines: TableFollower = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Make the followers."""
+        self.directory = Directory(decode_engine)
+        self.holder = ConfigurationHolder(decode_configuration, self.log)
+        self.configurations = self._follower(OPERATOR_TABLE)
+        self.configurations.listeners.append(self._on_configuration)
+        self.engines = self._follower(ENGINES_TABLE)
+        self.engines.listeners.append(self._on_engines)
+
+    def configuration(self) -> Configuration | None:
+        """Return the configuration in force, if one is known."""
+        return self.holder.current
+
+    def is_known(self) -> bool:
+        """Return whether configuration and engines were read once."""
+        return self.holder.current is not None and self.engines.is_known
+
+    def _follower(self, table: str) -> TableFollower:
+        return TableFollower(
+            self.source,
+            table,
+            self.clock,
+            self.log,
+            FEED_WAIT_S,
+            self._pause_s,
+        )
+
+    def _pause_s(self) -> float:
+        return 0 if self.is_holder() else FEED_PAUSE_S
+
+    def _on_configuration(self) -> None:
+        row = self.configurations.rows_by_key.get(
+            f'{OPERATOR_TABLE}/{CONFIGURATION_KEY}'
+        )
+        if self.holder.offer(row):
+            self._on_engines()
+
+    def _on_engines(self) -> None:
+        self.directory.update(self.engines.rows_by_key, self.holder.current)
+        self.on_change()
--- /dev/null
+++ b/primroserudder/fleet/tests/test_loads.py
@@ -0,0 +1,43 @@
+"""Loads of weights stay within what the weight store carries."""
+
+from ...testing.fleetdata import SMALL, SPEC, ManualClock
+from ..loads import RATE_WINDOW_S, LoadGate
+
+
+def test_loads_at_once_are_bounded() -> None:
+    clock = ManualClock()
+    gate = LoadGate(clock)
+    begun = [
+        gate.may_load(f'e{one}', SPEC, SMALL, has_traffic=True, is_urgent=True)
+        for one in range(20)
+    ]
+    assert sum(begun) == SPEC.loads_at_once
+
+
+def test_loads_a_window_stay_under_the_rate() -> None:
+    clock = ManualClock()
+    gate = LoadGate(clock)
+    begun = 0
+    for one in range(60):
+        engine_id = f'e{one}'
+        begun += gate.may_load(
+            engine_id, SPEC, SMALL, has_traffic=True, is_urgent=True
+        )
+        gate.end(engine_id)
+    assert begun <= SPEC.loads_per_s * RATE_WINDOW_S
+
+
+def test_an_engine_loads_one_model_at_a_time() -> None:
+    gate = LoadGate(ManualClock())
+    assert gate.may_load('e', SPEC, SMALL, has_traffic=True)
+    assert not gate.may_load('e', SPEC, SMALL, has_traffic=True)
+    assert gate.loading('e') == 'small'
+
+
+def test_load_that_never_showed_is_given_up() -> None:
+    clock = ManualClock()
+    gate = LoadGate(clock)
+    gate.may_load('e', SPEC, SMALL, has_traffic=True)
+    clock.advance(SMALL.load_s + 1)
+    assert not gate.loading('e')
+    assert gate.may_load('e', SPEC, SMALL, has_traffic=True)
--- /dev/null
+++ b/primroserudder/platform/configuration.py
@@ -0,0 +1,213 @@
+"""Decodes the operators' configuration into the project's types.
+
+Explanation
+===========
+The platform accepts only valid configurations, so that a value of another
+form is a fault worth telling; fields that are not known here are ignored.
+"""
+
+import itertools
+from collections.abc import Iterable
+from types import MappingProxyType
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+
+from ..errors import RudderError
+from ..fleet.model import (
+    CallerLimits,
+    Configuration,
+    EngineSpec,
+    ModelSpec,
+    Route,
+    RouteKind,
+    Service,
+    ServiceShare,
+    Workspace,
+)
+from ..process.settings import describe
+
+MILLISECONDS = 1000
+_KINDS = MappingProxyType(
+    {
+        'idempotent': RouteKind.IDEMPOTENT,
+        'non_idempotent': RouteKind.NON_IDEMPOTENT,
+        'streaming': RouteKind.STREAM,
+    }
+)
+_DEFAULTS = CallerLimits()
+
+
+class UnreadableConfiguration(RudderError):
+    """The operators' configuration has a form that is not understood."""
+
+    code = 'unreadable_configuration'
+    status = 503
+    default_remedy = 'correct the named field and submit again'
+
+
+class _Wire(BaseModel):
+    model_config = ConfigDict(frozen=True, extra='ignore')
+
+
+class _Split(_Wire):
+    service: str = Field(alias='Service')
+    weight: float = Field(alias='Weight', default=1)
+
+
+class _Route(_Wire):
+    name: str = Field(alias='Name', default='')
+    host: str = Field(alias='Host')
+    prefix: str = Field(alias='Prefix')
+    kind: str = Field(alias='RouteKind')
+    timeout_ms: float = Field(alias='TimeoutMs')
+    # The time to a response, or to a stream's first event.
+    objective_ms: float = Field(alias='SloMs', default=0)
+    pause_ms: float = Field(alias='GapSloMs', default=0)
+    priority: int = Field(alias='Priority', default=0)
+    service: str = Field(alias='Service', default='')
+    split: tuple[_Split, ...] = Field(alias='Split', default=())
+    # Engines that one client attempt may be sent to, the first included.
+    attempts: int = Field(alias='MaxAttempts', default=1)
+    is_anonymous: bool = Field(alias='Anonymous', default=False)
+    is_resumable: bool = Field(alias='Resumable', default=False)
+
+
+class _Model(_Wire):
+    name: str = Field(alias='Name')
+    size: int = 1
+    share: float = Field(alias='Share', default=1)
+    load_s: float = Field(alias='LoadS', default=0)
+    warm_s: float = Field(alias='WarmS', default=0)
+
+
+class _Engine(_Wire):
+    slots: int = Field(alias='Slots')
+    kv_tokens: int = Field(alias='KvCapacity', default=0)
+    models: tuple[_Model, ...] = Field(alias='Models', default=())
+    loads_per_s: float = Field(alias='LoadsPerS', default=1)
+    loads_at_once: int = 1
+
+
+class _Service(_Wire):
+    name: str = Field(alias='Name')
+    connections: int = Field(alias='MaxConns', default=0)
+    engine: _Engine | None = Field(alias='Engine', default=None)
+
+
+class _Tenant(_Wire):
+    name: str = Field(alias='Name')
+    keys: tuple[str, ...] = Field(alias='ApiKeys', default=())
+    priority: int | None = Field(alias='Priority', default=None)
+
+
+class _Limits(_Wire):
+    header_bytes: int = Field(
+        alias='MaxHeaderBytes', default=_DEFAULTS.header_bytes
+    )
+    body_bytes: int = Field(alias='MaxBodyBytes', default=_DEFAULTS.body_bytes)
+    header_ms: float = Field(
+        alias='HeaderTimeoutMs', default=_DEFAULTS.header_s * MILLISECONDS
+    )
+    idle_ms: float = Field(
+        alias='IdleTimeoutMs', default=_DEFAULTS.idle_s * MILLISECONDS
+    )
+
+
+class _Document(_Wire):
+    version: int = Field(alias='Version')
+    routes: tuple[_Route, ...] = Field(alias='Routes', default=())
+    services: tuple[_Service, ...] = Field(alias='Services', default=())
+    tenants: tuple[_Tenant, ...] | None = Field(alias='Tenants', default=None)
+    limits: _Limits = Field(alias='Limits', default=_Limits())
+
+
+def decode_configuration(fields: object) -> Configuration:
+    """Return the configuration that a row holds.
+
+    Raises
+    ======
+    UnreadableConfiguration
+        A field is missing or has another form.
+    """
+    try:
+        document = _Document.model_validate(fields)
+    except ValidationError as invalid:
+        raise UnreadableConfiguration(describe(invalid)) from invalid
+    workspaces = {
+        key: Workspace(tenant.name, tenant.priority)
+        for tenant in document.tenants or ()
+        for key in tenant.keys
+    }
+    limits = document.limits
+    return Configuration(
+        version=document.version,
+        routes_by_host=_by_host(document.routes),
+        services_by_name={
+            service.name: _service(service) for service in document.services
+        },
+        workspaces_by_key=workspaces,
+        has_workspaces=bool(document.tenants),
+        limits=CallerLimits(
+            limits.header_bytes,
+            limits.body_bytes,
+            limits.header_ms / MILLISECONDS,
+            limits.idle_ms / MILLISECONDS,
+        ),
+    )
+
+
+def _by_host(routes: Iterable[_Route]) -> dict[str, tuple[Route, ...]]:
+    """Return the routes by host, those with the longest prefix first."""
+    ordered = sorted(routes, key=lambda one: -len(one.prefix))
+    ordered.sort(key=_host)
+    return {
+        host: tuple(_route(route) for route in group)
+        for host, group in itertools.groupby(ordered, key=_host)
+    }
+
+
+def _host(route: _Route) -> str:
+    return route.host.lower()
+
+
+def _route(route: _Route) -> Route:
+    shares = tuple(
+        ServiceShare(part.service, part.weight) for part in route.split
+    )
+    return Route(
+        name=route.name,
+        host=_host(route),
+        prefix=route.prefix,
+        kind=_KINDS.get(route.kind, RouteKind.NON_IDEMPOTENT),
+        shares=shares or (ServiceShare(route.service, 1),),
+        timeout_s=route.timeout_ms / MILLISECONDS,
+        objective_s=route.objective_ms / MILLISECONDS,
+        pause_objective_s=route.pause_ms / MILLISECONDS,
+        priority=route.priority,
+        max_attempts=route.attempts,
+        is_anonymous=route.is_anonymous,
+        is_resumable=route.is_resumable,
+    )
+
+
+def _service(service: _Service) -> Service:
+    engine = service.engine
+    spec = None
+    if engine is not None and engine.models:
+        spec = EngineSpec(
+            slots=engine.slots,
+            models_by_name={
+                model.name: ModelSpec(
+                    model.name,
+                    model.size,
+                    model.share,
+                    model.load_s,
+                    model.warm_s,
+                )
+                for model in engine.models
+            },
+            kv_tokens=engine.kv_tokens,
+            loads_per_s=engine.loads_per_s,
+            loads_at_once=engine.loads_at_once,
+        )
+    return Service(service.name, service.connections, spec)
--- /dev/null
+++ b/primroserudder/platform/enginelist.py
@@ -0,0 +1,120 @@
+"""Decodes what engines say of themselves, in the list and in reports."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+
+from ..fleet.model import Engine, GroupState, Membership
+
+STATE_READY = 'ready'
+STATE_DRAINING = 'draining'
+
+
+class _Wire(BaseModel):
+    model_config = ConfigDict(frozen=True, extra='ignore', strict=True)
+
+
+class _Group(_Wire):
+    name: str = Field(alias='Name')
+    epoch: int
+    rank: int
+    state: str = Field(alias='State')
+
+
+class _Entry(_Wire):
+    service: str = Field(alias='Service')
+    address: str = Field(alias='Address', pattern=r'^[0-9.]+:\d+$')
+    zone: str = Field(alias='Zone')
+    slots: int = Field(alias='Slots', default=1)
+    state: str = Field(alias='State')
+    fabric_domain: str | int = Field(alias='Domain', default='')
+    staged: tuple[str, ...] = Field(alias='Staged', default=(), strict=False)
+    group: _Group | None = None
+    born: int = 0
+
+
+class _Report(_Wire):
+    staged: tuple[str, ...] = Field(alias='Staged', default=(), strict=False)
+    group: _Group | None = None
+    # Orders accepted since the engine's start.
+    orders: int = Field(alias='Sequence', default=0)
+    queued: int = Field(alias='Queued', default=0)
+    running: int = Field(alias='Active', default=0)
+    kv_used: int = Field(alias='KvUsed', default=0)
+    # Over one, the engine works so many times as long.
+    pace: float = Field(default=1, strict=False)
+    born: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class EngineReport:
+    """An engine's own report, some hundred milliseconds old."""
+
+    membership: Membership | None
+    staged: tuple[str, ...]
+    orders_accepted: int
+    queued: int
+    running: int
+    kv_used: int
+    pace: float
+    born_ms: int
+
+
+def decode_engine(
+    engine_id: str,
+    fields: Mapping[str, object],
+) -> Engine | None:
+    """Return a listed engine, or ``None`` for an entry that names none.
+
+    Examples
+    ========
+    >>> decode_engine('i-1', {'Service': 7}) is None
+    True
+    """
+    try:
+        entry = _Entry.model_validate(fields)
+    except ValidationError:
+        return None
+    if entry.state not in {STATE_READY, STATE_DRAINING}:
+        return None
+    return Engine(
+        engine_id=engine_id,
+        service=entry.service,
+        address=entry.address,
+        failure_domain=entry.zone,
+        slots=entry.slots,
+        is_draining=entry.state == STATE_DRAINING,
+        fabric_domain=str(entry.fabric_domain),
+        staged=entry.staged,
+        membership=_membership(entry.group),
+        born_ms=entry.born,
+    )
+
+
+def decode_report(fields: object) -> EngineReport | None:
+    """Return an engine's report, or ``None`` if it can't be read."""
+    try:
+        report = _Report.model_validate(fields)
+    except ValidationError:
+        return None
+    return EngineReport(
+        membership=_membership(report.group),
+        staged=report.staged,
+        orders_accepted=report.orders,
+        queued=report.queued,
+        running=report.running,
+        kv_used=report.kv_used,
+        pace=report.pace,
+        born_ms=report.born,
+    )
+
+
+def _membership(group: _Group | None) -> Membership | None:
+    if group is None or not group.name:
+        return None
+    try:
+        state = GroupState(group.state)
+    except ValueError:
+        return None
+    return Membership(group.name, group.epoch, group.rank, state)
--- /dev/null
+++ b/primroserudder/platform/headers.py
@@ -0,0 +1,166 @@
+"""Header fields of callers' requests and of engines' answers."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from http import HTTPStatus
+
+from multidict import CIMultiDict, CIMultiDictProxy
+
+from . import names
+
+Headers = CIMultiDictProxy[str]
+MILLISECONDS = 1000
+
+# RFC 9110, 7.6.1: what concerns one connection only.
+_ONE_CONNECTION = frozenset(
+    (
+        'connection',
+        'keep-alive',
+        'proxy-authenticate',
+        'proxy-authorization',
+        'proxy-connection',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+        'expect',
+        'content-length',
+    )
+)
+_SET_BY_US = frozenset(
+    name.lower()
+    for name in (
+        names.TENANT,
+        names.EXPECT_INSTANCE,
+        names.EXPECT_VERSION,
+        names.PRIORITY_CLASS,
+        names.DEADLINE_MS,
+        'Authorization',
+        'Accept-Encoding',
+    )
+)
+
+
+@dataclass(frozen=True, slots=True)
+class RequestFacts:
+    """What a caller's header fields say of its request.
+
+    Explanation
+    ===========
+    ``prompt_tokens`` and ``answer_tokens`` are the caller's own figures, the
+    second a bound; ``expected_answer_tokens`` is its guess.
+    """
+
+    attempt_id: str
+    key: str
+    model: str
+    deadline_s: float | None
+    prompt_tokens: int
+    answer_tokens: int
+    expected_answer_tokens: int
+    last_event_id: str
+
+
+def read_request(headers: Headers) -> RequestFacts:
+    """Decode the header fields that decide about a request."""
+    prompt, answer = _numbers(headers.get(names.TOKEN_USAGE, ''))
+    hint, _ = _numbers(headers.get(names.LENGTH_HINT, ''))
+    deadline_ms, _ = _numbers(headers.get(names.DEADLINE_MS, ''))
+    return RequestFacts(
+        attempt_id=headers.get(names.ATTEMPT_ID, ''),
+        key=_key(headers.get('Authorization', '')),
+        model=headers.get(names.MODEL, ''),
+        deadline_s=deadline_ms / MILLISECONDS if deadline_ms else None,
+        prompt_tokens=prompt,
+        answer_tokens=answer,
+        expected_answer_tokens=hint,
+        last_event_id=headers.get(names.LAST_EVENT_ID, ''),
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class ForwardedFields:
+    """What the system itself tells an engine about a request."""
+
+    engine_id: str
+    workspace: str
+    left_s: float
+    last_event_id: str = ''
+
+
+def forwarded(headers: Headers, fields: ForwardedFields) -> CIMultiDict[str]:
+    """Return the header fields for an engine."""
+    made = without(headers, _SET_BY_US)
+    made[names.EXPECT_INSTANCE] = fields.engine_id
+    made[names.DEADLINE_MS] = str(max(1, int(fields.left_s * MILLISECONDS)))
+    if fields.workspace:
+        made[names.TENANT] = fields.workspace
+    if fields.last_event_id:
+        made[names.LAST_EVENT_ID] = fields.last_event_id
+    return made
+
+
+def returned(headers: Headers) -> CIMultiDict[str]:
+    """Return an engine's header fields for the caller."""
+    return without(headers, frozenset())
+
+
+def without(headers: Headers, dropped: Iterable[str]) -> CIMultiDict[str]:
+    """Return the fields that may pass on, less those named."""
+    named = {
+        name.strip().lower()
+        for field in headers.getall('Connection', ())
+        for name in field.split(',')
+    }
+    unwanted = _ONE_CONNECTION | named | set(dropped)
+    return CIMultiDict(
+        (name, text)
+        for name, text in headers.items()
+        if name.lower() not in unwanted
+    )
+
+
+def says_not_run(status: int, headers: Headers) -> bool:
+    """Return whether an engine itself says that it did not run a request."""
+    return (
+        status == HTTPStatus.MISDIRECTED_REQUEST
+        or names.NOT_EXECUTED in headers
+    )
+
+
+def echoes(headers: Headers, attempt_id: str) -> bool:
+    """Return whether an answer belongs to a request."""
+    echoed = headers.get(names.ATTEMPT_ID)
+    return echoed is None or not attempt_id or echoed == attempt_id
+
+
+def is_sealed(headers: Headers) -> bool:
+    """Return whether an answer bears the engine's seal."""
+    return names.SEAL in headers
+
+
+def engine_at_fault(headers: Headers) -> str:
+    """Return the id of the engine that a refusal names, if it names one."""
+    return headers.get(names.AT_SERVER, '')
+
+
+def _key(authorization: str) -> str:
+    scheme, _, key = authorization.partition(' ')
+    return key.strip() if scheme.lower() == 'bearer' else ''
+
+
+def _numbers(text: str) -> tuple[int, int]:
+    """Return the first two whole numbers of a list, zero where there is none.
+
+    Examples
+    ========
+    >>> _numbers('1460,80'), _numbers('7'), _numbers('many')
+    ((1460, 80), (7, 0), (0, 0))
+    """
+    first, _, second = text.partition(',')
+    return _number(first), _number(second)
+
+
+def _number(text: str) -> int:
+    digits = text.strip()
+    return int(digits) if digits.isdecimal() else 0
--- /dev/null
+++ b/primroserudder/platform/names.py
@@ -0,0 +1,42 @@
+"""The platform's names on the wire, each with what it holds."""
+
+# Header fields.
+ATTEMPT_ID = 'X-Primroserudder-Attempt-Id'
+DEADLINE_MS = 'X-Primroserudder-Deadline-Ms'
+TENANT = 'X-Primroserudder-Tenant'
+EXPECT_INSTANCE = 'X-Primroserudder-Expect-Instance'
+EXPECT_VERSION = 'X-Primroserudder-Expect-Version'
+PRIORITY_CLASS = 'X-Primroserudder-Priority-Class'
+NOT_EXECUTED = 'X-Primroserudder-Not-Executed'
+SEAL = 'X-Primroserudder-Response-Seal'
+MODEL = 'X-Primroserudder-Model'
+TOKEN_USAGE = 'X-Primroserudder-Token-Usage'
+LENGTH_HINT = 'X-Primroserudder-Length-Hint'
+SERVER_LOAD = 'X-Primroserudder-Server-Load'
+AT_SERVER = 'At-Server'
+LAST_EVENT_ID = 'Last-Event-Id'
+
+# Calls.
+READY_PATH = '/api/readyz'
+REPORT_PATH = '/api/report'
+ORDER_PATH = '/api/order'
+TRANSACTION_PATH = '/api/rows-tx'
+ROWS_PATH = '/api/rows-get'
+FEED_PATH = '/api/rows-feed'
+PUT_OBJECT_PATH = '/api/blob-put/'
+GET_OBJECT_PATH = '/api/blob-get/'
+
+# Tables and keys that the platform's other writers use.
+OPERATOR_TABLE = 'op'
+CONFIGURATION_KEY = 'config'
+ENGINES_TABLE = 'servers'
+
+# Words of orders.
+JOIN = 'join'
+OPEN = 'open'
+CLOSE = 'close'
+LEAVE = 'leave'
+# Loads a model onto the host; the name says nothing of it.
+STAGE = 'Phase'
+CLOSE_AFTER_WORK = 'queue'
+CLOSE_AT_ONCE = 'shed'
--- /dev/null
+++ b/primroserudder/platform/orders.py
@@ -0,0 +1,152 @@
+"""Orders to engines, and their reports, over HTTP."""
+
+import enum
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from http import HTTPStatus
+from types import MappingProxyType
+
+import aiohttp
+import orjson
+
+from ..fleet.model import Engine, Formation
+from . import names
+from .enginelist import EngineReport, decode_report
+from .session import open_session
+
+ORDER_TIMEOUT_S = 0.5
+REPORT_TIMEOUT_S = 0.25
+
+
+class OrderOutcome(enum.StrEnum):
+    """What became of an order, as far as its answer tells."""
+
+    BEGUN = 'begun'
+    DONE = 'done'
+    UNFIT = 'unfit'
+    OUTDATED = 'outdated'
+    NOT_DELIVERED = 'not delivered'
+    UNKNOWN = 'unknown'
+
+
+_OUTCOME_BY_STATUS = MappingProxyType(
+    {
+        HTTPStatus.OK: OrderOutcome.DONE,
+        HTTPStatus.ACCEPTED: OrderOutcome.BEGUN,
+        HTTPStatus.CONFLICT: OrderOutcome.UNFIT,
+        HTTPStatus.PRECONDITION_FAILED: OrderOutcome.OUTDATED,
+        HTTPStatus.MISDIRECTED_REQUEST: OrderOutcome.NOT_DELIVERED,
+    }
+)
+_NO_REPORT = (aiohttp.ClientError, TimeoutError, OSError, ValueError)
+
+
+@dataclass(slots=True)
+class EngineOrders:
+    """Gives orders to engines; decides nothing."""
+
+    session: aiohttp.ClientSession = field(
+        default_factory=lambda: open_session(ORDER_TIMEOUT_S),
+    )
+
+    async def close_session(self) -> None:
+        """Close the connections."""
+        await self.session.close()
+
+    async def join(self, engine: Engine, formation: Formation) -> OrderOutcome:
+        """Let an engine become a member of a group."""
+        return await self._order(
+            engine,
+            {
+                'Operation': names.JOIN,
+                'group': formation.name,
+                'epoch': formation.epoch,
+                'Model': formation.model,
+                'Members': list(formation.members),
+            },
+        )
+
+    async def open(self, engine: Engine, formation: Formation) -> OrderOutcome:
+        """Let a head whose members are all ready take requests."""
+        return await self._group_order(engine, formation, names.OPEN)
+
+    async def close(
+        self,
+        engine: Engine,
+        formation: Formation,
+        *,
+        at_once: bool,
+    ) -> OrderOutcome:
+        """Let a head stop taking requests, at once or after its work."""
+        mode = names.CLOSE_AT_ONCE if at_once else names.CLOSE_AFTER_WORK
+        return await self._group_order(
+            engine, formation, names.CLOSE, {'CloseMode': mode}
+        )
+
+    async def leave(self, engine: Engine, formation: Formation) -> OrderOutcome:
+        """Let a member leave its group."""
+        return await self._group_order(engine, formation, names.LEAVE)
+
+    async def stage(self, engine: Engine, model: str) -> OrderOutcome:
+        """Let an engine load a model onto its host beside its work."""
+        return await self._order(
+            engine, {'Operation': names.STAGE, 'Model': model}
+        )
+
+    async def report(self, engine: Engine) -> EngineReport | None:
+        """Return an engine's report, or ``None`` if it gave none in time."""
+        url = f'http://{engine.address}{names.REPORT_PATH}'
+        timeout = aiohttp.ClientTimeout(total=REPORT_TIMEOUT_S)
+        try:
+            async with self.session.get(url, timeout=timeout) as answer:
+                return decode_report(orjson.loads(await answer.read()))
+        except _NO_REPORT:
+            return None
+
+    async def _group_order(
+        self,
+        engine: Engine,
+        formation: Formation,
+        operation: str,
+        more: Mapping[str, object] | None = None,
+    ) -> OrderOutcome:
+        fields = {
+            'Operation': operation,
+            'group': formation.name,
+            'epoch': formation.epoch,
+            **(more or {}),
+        }
+        return await self._order(engine, fields)
+
+    async def _order(
+        self,
+        engine: Engine,
+        fields: Mapping[str, object],
+    ) -> OrderOutcome:
+        url = f'http://{engine.address}{names.ORDER_PATH}'
+        headers = {
+            'Content-Type': 'application/json',
+            names.EXPECT_INSTANCE: engine.engine_id,
+        }
+        body = orjson.dumps(fields)
+        try:
+            async with self.session.post(
+                url, data=body, headers=headers
+            ) as answer:
+                await answer.read()
+                return _outcome(answer.status)
+        except aiohttp.ClientConnectorError:
+            return OrderOutcome.NOT_DELIVERED
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return OrderOutcome.UNKNOWN
+
+
+def _outcome(status: int) -> OrderOutcome:
+    return next(
+        (
+            outcome
+            for known, outcome in _OUTCOME_BY_STATUS.items()
+            if known == status
+        ),
+        OrderOutcome.UNFIT,
+    )
--- a/primroserudder/process/lease.py
+++ b/primroserudder/process/lease.py
@@ -50,6 +50,8 @@
     clock: Clock
     failure_domain: str
     holder: str
+    lifetime_s: float = LEASE_LIFETIME_S
+    order_lifetime_s: float = ORDER_LIFETIME_S
     fencing: int = 0
     held_until: float = 0
     settled_at: float = 0
@@ -85,6 +87,29 @@
             return self.is_held()
         return self.is_held()
 
+    def note_claim(self, claim: str) -> None:
+        """Note a foreign claim that its holder told of by another way."""
+        if self._sighting is None or self._sighting.claim != claim:
+            self._sighting = _Sighting(claim, self.clock.monotonic())
+
+    @property
+    def claim(self) -> str:
+        """Return the mark of the last renewal, empty if not held."""
+        return f'{self.holder}/{self._renewals}' if self.is_held() else ''
+
+    async def release(self) -> None:
+        """Let the next candidate take the lease at once."""
+        if not self.is_held():
+            return
+        self.held_until = 0
+        row = await self.platform.read(self.key)
+        if row is None or not self._is_own(row):
+            return
+        fields = {**row.fields, 'holder': ''}
+        condition = Condition(self.key, row.revision)
+        write = Write(self.key, fields)
+        await self.platform.commit(Transaction((condition,), (write,)))
+
     async def _try_renew(self) -> None:
         row = await self.platform.read(self.key)
         if not self._may_claim(row):
@@ -96,7 +121,7 @@
         await self._commit(row, claim, fencing, is_renewal=is_renewal)
         if not is_renewal:
             await self._begin_tenure(row, fencing)
-        self.held_until = asked_at + LEASE_LIFETIME_S * (1 - CLOCK_DRIFT_SHARE)
+        self.held_until = asked_at + self.lifetime_s * (1 - CLOCK_DRIFT_SHARE)
 
     async def _commit(
         self,
@@ -128,7 +153,7 @@
             raise Conflict('another candidate took the lease meanwhile')
         self.fencing = fencing
         self.tenure = Condition(self.tenure_key, row.revision)
-        wait_s = 0 if before is None else ORDER_LIFETIME_S
+        wait_s = 0 if before is None else self.order_lifetime_s
         self.settled_at = self.clock.monotonic() + wait_s
 
     def _next_claim(self) -> str:
@@ -139,14 +164,14 @@
         return row is not None and row.fields['holder'] == self.holder
 
     def _may_claim(self, row: Row | None) -> bool:
-        if row is None or self._is_own(row):
+        if row is None or self._is_own(row) or not row.fields['holder']:
             return True
         claim = str(row.fields['claim'])
         now = self.clock.monotonic()
         if self._sighting is None or self._sighting.claim != claim:
             self._sighting = _Sighting(claim, now)
         waited = now - self._sighting.seen_at
-        return waited > LEASE_LIFETIME_S * (1 + CLOCK_DRIFT_SHARE)
+        return waited > self.lifetime_s * (1 + CLOCK_DRIFT_SHARE)
 
 
 def _fencing(row: Row | None) -> int:
--- /dev/null
+++ b/primroserudder/testing/fleetdata.py
@@ -0,0 +1,178 @@
+"""Builders of engines, groups and calls for tests of the fleet."""
+
+import asyncio
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+
+from multidict import CIMultiDict, CIMultiDictProxy
+
+from ..fleet.call import Call
+from ..fleet.formations import Sight, Standing
+from ..fleet.model import (
+    Engine,
+    EngineSpec,
+    Formation,
+    GroupState,
+    Membership,
+    ModelSpec,
+    Route,
+    RouteKind,
+    Service,
+    ServiceShare,
+    Target,
+)
+from ..fleet.placement import FreeEngine
+from ..fleet.repeating import Progress
+from ..fleet.routes import NO_WORKSPACE, Destination
+from ..platform.headers import read_request
+from ..process.invariants import Invariants
+from ..process.metrics import Metrics
+from ..request.passage import Passage
+
+LARGE = ModelSpec('large', 6, 0.67, 16, 1.6)
+SMALL = ModelSpec('small', 3, 0.33, 12, 1.1)
+SPECS = (LARGE, SMALL)
+SPEC = EngineSpec(13, {one.name: one for one in SPECS}, 1_000_000, 5.5, 8)
+STALL_S = 4.0
+
+
+@dataclass(slots=True)
+class ManualClock:
+    """A clock that a test moves on."""
+
+    now: float = 100
+
+    def monotonic(self) -> float:
+        """Return the time set."""
+        return self.now
+
+    def wall(self) -> float:
+        """Return the time set."""
+        return self.now
+
+    def advance(self, seconds: float) -> None:
+        """Move on."""
+        self.now += seconds
+
+
+def engine(
+    engine_id: str,
+    domain: str = 'd0',
+    **fields: object,
+) -> Engine:
+    """Return a listed engine of the model service."""
+    known: dict[str, object] = {
+        'service': 'model',
+        'address': '127.0.0.1:1',
+        'failure_domain': 'fd-1',
+        'slots': 13,
+        'fabric_domain': domain,
+        'born_ms': 1,
+    }
+    return Engine(engine_id, **{**known, **fields})  # type: ignore[arg-type]
+
+
+def formation(
+    name: str = 'small.7',
+    members: Iterable[str] = ('a', 'b', 'c'),
+    model: str = 'small',
+) -> Formation:
+    """Return a formation; its epoch is the name's number."""
+    epoch = int(name.split('.')[1])
+    return Formation(name, epoch, model, tuple(members))
+
+
+def joined(
+    made: Formation,
+    engine_id: str,
+    state: GroupState = GroupState.READY,
+    **fields: object,
+) -> Engine:
+    """Return an engine that reports to be a member of a group."""
+    rank = made.members.index(engine_id)
+    membership = Membership(made.name, made.epoch, rank, state)
+    told = {**fields, 'membership': membership}
+    return engine(engine_id, **told)  # type: ignore[arg-type]
+
+
+def group(
+    made: Formation,
+    head: GroupState = GroupState.OPEN,
+) -> dict[str, Engine]:
+    """Return a group's engines by id, its head in a state."""
+    first, *others = made.members
+    return {
+        first: joined(made, first, head),
+        **{one: joined(made, one) for one in others},
+    }
+
+
+def standing(made: Formation, **fields: object) -> Standing:
+    """Return a claimed formation."""
+    born = dict.fromkeys(made.members, 1)
+    return Standing(made, born, 0, **fields)  # type: ignore[arg-type]
+
+
+def sight(
+    engines_by_id: Mapping[str, Engine],
+    now: float = 10,
+    unreachable: Iterable[str] = (),
+) -> Sight:
+    """Return what a lease's holder sees."""
+    return Sight(engines_by_id, set(unreachable), STALL_S, now)
+
+
+def free(
+    engine_id: str,
+    holds: str = '',
+    domain: str = 'd0',
+    staged: tuple[str, ...] = (),
+) -> FreeEngine:
+    """Return a free engine that holds a model in memory."""
+    return FreeEngine(engine(engine_id, domain, staged=staged), holds)
+
+
+def target(engine_id: str, slots: int = 13, domain: str = 'fd-1') -> Target:
+    """Return a place that takes requests."""
+    return Target(engine_id, '127.0.0.1:1', domain, slots, f'{engine_id}.1')
+
+
+def route(**fields: object) -> Route:
+    """Return a route of a resumable stream."""
+    known: dict[str, object] = {
+        'name': 'notes',
+        'host': 'one.example',
+        'prefix': '/notes/',
+        'kind': RouteKind.STREAM,
+        'shares': (ServiceShare('model', 1),),
+        'timeout_s': 6,
+        'objective_s': 0.25,
+        'max_attempts': 2,
+        'is_resumable': True,
+    }
+    return Route(**{**known, **fields})  # type: ignore[arg-type]
+
+
+def call(
+    made: Route | None = None,
+    headers: Mapping[str, str] | None = None,
+    body: bytes = b'text',
+) -> Call:
+    """Return a request that was read now; needs a running loop."""
+    taken = made or route()
+    fields = CIMultiDictProxy(CIMultiDict(headers or {}))
+    now = asyncio.get_running_loop().time()
+    return Call(
+        method='POST',
+        raw_path=f'{taken.prefix}1',
+        headers=fields,
+        body=body,
+        facts=read_request(fields),
+        destination=Destination(
+            taken, Service('model', 100, SPEC), NO_WORKSPACE
+        ),
+        received_at=now,
+        deadline_at=now + taken.timeout_s,
+        progress=Progress(taken),
+        passage=Passage(Invariants(Metrics()), 'request-1'),
+    )
