--- a/primroserudder/fleet/caretaking.py
+++ b/primroserudder/fleet/caretaking.py
@@ -44,6 +44,11 @@
     tenancy: Tenancy
     stock: Stock
     keeper: GroupKeeper
+    orders: EngineOrders
+
+    async def close(self) -> None:
+        """Close the connections to engines."""
+        await self.orders.close_session()
 
 
 def assemble_caretaking(
@@ -75,7 +80,7 @@
         wake,
     )
     tenancy = Tenancy(lease, exchange, clock, log, wake)
-    return Caretaking(tenancy, stock, keeper)
+    return Caretaking(tenancy, stock, keeper, orders)
 
 
 def make_lease(around: Surroundings) -> Lease:
--- a/primroserudder/fleet/ports.py
+++ b/primroserudder/fleet/ports.py
@@ -36,6 +36,7 @@
     metrics: Metrics
     is_ready: Callable[[], bool]
     dump: Callable[[], Mapping[str, object]]
+    _runners: list[web.ServerRunner] = field(default_factory=list)
     _sites: list[web.TCPSite] = field(default_factory=list)
 
     async def open(self) -> None:
@@ -64,6 +65,11 @@
         """Take no new connections of callers."""
         await self._sites[0].stop()
 
+    async def close(self) -> None:
+        """Close everything at once."""
+        for runner in self._runners:
+            await runner.cleanup()
+
     async def wait_until_idle(self, exit_at: float) -> None:
         """Wait until no request is under way, or a time of the loop."""
         loop = asyncio.get_running_loop()
@@ -71,7 +77,8 @@
             await asyncio.sleep(CLOSING_LOOK_S)
 
     async def _listen(self, server: web.Server, *addresses: str) -> None:
-        runner = web.ServerRunner(server)
+        runner = web.ServerRunner(server, shutdown_timeout=CLOSING_LOOK_S)
+        self._runners.append(runner)
         await runner.setup()
         for address in addresses:
             host, _, port = address.rpartition(':')
--- a/primroserudder/fleet/router.py
+++ b/primroserudder/fleet/router.py
@@ -49,6 +49,7 @@
     clock: Clock = field(default_factory=SystemClock)
     metrics: Metrics = field(default_factory=Metrics)
     log: DecisionLog = field(init=False)
+    store: PlatformStore = field(init=False)
     lease: Lease = field(init=False)
     book: LoadBook = field(init=False)
     view: SiteView = field(init=False)
@@ -93,8 +94,19 @@
         await self.ports.close_to_callers()
         await self.ports.wait_until_idle(exit_at)
         self.log.note('stopped', cut=door.under_way)
+
+    async def close(self) -> None:
+        """End all tasks and close what is open, without notice."""
+        self._is_stopping = True
         for task in self._tasks:
             task.cancel()
+        if self._tasks:
+            await asyncio.wait(self._tasks)
+        self.exchange.stop()
+        await self.ports.close()
+        await self.server.session.close()
+        await self.care.close()
+        await self.store.close()
 
     def is_ready(self) -> bool:
         """Return whether new connections of callers are welcome."""
@@ -122,6 +134,7 @@
         settings = self.settings
         self.log = DecisionLog(settings.node, self.clock)
         store = PlatformStore(settings.store)
+        self.store = store
         around = Surroundings(
             settings, store, self.clock, self.log, self.metrics
         )
--- /dev/null
+++ b/primroserudder/platform/tests/test_decoding.py
@@ -0,0 +1,150 @@
+"""What the platform's rows and header fields say, decoded once."""
+
+import pytest
+from multidict import CIMultiDict, CIMultiDictProxy
+
+from ...fleet.model import GroupState, RouteKind
+from ...fleet.routes import UnknownKey, UnknownRoute, find_route, find_workspace
+from ...testing.platformsite import HOST, KEY, configuration
+from ..configuration import UnreadableConfiguration, decode_configuration
+from ..enginelist import decode_engine, decode_report
+from ..headers import ForwardedFields, forwarded, read_request, says_not_run
+
+ENTRY = {
+    'Service': 'model',
+    'Address': '10.0.0.1:80',
+    'Zone': 'fd-1',
+    'Slots': 13,
+    'State': 'ready',
+    'Sequence': 4,
+    'born': 1700000000000,
+    'Domain': 'd0',
+    'Staged': ['small'],
+    'group': {'Name': 'small.7', 'epoch': 7, 'rank': 1, 'State': 'open'},
+}
+
+
+def _headers(**fields: str) -> CIMultiDictProxy[str]:
+    named = {name.replace('_', '-'): text for name, text in fields.items()}
+    return CIMultiDictProxy(CIMultiDict(named))
+
+
+def test_longest_prefix_wins() -> None:
+    routes = [
+        {
+            'Host': HOST,
+            'Prefix': '/a/',
+            'RouteKind': 'idempotent',
+            'TimeoutMs': 1,
+            'Service': 'one',
+        },
+        {
+            'Host': HOST,
+            'Prefix': '/a/b/',
+            'RouteKind': 'streaming',
+            'TimeoutMs': 1,
+            'Service': 'two',
+        },
+    ]
+    decoded = decode_configuration(configuration(Routes=routes))
+    assert find_route(decoded, HOST, '/a/b/c').shares[0].service == 'two'
+    assert find_route(decoded, HOST.upper(), '/a/c').shares[0].service == 'one'
+    with pytest.raises(UnknownRoute):
+        find_route(decoded, HOST, '/a')
+
+
+def test_kind_decides_what_may_repeat() -> None:
+    decoded = decode_configuration(configuration())
+    may_repeat = {
+        route.name: route.may_repeat for route in decoded.routes_by_host[HOST]
+    }
+    assert may_repeat == {'notes': True, 'refunds': False, 'lookups': True}
+
+
+def test_unknown_kind_is_taken_for_one_that_may_not_repeat() -> None:
+    route = {
+        'Host': HOST,
+        'Prefix': '/a/',
+        'RouteKind': 'odd',
+        'TimeoutMs': 1,
+        'Service': 'one',
+    }
+    decoded = decode_configuration(configuration(Routes=[route]))
+    kind = decoded.routes_by_host[HOST][0].kind
+    assert kind is RouteKind.NON_IDEMPOTENT
+
+
+def test_key_names_its_workspace() -> None:
+    decoded = decode_configuration(configuration())
+    route = decoded.routes_by_host[HOST][0]
+    assert find_workspace(decoded, route, KEY).name == 'north'
+    with pytest.raises(UnknownKey):
+        find_workspace(decoded, route, 'other')
+
+
+def test_fault_of_a_configuration_names_its_field() -> None:
+    with pytest.raises(UnreadableConfiguration, match='Version'):
+        decode_configuration({'Version': 'seven'})
+
+
+def test_listed_engine() -> None:
+    engine = decode_engine('i-1', ENTRY)
+    assert engine is not None
+    assert engine.membership is not None
+    assert engine.membership.state is GroupState.OPEN
+    assert engine.staged == ('small',)
+
+
+@pytest.mark.parametrize(
+    'change',
+    [
+        {'Service': None},
+        {'Address': 'somewhere'},
+        {'State': 'odd'},
+        {'Slots': 'many'},
+        {'Zone': 7},
+    ],
+)
+def test_entry_of_another_writer_names_no_engine(
+    change: dict[str, object],
+) -> None:
+    assert decode_engine('i-1', {**ENTRY, **change}) is None
+
+
+def test_report_of_a_slow_engine() -> None:
+    report = decode_report({'Sequence': 2, 'Active': 12, 'pace': 4})
+    assert report is not None
+    assert (report.orders_accepted, report.running) == (2, 12)
+    assert report.pace == pytest.approx(4)
+
+
+def test_fields_of_one_connection_and_keys_stay_behind() -> None:
+    headers = _headers(
+        Connection='X_Hop',
+        Authorization='Bearer secret',
+        X_Primroserudder_Tenant='forged',
+        X_Primroserudder_Expect_Instance='forged',
+        Transfer_Encoding='chunked',
+        X_Other='kept',
+    )
+    fields = ForwardedFields('i-1', 'north', 0.25)
+    sent = forwarded(headers, fields)
+    assert sent.getall('X-Primroserudder-Tenant') == ['north']
+    assert sent.getall('X-Primroserudder-Expect-Instance') == ['i-1']
+    assert sent['X-Primroserudder-Deadline-Ms'] == '250'
+    assert sent['X-Other'] == 'kept'
+    assert 'Authorization' not in sent
+    assert 'Transfer-Encoding' not in sent
+
+
+def test_figures_that_are_none_are_zero() -> None:
+    facts = read_request(_headers(X_Primroserudder_Token_Usage='many,more'))
+    assert (facts.prompt_tokens, facts.answer_tokens) == (0, 0)
+    assert facts.deadline_s is None
+
+
+def test_only_the_engines_own_word_says_not_run() -> None:
+    assert says_not_run(421, _headers())
+    assert says_not_run(503, _headers(X_Primroserudder_Not_Executed='1'))
+    assert not says_not_run(503, _headers())
+    assert not says_not_run(500, _headers())
--- /dev/null
+++ b/primroserudder/platform/tests/test_store.py
@@ -0,0 +1,112 @@
+"""The store's calls, with answers that are lost, late or missing."""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import pytest
+from aiohttp import web
+
+from ...process.platform import (
+    Condition,
+    Conflict,
+    OutcomeUnknown,
+    PlatformUnavailable,
+    Transaction,
+    Write,
+)
+from ...process.tables import HistoryLost
+from ...standins.tablestore import TableStore
+from ..store import PlatformStore
+
+ROW = Write('things/one', {'text': 'first'})
+
+
+@asynccontextmanager
+async def _running() -> AsyncIterator[tuple[TableStore, PlatformStore]]:
+    standin = TableStore()
+    runner = web.AppRunner(standin.app(), shutdown_timeout=0.01)
+    await runner.setup()
+    await web.TCPSite(runner, '127.0.0.1', 0).start()
+    host, port = runner.addresses[0][:2]
+    store = PlatformStore(f'{host}:{port}')
+    yield standin, store
+    await store.close()
+    await runner.cleanup()
+
+
+async def test_row_that_was_written_is_read() -> None:
+    async with _running() as (_, store):
+        await store.commit(Transaction((), (ROW,)))
+        found = await store.read('things/one')
+        assert found is not None
+        assert found.fields == ROW.fields
+        assert await store.read('things/on') is None
+
+
+async def test_condition_that_fails_writes_nothing() -> None:
+    async with _running() as (_, store):
+        await store.commit(Transaction((), (ROW,)))
+        absent = Condition('things/one', 0)
+        other = Write('things/two', {})
+        with pytest.raises(Conflict):
+            await store.commit(Transaction((absent,), (other,)))
+        assert await store.read('things/two') is None
+
+
+async def test_lost_answer_is_unknown_and_not_a_failure() -> None:
+    async with _running() as (standin, store):
+        standin.faults.loses_answers = True
+        with pytest.raises(OutcomeUnknown):
+            await store.commit(Transaction((), (ROW,)))
+        standin.faults.loses_answers = False
+        assert await store.read('things/one') is not None
+
+
+async def test_store_that_is_down_did_nothing() -> None:
+    async with _running() as (standin, store):
+        standin.faults.is_down = True
+        with pytest.raises(PlatformUnavailable):
+            await store.read('things/one')
+
+
+async def test_unreachable_store_leaves_a_write_undone() -> None:
+    store = PlatformStore('127.0.0.1:1')
+    with pytest.raises(PlatformUnavailable):
+        await store.commit(Transaction((), (ROW,)))
+    await store.close()
+
+
+async def test_long_table_is_read_whole() -> None:
+    async with _running() as (standin, store):
+        for number in range(1201):
+            standin.rows.put('long', format(number, '05'), {'number': number})
+        page = await store.read_table('long')
+        assert [row.fields['number'] for row in page.rows] == list(range(1201))
+
+
+async def test_feed_tells_changes_and_removals_in_order() -> None:
+    async with _running() as (standin, store):
+        page = await store.read_table('things')
+        standin.rows.put('things', 'one', {'number': 1})
+        standin.rows.remove('things', 'one')
+        found = await store.changes('things', page.revision, 1)
+        assert [change.row is None for change in found.changes] == [False, True]
+        later = await store.changes('things', found.revision, 0.05)
+        assert not later.changes
+
+
+async def test_feed_without_history_says_so() -> None:
+    async with _running() as (standin, store):
+        standin.rows.put('things', 'one', {})
+        standin.rows.put('things', 'two', {})
+        standin.rows.forget_history()
+        with pytest.raises(HistoryLost):
+            await store.changes('things', 1, 0.05)
+
+
+async def test_unreadable_value_is_an_empty_row() -> None:
+    async with _running() as (standin, store):
+        standin.rows.put_raw('things', 'one', b'\xff\x00')
+        found = await store.read('things/one')
+        assert found is not None
+        assert not found.fields
--- a/primroserudder/programs/router.py
+++ b/primroserudder/programs/router.py
@@ -67,6 +67,7 @@
     gc.set_threshold(YOUNG_OBJECTS)
     await stopped.wait()
     await router.stop()
+    await router.close()
     return EXIT_OK
 
 
--- /dev/null
+++ b/primroserudder/standins/groupengine.py
@@ -0,0 +1,242 @@
+"""A stand-in of the platform's engines that serve models in groups.
+
+Explanation
+===========
+It takes orders (join, open, close, leave, stage), lists itself in the
+stand-in of the store, and answers requests with streams of events. It keeps
+a record of what it was asked, from which tests judge. Faults are switched on
+by the tests.
+"""
+
+import asyncio
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from http import HTTPStatus
+
+import orjson
+from aiohttp import web
+
+from .groupmember import GroupMember
+from .tablestore import TableStore
+
+Json = Mapping[str, object]
+
+ATTEMPT_ID = 'X-Primroserudder-Attempt-Id'
+SEAL = 'X-Primroserudder-Response-Seal'
+NOT_EXECUTED = 'X-Primroserudder-Not-Executed'
+SERVICE = 'model'
+# Longer than any caller waits.
+SILENCE_S = 60
+
+
+@dataclass(frozen=True, slots=True)
+class Arrival:
+    """A request as it reached an engine."""
+
+    engine_id: str
+    method: str
+    path: str
+    headers: Mapping[str, str]
+    body: bytes
+
+    @property
+    def attempt_id(self) -> str:
+        """Return the caller's id of the request."""
+        return self.headers.get(ATTEMPT_ID, '')
+
+
+@dataclass(slots=True)
+class EngineFaults:
+    """What goes wrong at an engine, until it is switched off."""
+
+    cuts_after_events: int | None = None
+    cuts_within_event: bool = False
+    refuses: bool = False
+    never_answers: bool = False
+    omits_seal: bool = False
+    fails_with: int = 0
+    ignores_orders: bool = False
+    late_orders_s: float = 0
+
+
+@dataclass(slots=True)
+class GroupEngine:
+    """One engine; times are short so that tests are."""
+
+    engine_id: str
+    address: str
+    store: TableStore
+    domain: str = 'd0'
+    service: str = SERVICE
+    is_plain: bool = False
+    events: int = 5
+    event_s: float = 0.01
+    join_s: float = 0.02
+    faults: EngineFaults = field(default_factory=EngineFaults)
+    arrivals: list[Arrival] = field(default_factory=list)
+    orders: list[Json] = field(default_factory=list)
+    is_draining: bool = False
+    born: int = 1
+    running: int = 0
+    cancelled: int = 0
+    member: GroupMember = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Begin without a group."""
+        self.member = GroupMember(self.engine_id, self.register, self.join_s)
+
+    @property
+    def group(self) -> Json | None:
+        """Return the group that this engine reports."""
+        return self.member.group
+
+    @property
+    def members(self) -> tuple[str, ...]:
+        """Return the members that its last order to join named."""
+        return self.member.members
+
+    def app(self) -> web.Application:
+        """Return the HTTP application."""
+        made = web.Application()
+        made.router.add_post('/api/order', self._take_order)
+        made.router.add_get('/api/report', self._report)
+        made.router.add_route('*', '/{path:.*}', self._serve)
+        return made
+
+    def register(self) -> None:
+        """Write the own entry of the platform's list."""
+        self.store.rows.put('servers', self.engine_id, self._entry())
+
+    def vanish(self) -> None:
+        """Be taken from the list, as after a silence."""
+        self.store.rows.remove('servers', self.engine_id)
+
+    def is_open(self) -> bool:
+        """Return whether this engine heads an open group."""
+        return self.group is not None and self.group['State'] == 'open'
+
+    def _entry(self) -> Json:
+        said = {
+            'Service': self.service,
+            'Address': self.address,
+            'Zone': 'fd-1',
+            'Version': 'v1',
+            'Slots': 4,
+            'State': 'draining' if self.is_draining else 'ready',
+            'Sequence': len(self.orders),
+            'ColdRemainingMs': 0,
+            'born': self.born,
+        }
+        if self.is_plain:
+            return said
+        return {
+            **said,
+            'Domain': self.domain,
+            'Staged': list(self.member.staged),
+            'group': self.group,
+        }
+
+    async def _report(self, _request: web.Request) -> web.Response:
+        said = {
+            **self._entry(),
+            'Queued': 0,
+            'Active': self.running,
+            'KvUsed': 0,
+            'KvTotal': 1,
+            'pace': 1,
+        }
+        return web.Response(body=orjson.dumps(said))
+
+    async def _take_order(self, request: web.Request) -> web.Response:
+        order = orjson.loads(await request.read())
+        self.orders.append(order)
+        late_s = self.faults.late_orders_s
+        if late_s:
+            self.member.carry_out_late(order, late_s)
+        if late_s or self.faults.ignores_orders:
+            await asyncio.sleep(SILENCE_S)
+        return web.Response(status=self.member.carry_out(order))
+
+    async def _serve(self, request: web.Request) -> web.StreamResponse:
+        body = await request.read()
+        refusal = self._refusal(request)
+        if refusal is not None:
+            return refusal
+        self.arrivals.append(
+            Arrival(
+                self.engine_id,
+                request.method,
+                request.raw_path,
+                dict(request.headers),
+                body,
+            )
+        )
+        self.running += 1
+        try:
+            return await self._answer(request)
+        except asyncio.CancelledError:
+            self.cancelled += 1
+            raise
+        finally:
+            self.running -= 1
+
+    def _refusal(self, request: web.Request) -> web.Response | None:
+        expected = request.headers.get('X-Primroserudder-Expect-Instance')
+        if expected not in {None, self.engine_id}:
+            return web.Response(status=HTTPStatus.MISDIRECTED_REQUEST)
+        if self.faults.refuses or not (self.is_plain or self.is_open()):
+            return web.Response(
+                status=HTTPStatus.SERVICE_UNAVAILABLE,
+                headers={NOT_EXECUTED: '1'},
+            )
+        return None
+
+    async def _answer(self, request: web.Request) -> web.StreamResponse:
+        if self.faults.never_answers:
+            await asyncio.sleep(SILENCE_S)
+        headers = {ATTEMPT_ID: request.headers.get(ATTEMPT_ID, '')}
+        if not self.faults.omits_seal:
+            headers[SEAL] = f'seal of {self.engine_id}'
+        if self.faults.fails_with:
+            status = self.faults.fails_with
+            return web.Response(status=status, headers=headers, text='failed')
+        if self.is_plain:
+            text = f'answer of {self.engine_id}'
+            return web.Response(headers=headers, text=text)
+        return await self._stream(request, headers)
+
+    async def _stream(
+        self,
+        request: web.Request,
+        headers: Mapping[str, str],
+    ) -> web.StreamResponse:
+        response = web.StreamResponse(
+            headers={**headers, 'Content-Type': 'text/event-stream'}
+        )
+        await response.prepare(request)
+        first = int(request.headers.get('Last-Event-Id') or 0) + 1
+        for sent, number in enumerate(range(first, self.events + 1)):
+            if sent == self.faults.cuts_after_events:
+                return await self._cut(request, response, number)
+            await response.write(event(number))
+            await asyncio.sleep(self.event_s)
+        await response.write_eof()
+        return response
+
+    async def _cut(
+        self,
+        request: web.Request,
+        response: web.StreamResponse,
+        number: int,
+    ) -> web.StreamResponse:
+        if self.faults.cuts_within_event:
+            await response.write(event(number)[:-3])
+        await asyncio.sleep(self.event_s)
+        if request.transport is not None:
+            request.transport.close()
+        return response
+
+
+def event(number: int) -> bytes:
+    """Return one event of a stream."""
+    return f'id: {number}\ndata: piece {number}\n\n'.encode()
--- /dev/null
+++ b/primroserudder/testing/platformsite.py
@@ -0,0 +1,226 @@
+"""A small site on loopback: store, engines and routers in one process."""
+
+import asyncio
+import itertools
+import socket
+from collections.abc import AsyncIterator, Callable, Mapping, Sequence
+from contextlib import (
+    AbstractAsyncContextManager,
+    AsyncExitStack,
+    asynccontextmanager,
+)
+from dataclasses import dataclass, field
+from types import MappingProxyType
+
+from aiohttp import ClientResponse, ClientSession, DummyCookieJar, web
+
+from ..fleet.router import Router
+from ..fleet.settings import RouterSettings
+from ..standins.groupengine import GroupEngine
+from ..standins.tablestore import TableStore
+
+LOOPBACK = '127.0.0.1'
+HOST = 'one.example'
+KEY = 'key-of-north'
+NO_FIELDS: Mapping[str, str] = MappingProxyType({})
+LOOK_INTERVAL_S = 0.01
+GROUP_SIZE = 2
+
+
+@dataclass(slots=True)
+class PlatformSite:
+    """Everything that runs, and how to reach it."""
+
+    store: TableStore
+    store_address: str = ''
+    engines_by_id: dict[str, GroupEngine] = field(default_factory=dict)
+    routers: list[Router] = field(default_factory=list)
+    session: ClientSession | None = None
+    _numbers: 'itertools.count[int]' = field(default_factory=itertools.count)
+
+    def url(self, path: str, router: int = 0) -> str:
+        """Return where a router takes callers' requests."""
+        address = self.routers[router].settings.callers
+        return f'http://{address}{path}'
+
+    def request(
+        self,
+        path: str,
+        method: str = 'POST',
+        *,
+        headers: Mapping[str, str] = NO_FIELDS,
+        body: bytes = b'text',
+        router: int = 0,
+    ) -> AbstractAsyncContextManager[ClientResponse]:
+        """Send a request as a caller does."""
+        if self.session is None:
+            raise RuntimeError('the site is not running')
+        fields = {
+            'Host': HOST,
+            'Authorization': f'Bearer {KEY}',
+            'X-Primroserudder-Attempt-Id': f'attempt-{next(self._numbers)}',
+            'X-Primroserudder-Model': 'small',
+            'X-Primroserudder-Deadline-Ms': '5000',
+            **headers,
+        }
+        return self.session.request(
+            method, self.url(path, router), headers=fields, data=body
+        )
+
+    def arrivals(self, attempt_id: str) -> list[str]:
+        """Return the engines that a request reached, in order of engines."""
+        return [
+            engine_id
+            for engine_id, engine in self.engines_by_id.items()
+            for arrival in engine.arrivals
+            if arrival.attempt_id == attempt_id
+        ]
+
+    def heads(self) -> list[GroupEngine]:
+        """Return the engines that head open groups."""
+        return [one for one in self.engines_by_id.values() if one.is_open()]
+
+    async def until(self, holds: Callable[[], bool]) -> None:
+        """Wait until something holds."""
+        while not holds():
+            await asyncio.sleep(LOOK_INTERVAL_S)
+
+
+def configuration(version: int = 1, **changes: object) -> Mapping[str, object]:
+    """Return a configuration as the operator writes it."""
+    stream = {
+        'Name': 'notes',
+        'Host': HOST,
+        'Prefix': '/notes/',
+        'RouteKind': 'streaming',
+        'TimeoutMs': 4000,
+        'SloMs': 400,
+        'Service': 'model',
+        'MaxAttempts': 3,
+        'Resumable': True,
+    }
+    plain = {
+        'Name': 'refunds',
+        'Host': HOST,
+        'Prefix': '/refunds/',
+        'RouteKind': 'non_idempotent',
+        'TimeoutMs': 1500,
+        'SloMs': 400,
+        'Service': 'ledger',
+        'MaxAttempts': 1,
+    }
+    lookup = {
+        **plain,
+        'Name': 'lookups',
+        'Prefix': '/lookups/',
+        'RouteKind': 'idempotent',
+        'MaxAttempts': 2,
+    }
+    model = {
+        'Name': 'small',
+        'size': GROUP_SIZE,
+        'Share': 1.0,
+        'LoadS': 0.05,
+        'WarmS': 0.02,
+    }
+    engine = {
+        'Slots': 4,
+        'Models': [model],
+        'LoadsPerS': 100,
+        'loads_at_once': 8,
+    }
+    return {
+        'Version': version,
+        'Routes': [stream, plain, lookup],
+        'Services': [
+            {'Name': 'model', 'MaxConns': 50, 'Engine': engine},
+            {'Name': 'ledger', 'MaxConns': 50},
+        ],
+        'Tenants': [{'Name': 'north', 'ApiKeys': [KEY]}],
+        **changes,
+    }
+
+
+@asynccontextmanager
+async def platform_site(
+    engines: int = 6,
+    plain: int = 2,
+    routers: int = 1,
+    *,
+    is_configured: bool = True,
+) -> AsyncIterator[PlatformSite]:
+    """Run a site; its engines are listed and its routers are started."""
+    site = PlatformSite(TableStore())
+    async with AsyncExitStack() as stack:
+        site.session = await stack.enter_async_context(
+            ClientSession(cookie_jar=DummyCookieJar())
+        )
+        site.store_address = await _serve(stack, site.store.app())
+        if is_configured:
+            site.store.rows.put('op', 'config', configuration())
+        for number in range(engines + plain):
+            await _add_engine(stack, site, number, is_plain=number >= engines)
+        for number in range(routers):
+            await _add_router(stack, site, number)
+        yield site
+
+
+async def _add_engine(
+    stack: AsyncExitStack,
+    site: PlatformSite,
+    number: int,
+    *,
+    is_plain: bool,
+) -> None:
+    engine = GroupEngine(f'i-{number}', '', site.store, is_plain=is_plain)
+    if is_plain:
+        engine.service = 'ledger'
+    engine.address = await _serve(stack, engine.app())
+    site.engines_by_id[engine.engine_id] = engine
+    engine.register()
+
+
+async def _add_router(
+    stack: AsyncExitStack,
+    site: PlatformSite,
+    number: int,
+) -> None:
+    ports = free_ports(5)
+    settings = RouterSettings(
+        node=f'vm-{number}',
+        ip=LOOPBACK,
+        failure_domain='fd-1',
+        callers=f'{LOOPBACK}:{ports[0]}',
+        readiness=f'{LOOPBACK}:{ports[1]}',
+        inner_ports=(ports[2], ports[3]),
+        store=site.store_address,
+        metrics_port=ports[4],
+        grace_s=2,
+    )
+    router = Router(settings)
+    await router.start()
+    stack.push_async_callback(router.close)
+    site.routers.append(router)
+
+
+async def _serve(stack: AsyncExitStack, app: web.Application) -> str:
+    runner = web.AppRunner(
+        app, handler_cancellation=True, shutdown_timeout=LOOK_INTERVAL_S
+    )
+    await runner.setup()
+    stack.push_async_callback(runner.cleanup)
+    site = web.TCPSite(runner, LOOPBACK, 0)
+    await site.start()
+    host, port = runner.addresses[0][:2]
+    return f'{host}:{port}'
+
+
+def free_ports(count: int) -> Sequence[int]:
+    """Return ports that are free now, for TCP and so for UDP."""
+    sockets = [socket.socket() for _ in range(count)]
+    for unbound in sockets:
+        unbound.bind((LOOPBACK, 0))
+    ports = [one.getsockname()[1] for one in sockets]
+    for held in sockets:
+        held.close()
+    return ports
