Take no answer without a length for whole after a reset; relay tables by domain

An engine crashed behind an answer without a length; the HTTP library ends such a body at any end of the connection, a reset included, and the check of the connection's close asked for it only afterwards, when it can no longer be told.

Ruled out: the attempt's id and the seal (both were right).

Change: framing.py asks how the connection closes before the body is read, and an end that can't be judged counts as cut.

Also: one router of a failure domain sums up the notices for the others and reads the store's tables for them, with the store's own versions; a router whose relay is silent for a moment asks the store itself.

--- a/primroserudder/fleet/attempt.py
+++ b/primroserudder/fleet/attempt.py
@@ -5,11 +5,12 @@
 from dataclasses import dataclass, field
 
 import aiohttp
-from multidict import CIMultiDict, CIMultiDictProxy
+from multidict import CIMultiDict
 from yarl import URL
 
 from ..platform import headers as wire
 from .call import Call
+from .framing import Framing
 from .events import Event, EventCutter
 from .model import RouteKind, Target
 from .repeating import Ending
@@ -139,12 +140,12 @@
         *,
         is_success: bool,
     ) -> AttemptResult:
-        protocol = response.connection and response.connection.protocol
+        framing = Framing.of(response)
         body = await response.content.read(LARGEST_ANSWER)
         while not response.content.at_eof() and len(body) < LARGEST_ANSWER:
             body += await response.content.read(LARGEST_ANSWER)
-        if _is_reset(protocol) and _has_no_length(response.headers):
-            return self._broken('reset before the end')
+        if not await framing.is_whole():
+            return self._broken('connection broke without a length')
         answer = EngineAnswer(
             response.status, wire.returned(response.headers), body
         )
@@ -152,13 +153,13 @@
         return AttemptResult(ending, str(response.status), answer)
 
     async def _relay(self, response: aiohttp.ClientResponse) -> AttemptResult:
-        protocol = response.connection and response.connection.protocol
+        framing = Framing.of(response)
         cutter = EventCutter()
         async for octets in response.content.iter_any():
             for event in cutter.feed(octets):
                 await self._pass_on(response, event)
-        if _is_reset(protocol) and _has_no_length(response.headers):
-            return self._broken('reset before the end')
+        if not await framing.is_whole():
+            return self._broken('connection broke without a length')
         if cutter.has_rest:
             return self._broken('ended within an event')
         if not self.sink.is_started:
@@ -195,16 +196,3 @@
     if not (event_id.isdecimal() and last_event_id.isdecimal()):
         return True
     return int(event_id) > int(last_event_id)
-
-
-def _has_no_length(headers: CIMultiDictProxy[str]) -> bool:
-    return 'Content-Length' not in headers and (
-        'chunked' not in headers.get('Transfer-Encoding', '').lower()
-    )
-
-
-def _is_reset(protocol: object) -> bool:
-    closed = getattr(protocol, 'closed', None)
-    if not isinstance(closed, asyncio.Future) or not closed.done():
-        return False
-    return not closed.cancelled() and closed.exception() is not None
--- a/primroserudder/fleet/caretaking.py
+++ b/primroserudder/fleet/caretaking.py
@@ -12,7 +12,6 @@
 from ..process.lease import Lease
 from ..process.metrics import Metrics
 from ..process.platform import PlatformClient
-from .exchange import Exchange
 from .keeper import GroupKeeper
 from .loads import LoadGate
 from .ordering import OrderGiver
@@ -54,7 +53,6 @@
 def assemble_caretaking(
     around: Surroundings,
     view: SiteView,
-    exchange: Exchange,
     lease: Lease,
     has_traffic: Callable[[], bool],
 ) -> Caretaking:
@@ -79,7 +77,7 @@
         around.settings.stall_s,
         wake,
     )
-    tenancy = Tenancy(lease, exchange, clock, log, wake)
+    tenancy = Tenancy(lease, clock, log, wake)
     return Caretaking(tenancy, stock, keeper, orders)
 
 
--- a/primroserudder/fleet/exchange.py
+++ b/primroserudder/fleet/exchange.py
@@ -1,74 +1,84 @@
-"""What the site's VMs tell each other by datagram, several times a second.
+"""Notices between the site's routers, by datagram.
 
 Explanation
 ===========
-A datagram tells a VM's requests under way by engine, who wait, and what it
-noticed of groups: those whose streams are silent, those that the lease's
-holder closes. It repeats the present state, so that a lost one is mended by
-the next. What must be agreed on goes through the store, never through here.
+A notice repeats the present state, so that a lost one is mended by the next.
+VMs of a failure domain write to each other; one of them, the living one with
+the lowest address, sums their notices up for the other domains, and passes
+on there what it hears from outside. So the traffic of a VM grows with its
+domain and not with the site. What must be agreed on goes through the store,
+never through here.
 """
 
 import asyncio
 import socket
-from collections.abc import Callable, Collection, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 
 import orjson
-from pydantic import BaseModel, ConfigDict, ValidationError
+from pydantic import ValidationError
 
 from ..process.clock import Clock
+from .contacts import Contacts
 from .loadbook import LoadBook, PeerLoad
+from .notice import Notice, Scope, summarize
 
 QUICK_INTERVAL_S = 0.04
 IDLE_INTERVAL_S = 0.3
-# A VM that was silent for so long is asked only now and then.
-SILENT_S = 3.0
+# A VM that was silent for so long lives no more, or is cut off.
+SILENT_S = 1.5
+# A claim on the lease is passed on while its holder was heard so lately.
+FRESH_CLAIM_S = 0.4
+# A silent neighbour is written to only now and then.
 SILENT_INTERVAL_S = 1.0
 
+Listener = Callable[[Notice], None]
 
-class Bulletin(BaseModel):
-    """One VM's state, as a datagram carries it."""
 
-    model_config = ConfigDict(frozen=True, extra='ignore')
+@dataclass(frozen=True, slots=True)
+class Heard:
+    """A notice and when it came."""
 
-    node: str
-    address: str
-    sequence: int
-    running: Mapping[str, int] = {}
-    waiting: Mapping[str, int] = {}
-    # Heads whose streams all stand still.
-    silent_heads: tuple[str, ...] = ()
-    # Groups that the lease's holder found broken.
-    broken_groups: tuple[str, ...] = ()
-    lease_claim: str = ''
-    struck: tuple[str, ...] = ()
-    has_traffic: bool = False
+    notice: Notice
+    at: float
 
 
 @dataclass(slots=True)
-class Peer:
-    """Another VM of ours, as last heard."""
+class Outbox:
+    """The last notice of a scope, and when it was sent."""
 
-    bulletin: Bulletin
-    heard_at: float
+    notice: Notice | None = None
+    sent_at: float = 0
+
+    def is_due(self, notice: Notice, now: float) -> bool:
+        """Return whether a notice is news, or the last one is long ago."""
+        if now - self.sent_at >= IDLE_INTERVAL_S:
+            return True
+        return not notice.says_the_same(self.notice)
+
+    def put(self, notice: Notice, now: float) -> None:
+        """Note what was sent."""
+        self.notice = notice
+        self.sent_at = now
 
 
 @dataclass(slots=True)
 class Exchange(asyncio.DatagramProtocol):
-    """Sends this VM's bulletin to all others and keeps theirs."""
+    """Sends this VM's notices and keeps those of the others."""
 
     address: tuple[str, int]
+    contacts: Contacts
     clock: Clock
     book: LoadBook
-    make: Callable[[int], Bulletin]
-    peers_by_node: dict[str, Peer] = field(default_factory=dict)
-    heard_at_by_address: dict[str, float] = field(default_factory=dict)
-    listeners: list[Callable[[Bulletin], None]] = field(default_factory=list)
-    sent: int = 0
+    make: Callable[[int], Notice]
+    heard_by_source: dict[str, Heard] = field(default_factory=dict)
+    listeners: list[Listener] = field(default_factory=list)
+    ticks: int = 0
+    _near: Outbox = field(default_factory=Outbox)
+    _far: Outbox = field(default_factory=Outbox)
+    _heard_at_by_address: dict[str, float] = field(default_factory=dict)
     _asked_at: dict[str, float] = field(default_factory=dict)
     _transport: asyncio.DatagramTransport | None = None
-    _last: Bulletin | None = None
-    _sent_at: float = 0
 
     async def start(self) -> None:
         """Open the port."""
@@ -85,93 +95,133 @@
         if self._transport is not None:
             self._transport.close()
 
-    @property
-    def own_address(self) -> str:
-        """Return where this VM's datagrams arrive."""
-        host, port = self.address
-        return f'{host}:{port}'
-
-    def learn(self, addresses: Collection[str]) -> None:
-        """Take over addresses of VMs from the store."""
-        for address in addresses:
-            if address != self.own_address:
-                self.heard_at_by_address.setdefault(address, 0)
-
     async def run(self) -> None:
-        """Send bulletins until cancelled."""
+        """Send notices until cancelled."""
         while True:
-            self._send_if_due()
+            self._tell()
             await asyncio.sleep(QUICK_INTERVAL_S)
 
-    def count_vms(self) -> int:
-        """Return the VMs known, this one and silent ones included."""
-        return len(self.heard_at_by_address) + 1
-
-    def living(self) -> Mapping[str, Peer]:
-        """Return the VMs heard lately, by node."""
+    def living(self) -> Iterable[Notice]:
+        """Return the notices of those who were heard lately."""
         now = self.clock.monotonic()
+        return [
+            heard.notice
+            for heard in self.heard_by_source.values()
+            if now - heard.at < SILENT_S
+        ]
+
+    def neighbours(self) -> Mapping[str, Notice]:
+        """Return the living VMs of the own failure domain, by address."""
         return {
-            node: peer
-            for node, peer in self.peers_by_node.items()
-            if now - peer.heard_at < SILENT_S
+            notice.address: notice
+            for notice in self.living()
+            if notice.scope is Scope.VM
         }
 
+    def speaker(self) -> str:
+        """Return the address of the VM that speaks for the domain."""
+        return min((self.contacts.own_address, *self.neighbours()))
+
+    def is_speaker(self) -> bool:
+        """Return whether this VM speaks for its failure domain."""
+        return self.speaker() == self.contacts.own_address
+
     def datagram_received(
         self,
         packet: bytes,
         sender: tuple[str | int, int],
     ) -> None:
-        """Take over another VM's bulletin."""
+        """Take over a notice, and pass on one from outside."""
         try:
-            bulletin = Bulletin.model_validate_json(packet)
+            notice = Notice.model_validate_json(packet)
         except ValidationError:
             return
-        known = self.peers_by_node.get(bulletin.node)
-        if known and known.bulletin.sequence >= bulletin.sequence:
-            return
-        now = self.clock.monotonic()
-        self.peers_by_node[bulletin.node] = Peer(bulletin, now)
-        self.heard_at_by_address[bulletin.address] = now
-        self.book.loads_by_peer[bulletin.node] = PeerLoad(
-            bulletin.running, bulletin.waiting, now
-        )
-        for listener in self.listeners:
-            listener(bulletin)
+        host, port = sender
+        source = f'{host}:{port}'
+        if notice.scope is Scope.FAILURE_DOMAIN:
+            self.contacts.hear(
+                notice.address, notice.failure_domain, self.clock.monotonic()
+            )
+            if self.is_speaker() and not self.contacts.is_near(source):
+                self._send(packet, self._wanted_neighbours())
+        self._take(notice)
 
     def error_received(self, error: Exception) -> None:
         """Ignore that a VM's port is closed: its silence tells the same."""
 
-    def _send_if_due(self) -> None:
-        now = self.clock.monotonic()
-        self.sent += 1
-        bulletin = self.make(self.sent)
-        is_due = now - self._sent_at >= IDLE_INTERVAL_S
-        if not is_due and self._is_same(bulletin):
+    def _take(self, notice: Notice) -> None:
+        is_own_domain = notice.failure_domain == self.contacts.failure_domain
+        if notice.scope is Scope.FAILURE_DOMAIN and is_own_domain:
             return
-        self._last = bulletin
-        self._sent_at = now
-        packet = orjson.dumps(bulletin.model_dump(exclude_defaults=True))
-        for address, heard_at in self.heard_at_by_address.items():
-            if self._is_wanted(address, heard_at, now):
-                self._send(packet, address)
-
-    def _is_same(self, bulletin: Bulletin) -> bool:
-        if self._last is None:
-            return False
-        return (
-            bulletin.model_copy(update={'sequence': self._last.sequence})
-            == self._last
+        source = (
+            notice.node
+            if notice.scope is Scope.VM
+            else f'domain {notice.failure_domain}'
         )
+        known = self.heard_by_source.get(source)
+        if known is not None and _is_older(notice, known.notice):
+            return
+        now = self.clock.monotonic()
+        self.heard_by_source[source] = Heard(notice, now)
+        self._heard_at_by_address[notice.address] = now
+        self.book.loads_by_peer[source] = PeerLoad(
+            notice.running, notice.waiting, now
+        )
+        for listener in self.listeners:
+            listener(notice)
 
-    def _is_wanted(self, address: str, heard_at: float, now: float) -> bool:
-        if now - heard_at < SILENT_S:
+    def _tell(self) -> None:
+        now = self.clock.monotonic()
+        self.ticks += 1
+        own = self.make(self.ticks)
+        if self._near.is_due(own, now):
+            self._near.put(own, now)
+            self._send(_packet(own), self._wanted_neighbours())
+        if not self.is_speaker():
+            return
+        summary = summarize(own, self._fresh_neighbours(now))
+        if self._far.is_due(summary, now):
+            self._far.put(summary, now)
+            self._send(_packet(summary), self.contacts.speakers(now))
+
+    def _fresh_neighbours(self, now: float) -> list[Notice]:
+        """Return the neighbours' notices, without claims that are stale."""
+        return [
+            heard.notice
+            if now - heard.at < FRESH_CLAIM_S
+            else heard.notice.model_copy(update={'lease_claim': ''})
+            for heard in self.heard_by_source.values()
+            if heard.notice.scope is Scope.VM and now - heard.at < SILENT_S
+        ]
+
+    def _wanted_neighbours(self) -> list[str]:
+        now = self.clock.monotonic()
+        return [
+            address
+            for address in self.contacts.neighbours()
+            if self._is_wanted(address, now)
+        ]
+
+    def _is_wanted(self, address: str, now: float) -> bool:
+        if now - self._heard_at_by_address.get(address, 0) < SILENT_S:
             return True
         if now - self._asked_at.get(address, 0) < SILENT_INTERVAL_S:
             return False
         self._asked_at[address] = now
         return True
 
-    def _send(self, packet: bytes, address: str) -> None:
-        host, _, port = address.rpartition(':')
-        if self._transport is not None:
+    def _send(self, packet: bytes, addresses: Iterable[str]) -> None:
+        if self._transport is None:
+            return
+        for address in addresses:
+            host, _, port = address.rpartition(':')
             self._transport.sendto(packet, (host, int(port)))
+
+
+def _is_older(notice: Notice, known: Notice) -> bool:
+    """Return whether one sender's notice came after a later one."""
+    return notice.node == known.node and notice.sequence <= known.sequence
+
+
+def _packet(notice: Notice) -> bytes:
+    return orjson.dumps(notice.model_dump(mode='json', exclude_defaults=True))
--- a/primroserudder/fleet/nodes.py
+++ b/primroserudder/fleet/nodes.py
@@ -6,10 +6,11 @@
 from ..errors import RudderError
 from ..process.decisions import DecisionLog
 from ..process.platform import PlatformClient, Transaction, Write
-from .exchange import Exchange
+from ..process.tables import TableFollower
+from .contacts import Contacts
 
 NODES_PREFIX = 'nodes/'
-NODES_INTERVAL_S = 5.0
+RETRY_INTERVAL_S = 1.0
 
 
 @dataclass(slots=True)
@@ -19,31 +20,36 @@
     Explanation
     ===========
     An address that is out of date costs a datagram a second: whether a VM
-    lives is known from its bulletins alone.
+    lives is known from its notices alone.
     """
 
     platform: PlatformClient
-    exchange: Exchange
+    contacts: Contacts
+    nodes: TableFollower
     log: DecisionLog
     node: str
-    _is_written: bool = False
+
+    def __post_init__(self) -> None:
+        """Learn of each change."""
+        self.nodes.listeners.append(self._learn)
 
     async def run(self) -> None:
-        """Keep the addresses until cancelled."""
-        while True:
+        """Write the own address, again until that is known to be done."""
+        key = NODES_PREFIX + self.contacts.own_address
+        own = Write(
+            key, {'node': self.node, 'domain': self.contacts.failure_domain}
+        )
+        while key not in self.nodes.rows_by_key:
             try:
-                await self._refresh()
+                await self.platform.commit(Transaction((), (own,)))
             except RudderError as error:
-                self.log.note('nodes_unread', reason=str(error))
-            await asyncio.sleep(NODES_INTERVAL_S)
-
-    async def _refresh(self) -> None:
-        if not self._is_written:
-            key = NODES_PREFIX + self.exchange.own_address
-            own = Write(key, {'node': self.node})
-            await self.platform.commit(Transaction((), (own,)))
-            self._is_written = True
-        rows = await self.platform.scan(NODES_PREFIX)
-        self.exchange.learn(
-            [row.key.removeprefix(NODES_PREFIX) for row in rows]
+                self.log.note('node_not_written', reason=str(error))
+            await asyncio.sleep(RETRY_INTERVAL_S)
+
+    def _learn(self) -> None:
+        self.contacts.learn(
+            {
+                key.removeprefix(NODES_PREFIX): str(row.fields.get('domain'))
+                for key, row in self.nodes.rows_by_key.items()
+            }
         )
--- a/primroserudder/fleet/ports.py
+++ b/primroserudder/fleet/ports.py
@@ -12,6 +12,7 @@
 from ..platform.names import READY_PATH
 from ..process.metrics import Metrics
 from .callers import CallerDoor
+from .relay import TableRelay
 from .settings import RouterSettings
 
 LARGEST_HEADER_BYTES = 65_536
@@ -36,6 +37,7 @@
     metrics: Metrics
     is_ready: Callable[[], bool]
     dump: Callable[[], Mapping[str, object]]
+    relay: TableRelay
     _runners: list[web.ServerRunner] = field(default_factory=list)
     _sites: list[web.TCPSite] = field(default_factory=list)
 
@@ -60,6 +62,8 @@
         metrics = f'{settings.ip}:{settings.metrics_port}'
         await self._listen(front, settings.callers)
         await self._listen(inner, settings.readiness, metrics)
+        tables = web.Server(self.relay.answer, access_log=None)
+        await self._listen(tables, settings.exchange_name)
 
     async def close_to_callers(self) -> None:
         """Take no new connections of callers."""
--- a/primroserudder/fleet/router.py
+++ b/primroserudder/fleet/router.py
@@ -1,11 +1,9 @@
 """A router process: its parts, put together, started and stopped."""
 
 import asyncio
-import os
-from collections.abc import Coroutine, Mapping
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 
-from loguru import logger
 
 from ..errors import RudderError
 from ..platform import PlatformStore, open_session
@@ -20,25 +18,27 @@
     assemble_caretaking,
     make_lease,
 )
-from .exchange import Bulletin, Exchange
-from .health import TargetHealth
+from .contacts import Contacts
+from .exchange import Exchange
 from .loadbook import LoadBook
 from .nodes import NodeRegistry
+from .notice import Notice
 from .places import PlaceMeter
 from .ports import Ports
-from .repeating import RepeatBudgets
+from .relay import RelayedTables, TableRelay
+from .serverparts import assemble_server
 from .serving import Server
 from .settings import RouterSettings
+from .silence import SilenceWatch
 from .siteview import SiteView
-from .silence import silent_heads
-from .strikes import StrikeBook
+from .supervision import Supervisor
 
 # The balancer looks once a second and believes two looks.
 CLOSING_NOTICE_S = 3.2
 # Streams that still run are cut this long before the kill.
 EXIT_RESERVE_S = 0.4
-SILENCE_INTERVAL_S = 0.1
-ENGINE_SESSION_TIMEOUT_S = 60.0
+# The lease's holder hears of engines at once; the others let changes gather.
+FEED_PAUSE_S = 0.3
 
 
 @dataclass(slots=True)
@@ -50,6 +50,7 @@
     metrics: Metrics = field(default_factory=Metrics)
     log: DecisionLog = field(init=False)
     store: PlatformStore = field(init=False)
+    tables: RelayedTables = field(init=False)
     lease: Lease = field(init=False)
     book: LoadBook = field(init=False)
     view: SiteView = field(init=False)
@@ -59,7 +60,8 @@
     care: Caretaking = field(init=False)
     meter: PlaceMeter = field(init=False)
     ports: Ports = field(init=False)
-    _tasks: list[asyncio.Task[None]] = field(default_factory=list)
+    silence: SilenceWatch = field(init=False)
+    tasks: Supervisor = field(init=False)
     _is_stopping: bool = False
     _traffic: asyncio.Event = field(default_factory=asyncio.Event)
 
@@ -69,17 +71,17 @@
         self.log.note('start', domain=self.settings.failure_domain)
         await self.ports.open()
         await self.exchange.start()
-        for work in (
+        self.tasks.start(
             self.view.configurations.run(),
             self.view.engines.run(),
+            self.view.nodes.run(),
             self.exchange.run(),
             self.care.tenancy.run(),
             self.care.keeper.run(),
-            self._watch_silence(),
+            self.silence.run(),
             self.meter.run(),
             self.registry.run(),
-        ):
-            self._run(work)
+        )
 
     async def stop(self) -> None:
         """Tell callers to go elsewhere, end what runs, and close."""
@@ -98,14 +100,12 @@
     async def close(self) -> None:
         """End all tasks and close what is open, without notice."""
         self._is_stopping = True
-        for task in self._tasks:
-            task.cancel()
-        if self._tasks:
-            await asyncio.wait(self._tasks)
+        await self.tasks.close()
         self.exchange.stop()
         await self.ports.close()
         await self.server.session.close()
         await self.care.close()
+        await self.tables.close()
         await self.store.close()
 
     def is_ready(self) -> bool:
@@ -122,7 +122,7 @@
             'engines': len(self.view.directory.engines_by_id),
             'places': self.meter.dump(),
             'running': dict(self.book.running_by_engine),
-            'peers': sorted(self.exchange.living()),
+            'peers': sorted(self.exchange.heard_by_source),
             'store_reachable': self.view.engines.is_reachable,
             'lease_held': self.lease.is_held(),
             'groups': sorted(tenure.standings_by_name) if tenure else [],
@@ -133,6 +133,7 @@
     def _assemble(self) -> None:
         settings = self.settings
         self.log = DecisionLog(settings.node, self.clock)
+        self.tasks = Supervisor(self.log)
         store = PlatformStore(settings.store)
         self.store = store
         around = Surroundings(
@@ -140,18 +141,26 @@
         )
         self.lease = make_lease(around)
         self.book = LoadBook(self.clock)
+        self.tables = RelayedTables(
+            store, open_session(), self.clock, self._relay
+        )
         self.view = SiteView(
-            store, self.clock, self.log, self.lease.is_held, self._on_view
+            self.tables, self.clock, self.log, self._feed_pause_s, self._on_view
         )
+        contacts = Contacts(settings.exchange_name, settings.failure_domain)
         self.exchange = Exchange(
-            settings.exchange_address, self.clock, self.book, self._bulletin
+            settings.exchange_address,
+            contacts,
+            self.clock,
+            self.book,
+            self._notice,
         )
-        self.exchange.listeners.append(self._on_bulletin)
+        self.exchange.listeners.append(self._on_notice)
         self.registry = NodeRegistry(
-            store, self.exchange, self.log, settings.node
+            store, contacts, self.view.nodes, self.log, settings.node
         )
         self.care = assemble_caretaking(
-            around, self.view, self.exchange, self.lease, self._traffic.is_set
+            around, self.view, self.lease, self._traffic.is_set
         )
         self.meter = PlaceMeter(
             self.view.directory,
@@ -161,25 +170,17 @@
             self.log,
             self.lease.is_held,
         )
-        self._assemble_server()
-
-    def _assemble_server(self) -> None:
-        settings = self.settings
-        repeats = settings.repeats
-        self.server = Server(
-            settings.failure_domain,
-            open_session(ENGINE_SESSION_TIMEOUT_S),
-            self.clock,
-            self.view.directory,
-            self.book,
-            TargetHealth(self.clock),
-            StrikeBook(),
-            self.log,
-            self.metrics,
-            RepeatBudgets(repeats.ratio, repeats.extra, repeats.window_s),
-            self.exchange.count_vms,
-            self._broken_groups,
+        self.server = assemble_server(
+            around, self.view, self.book, contacts, self._broken_groups
+        )
+        self.silence = SilenceWatch(
+            self.server.watches_by_head,
+            self.server.health,
+            self.care.keeper.question,
         )
+        self._assemble_ports()
+
+    def _assemble_ports(self) -> None:
         door = CallerDoor(
             self.server,
             self.view.configuration,
@@ -187,39 +188,37 @@
             self.metrics,
             self._traffic.set,
         )
+        relay = TableRelay(self.view.followers_by_table, self.clock)
         self.ports = Ports(
-            settings, door, self.metrics, self.is_ready, self.dump
+            self.settings, door, self.metrics, self.is_ready, self.dump, relay
         )
 
-    def _run(self, work: Coroutine[object, object, None]) -> None:
-        task = asyncio.ensure_future(work)
-        task.add_done_callback(self._on_task_end)
-        self._tasks.append(task)
-
-    def _on_task_end(self, task: asyncio.Task[None]) -> None:
-        if task.cancelled() or self._is_stopping:
-            return
-        error = task.exception()
-        logger.opt(exception=error).error('a task ended')
-        self.log.note('task_ended', error=repr(error))
-        # A process without one of its parts is worth less than a fresh one.
-        os._exit(1)
-
     def _on_view(self) -> None:
         self.server.look()
         self.care.keeper.wake.set()
 
+    def _relay(self) -> str:
+        """Return who reads the store for this VM, empty if it does itself."""
+        if self.lease.is_held():
+            return ''
+        speaker = self.exchange.speaker()
+        return '' if speaker == self.settings.exchange_name else speaker
+
+    def _feed_pause_s(self) -> float:
+        return 0 if self.lease.is_held() else FEED_PAUSE_S
+
     def _broken_groups(self) -> set[str]:
         broken = set(self.care.keeper.broken_groups)
-        for peer in self.exchange.living().values():
-            broken.update(peer.bulletin.broken_groups)
+        for notice in self.exchange.living():
+            broken.update(notice.broken_groups)
         return broken
 
-    def _bulletin(self, sequence: int) -> Bulletin:
+    def _notice(self, sequence: int) -> Notice:
         self.server.health.lose(self.care.keeper.broken_groups)
-        return Bulletin(
+        return Notice(
             node=self.lease.holder,
-            address=self.exchange.own_address,
+            failure_domain=self.settings.failure_domain,
+            address=self.settings.exchange_name,
             sequence=sequence,
             running=dict(self.book.running_by_engine),
             waiting=self.book.waiting_now(),
@@ -230,21 +229,13 @@
             has_traffic=self._traffic.is_set(),
         )
 
-    def _on_bulletin(self, bulletin: Bulletin) -> None:
-        if bulletin.has_traffic:
+    def _on_notice(self, notice: Notice) -> None:
+        if notice.has_traffic:
             self._traffic.set()
-        self.server.strikes.learn(bulletin.struck)
-        self.server.health.lose(bulletin.broken_groups)
-        self.care.tenancy.hear(bulletin)
-        self.care.keeper.question(bulletin.silent_heads)
-
-    async def _watch_silence(self) -> None:
-        loop = asyncio.get_running_loop()
-        while True:
-            await asyncio.sleep(SILENCE_INTERVAL_S)
-            heads = silent_heads(self.server.watches_by_head, loop.time())
-            self.server.health.silent = set(heads)
-            self.care.keeper.question(heads)
+        self.server.strikes.learn(notice.struck)
+        self.server.health.lose(notice.broken_groups)
+        self.care.tenancy.hear(notice)
+        self.care.keeper.question(notice.silent_heads)
 
     async def _give_lease_up(self) -> None:
         try:
--- a/primroserudder/fleet/serving.py
+++ b/primroserudder/fleet/serving.py
@@ -3,16 +3,16 @@
 import asyncio
 import random
 from collections import defaultdict
-from collections.abc import AsyncIterator, Callable, Collection, Iterator
-from contextlib import asynccontextmanager, contextmanager
+from collections.abc import Callable, Collection, Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass, field
-from typing import Any
 
 import aiohttp
 
 from ..errors import Ran, RudderError
 from ..process.clock import Clock
 from ..process.decisions import DecisionLog
+from ..process.loops import ending
 from ..process.metrics import Metrics
 from .attempt import Attempt, AttemptResult, StreamSink, StreamWatch
 from .call import Call
@@ -206,14 +206,14 @@
         lost = self.health.lost_event(attempt.target.group)
         running = asyncio.ensure_future(attempt.run())
         losing = asyncio.ensure_future(lost.wait())
-        async with _ending(losing, running):
+        async with ending(losing, running):
             await asyncio.wait(
                 (running, losing), return_when=asyncio.FIRST_COMPLETED
             )
         if not running.cancelled():
             return running.result()
-        ending = Ending.CUT if attempt.sink.is_started else Ending.UNKNOWN
-        return AttemptResult(ending, 'group broken')
+        how = Ending.CUT if attempt.sink.is_started else Ending.UNKNOWN
+        return AttemptResult(how, 'group broken')
 
     def _learn(
         self,
@@ -275,23 +275,6 @@
         return room
 
 
-@asynccontextmanager
-async def _ending(*tasks: asyncio.Task[Any]) -> AsyncIterator[None]:
-    """Cancel what still runs at the end, and wait until it has ended."""
-    try:
-        yield
-    finally:
-        unfinished = [task for task in tasks if not task.done()]
-        await _cancel(unfinished)
-
-
-async def _cancel(tasks: Collection[asyncio.Task[Any]]) -> None:
-    for task in tasks:
-        task.cancel()
-    if tasks:
-        await asyncio.wait(tasks)
-
-
 def _without_repeat(ending: Ending, call: Call) -> Step:
     if ending is Ending.FAILED:
         return Step.PASS_FAILURE
--- a/primroserudder/fleet/settings.py
+++ b/primroserudder/fleet/settings.py
@@ -61,5 +61,10 @@
 
     @property
     def exchange_address(self) -> tuple[str, int]:
-        """Return where other routers' datagrams arrive."""
+        """Return where other routers' datagrams and calls arrive."""
         return self.ip, self.inner_ports[0]
+
+    @property
+    def exchange_name(self) -> str:
+        """Return the same address as others write it."""
+        return f'{self.ip}:{self.inner_ports[0]}'
--- a/primroserudder/fleet/silence.py
+++ b/primroserudder/fleet/silence.py
@@ -8,18 +8,43 @@
 question to the members, not to a verdict.
 """
 
-from collections.abc import Iterable, Mapping
+import asyncio
+from collections.abc import Callable, Collection, Iterable, Mapping
+from dataclasses import dataclass
 
 from .attempt import StreamWatch
+from .health import TargetHealth
 
 # Some five times the pause between events of a group whose batch is full.
 SILENT_STREAM_S = 0.35
 # A first event may wait for other prompts to be read.
 SILENT_START_S = 0.9
 
+LOOK_INTERVAL_S = 0.1
+
+Watches = Mapping[str, Mapping[int, StreamWatch]]
+
+
+@dataclass(slots=True)
+class SilenceWatch:
+    """Looks for silent heads, keeps them from new work and asks after them."""
+
+    watches_by_head: Watches
+    health: TargetHealth
+    question: Callable[[Collection[str]], None]
+
+    async def run(self) -> None:
+        """Look until cancelled."""
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(LOOK_INTERVAL_S)
+            heads = silent_heads(self.watches_by_head, loop.time())
+            self.health.silent = set(heads)
+            self.question(heads)
+
 
 def silent_heads(
-    watches_by_head: Mapping[str, Mapping[int, StreamWatch]],
+    watches_by_head: Watches,
     now: float,
 ) -> tuple[str, ...]:
     """Return the engines with streams none of which moved lately."""
--- a/primroserudder/fleet/siteview.py
+++ b/primroserudder/fleet/siteview.py
@@ -1,6 +1,6 @@
 """What this VM knows of the site: configuration and listed engines."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 
 from ..platform import decode_configuration, decode_engine
@@ -18,8 +18,9 @@
 
 # A connection that fell silent is noticed after this and the call's slack.
 FEED_WAIT_S = 1.5
-# The lease's holder hears of engines at once; the others let changes gather.
-FEED_PAUSE_S = 0.3
+# Addresses of routers may be known later than all else.
+NODES_WAIT_S = 5.0
+NODES_TABLE = 'nodes'
 
 
 @dataclass(slots=True)
@@ -29,12 +30,13 @@
     source: TableSource
     clock: Clock
     log: DecisionLog
-    is_holder: Callable[[], bool]
+    pause_s: Callable[[], float]
     on_change: Callable[[], None]
     directory: Directory = field(init=False)
     holder: ConfigurationHolder = field(init=False)
     configurations: TableFollower = field(init=False)
     engines: TableFollower = field(init=False)
+    nodes: TableFollower = field(init=False)
 
     def __post_init__(self) -> None:
         """Make the followers."""
@@ -44,6 +46,13 @@
         self.configurations.listeners.append(self._on_configuration)
         self.engines = self._follower(ENGINES_TABLE)
         self.engines.listeners.append(self._on_engines)
+        self.nodes = self._follower(NODES_TABLE, NODES_WAIT_S)
+
+    @property
+    def followers_by_table(self) -> Mapping[str, TableFollower]:
+        """Return all followers, for other routers."""
+        followers = (self.configurations, self.engines, self.nodes)
+        return {follower.table: follower for follower in followers}
 
     def configuration(self) -> Configuration | None:
         """Return the configuration in force, if one is known."""
@@ -53,19 +62,20 @@
         """Return whether configuration and engines were read once."""
         return self.holder.current is not None and self.engines.is_known
 
-    def _follower(self, table: str) -> TableFollower:
+    def _follower(
+        self,
+        table: str,
+        wait_s: float = FEED_WAIT_S,
+    ) -> TableFollower:
         return TableFollower(
             self.source,
             table,
             self.clock,
             self.log,
-            FEED_WAIT_S,
-            self._pause_s,
+            wait_s,
+            self.pause_s,
         )
 
-    def _pause_s(self) -> float:
-        return 0 if self.is_holder() else FEED_PAUSE_S
-
     def _on_configuration(self) -> None:
         row = self.configurations.rows_by_key.get(
             f'{OPERATOR_TABLE}/{CONFIGURATION_KEY}'
--- a/primroserudder/fleet/tenancy.py
+++ b/primroserudder/fleet/tenancy.py
@@ -6,7 +6,7 @@
 from ..process.clock import Clock
 from ..process.decisions import DecisionLog
 from ..process.lease import Lease
-from .exchange import Bulletin, Exchange
+from .notice import Notice
 
 LEASE_LIFETIME_S = 2.0
 LEASE_RENEWAL_S = 0.6
@@ -21,15 +21,15 @@
 
     Explanation
     ===========
-    Candidates learn of renewals from the holder's bulletins and read the
+    Candidates learn of renewals from notices and read the
     store only when these end.
     """
 
     lease: Lease
-    exchange: Exchange
     clock: Clock
     log: DecisionLog
     wake: asyncio.Event
+    heard_at: float = float('-inf')
 
     async def run(self) -> None:
         """Hold or watch the lease until cancelled."""
@@ -45,14 +45,11 @@
             pause_s = LEASE_RENEWAL_S if is_held else CANDIDATE_INTERVAL_S
             await asyncio.sleep(pause_s)
 
-    def hear(self, bulletin: Bulletin) -> None:
-        """Note a renewal that its holder tells of."""
-        if bulletin.lease_claim:
-            self.lease.note_claim(bulletin.lease_claim)
+    def hear(self, notice: Notice) -> None:
+        """Note a renewal that a notice tells of."""
+        if notice.lease_claim:
+            self.heard_at = self.clock.monotonic()
+            self.lease.note_claim(notice.lease_claim)
 
     def _hears_holder(self) -> bool:
-        now = self.clock.monotonic()
-        return any(
-            peer.bulletin.lease_claim and now - peer.heard_at < HOLDER_SILENT_S
-            for peer in self.exchange.peers_by_node.values()
-        )
+        return self.clock.monotonic() - self.heard_at < HOLDER_SILENT_S
--- a/primroserudder/fleet/tests/test_site.py
+++ b/primroserudder/fleet/tests/test_site.py
@@ -258,8 +258,8 @@
     async with platform_site(routers=2) as site:
         await _until_served(site)
         first, second = site.routers
-        await site.until(lambda: bool(first.exchange.living()))
-        await site.until(lambda: bool(second.exchange.living()))
+        await site.until(lambda: bool(first.exchange.neighbours()))
+        await site.until(lambda: bool(second.exchange.neighbours()))
         for engine in site.engines_by_id.values():
             engine.event_s = 0.1
         async with site.request('/notes/1') as answer:
--- a/primroserudder/process/tables.py
+++ b/primroserudder/process/tables.py
@@ -43,10 +43,17 @@
 
 @dataclass(frozen=True, slots=True)
 class ChangePage:
-    """Changes in order, and the version to go on from."""
+    """Changes in order, and the version to go on from.
+
+    Parameters
+    ==========
+    count : int or None
+        Rows of the whole table, where the source tells.
+    """
 
     changes: Sequence[Change]
     revision: int
+    count: int | None = None
 
 
 class TableSource(Protocol):
@@ -96,14 +103,29 @@
     is_known: bool = False
     is_reachable: bool = False
     confirmed_at: float = 0
-    _revision: int = 0
+    revision: int = 0
+    removed_at_by_key: dict[str, int] = field(default_factory=dict)
+    _must_read: bool = True
     _grace_until: float = 0
     _lapsed: set[str] = field(default_factory=set)
-    _news: asyncio.Event = field(default_factory=asyncio.Event)
-
-    def hurry(self) -> None:
-        """End a pause: news of a change came by another way."""
-        self._news.set()
+    _changed: asyncio.Event = field(default_factory=asyncio.Event)
+
+    def removed_since(self, revision: int) -> list[str]:
+        """Return the keys of rows that were removed after a version."""
+        return [
+            key
+            for key, at in self.removed_at_by_key.items()
+            if at > revision and key not in self.rows_by_key
+        ]
+
+    async def wait_for_change(self, revision: int, wait_s: float) -> None:
+        """Wait until there are changes after a version, or the time is over."""
+        try:
+            async with asyncio.timeout(wait_s):
+                while self._is_unchanged(revision):
+                    await self._changed.wait()
+        except TimeoutError:
+            return
 
     async def run(self) -> None:
         """Follow the table until cancelled."""
@@ -113,7 +135,7 @@
                 await self._step()
             except HistoryLost:
                 self.is_reachable = True
-                self._revision = 0
+                self._must_read = True
                 continue
             except PlatformUnavailable as error:
                 self._note_loss(error)
@@ -124,15 +146,13 @@
             await self._rest()
 
     async def _step(self) -> None:
-        if not self._revision or not self.is_reachable:
+        if self._must_read or not self.is_reachable:
             page = await self.source.read_table(self.table)
             self._note_return()
             self._replace(page)
         else:
             wait_s = self._wait_s()
-            found = await self.source.changes(
-                self.table, self._revision, wait_s
-            )
+            found = await self.source.changes(self.table, self.revision, wait_s)
             self._apply(found)
         self.confirmed_at = self.clock.monotonic()
         self._drop_lapsed()
@@ -145,14 +165,8 @@
 
     async def _rest(self) -> None:
         pause = self.pause_s()
-        self._news.clear()
-        if not pause:
-            return
-        try:
-            async with asyncio.timeout(pause):
-                await self._news.wait()
-        except TimeoutError:
-            return
+        if pause:
+            await asyncio.sleep(pause)
 
     def _note_loss(self, error: PlatformUnavailable) -> None:
         if self.is_reachable or not self.is_known:
@@ -174,8 +188,9 @@
         self.rows_by_key.update(fresh)
         for key in missing:
             self._remove(key)
+        self._must_read = False
         self._lapsed -= set(fresh)
-        self._revision = max(page.revision, 1)
+        self.revision = max(page.revision, self.revision, 1)
         if changed or not self.is_known:
             self.is_known = True
             self._tell()
@@ -187,24 +202,37 @@
             else:
                 self._lapsed.discard(change.key)
                 self.rows_by_key[change.key] = change.row
-        self._revision = max(found.revision, self._revision)
+        self.revision = max(found.revision, self.revision)
         if found.changes:
             self._tell()
+        if found.count not in {None, len(self.rows_by_key)}:
+            # Something was missed; the whole table is read next.
+            self._must_read = True
 
     def _remove(self, key: str) -> None:
         if self.clock.monotonic() < self._grace_until:
             self._lapsed.add(key)
-        else:
-            self.rows_by_key.pop(key, None)
+        elif self.rows_by_key.pop(key, None) is not None:
+            self.removed_at_by_key[key] = self.revision + 1
 
     def _drop_lapsed(self) -> None:
         if not self._lapsed or self.clock.monotonic() < self._grace_until:
             return
         for key in self._lapsed:
             self.rows_by_key.pop(key, None)
+            self.removed_at_by_key[key] = self.revision + 1
         self._lapsed.clear()
         self._tell()
 
+    def _is_unchanged(self, revision: int) -> bool:
+        if revision >= self.revision:
+            return True
+        return not self.removed_since(revision) and not any(
+            row.revision > revision for row in self.rows_by_key.values()
+        )
+
     def _tell(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
         for listener in self.listeners:
             listener()
