Notice a relay that goes blind, and fetch versions known elsewhere

Change: relays answer only while their last word of the store is 0.4 s older than a call may wait, calls wait 0.9 s instead of 1.5, and notices carry the newest version of each table, so that a VM behind for 0.8 s asks the store. Also, a table whose calls wait long no longer counts as out of date, which had sent every VM to the store for two seconds again and again.

--- a/primroserudder/fleet/notice.py
+++ b/primroserudder/fleet/notice.py
@@ -31,8 +31,8 @@
         The mark of the holder's last renewal, as far as it is fresh.
     struck : tuple of str
         Contents that were running when groups were lost.
-    relay : str
-        Where the sender gives out the store's tables; empty if it doesn't.
+    versions : Mapping
+        The newest row that the sender knows of each of the store's tables.
     """
 
     model_config = ConfigDict(frozen=True, extra='ignore')
@@ -49,7 +49,7 @@
     lease_claim: str = ''
     struck: tuple[str, ...] = ()
     has_traffic: bool = False
-    relay: str = ''
+    versions: Mapping[str, int] = {}
 
     def says_the_same(self, other: 'Notice | None') -> bool:
         """Return whether nothing but the sequence differs."""
@@ -82,6 +82,7 @@
         lease_claim=max(one.lease_claim for one in notices),
         struck=_union(one.struck for one in notices),
         has_traffic=any(one.has_traffic for one in notices),
+        versions=_newest(one.versions for one in notices),
     )
 
 
@@ -92,5 +93,13 @@
     return dict(total)
 
 
+def _newest(parts: Iterable[Mapping[str, int]]) -> Mapping[str, int]:
+    newest: dict[str, int] = {}
+    for part in parts:
+        for table, version in part.items():
+            newest[table] = max(version, newest.get(table, 0))
+    return newest
+
+
 def _union(parts: Iterable[tuple[str, ...]]) -> tuple[str, ...]:
     return tuple(sorted({one for part in parts for one in part}))
--- a/primroserudder/fleet/relay.py
+++ b/primroserudder/fleet/relay.py
@@ -36,8 +36,11 @@
 CHECK_INTERVAL_S = 0.1
 # After a failure the store is asked directly for so long.
 DIRECT_S = 2.0
-# A relay that has not heard of the store for so long does not answer.
-STALE_S = 2.6
+# A relay that has heard nothing of the store for so long beyond the time
+# that a call may wait does not answer.
+STALE_S = 0.4
+# A version that others know is here within this time, or the store is asked.
+BEHIND_S = 0.8
 
 _Answer = TypeVar('_Answer')
 
@@ -76,7 +79,10 @@
             return web.Response(status=HTTPStatus.NOT_FOUND)
         since = int(request.query.get('since', '0'))
         wait_s = float(request.query.get('wait', '0'))
-        await follower.wait_for_change(since, wait_s)
+        waiting = asyncio.ensure_future(follower.wait_for_change(since, wait_s))
+        async with ending(waiting):
+            while not waiting.done() and self._is_current(follower):
+                await asyncio.wait((waiting,), timeout=CHECK_INTERVAL_S)
         if not self._is_current(follower):
             return web.Response(status=HTTPStatus.SERVICE_UNAVAILABLE)
         return web.Response(
@@ -85,7 +91,15 @@
 
     def _is_current(self, follower: TableFollower) -> bool:
         age_s = self.clock.monotonic() - follower.confirmed_at
-        return follower.is_reachable and age_s < STALE_S
+        return follower.is_reachable and age_s < follower.wait_s + STALE_S
+
+
+@dataclass(frozen=True, slots=True)
+class _HeardVersion:
+    """A version that others know, and since when that is known here."""
+
+    version: int
+    at: float
 
 
 @dataclass(slots=True)
@@ -103,12 +117,21 @@
     clock: Clock
     relay: Callable[[], str]
     direct_until: float = 0
-    relayed: int = field(default=0)
+    relayed: int = 0
+    _heard: dict[str, _HeardVersion] = field(default_factory=dict)
 
     async def close(self) -> None:
         """Close the connections to relays."""
         await self.session.close()
 
+    def hear(self, versions: Mapping[str, int]) -> None:
+        """Note versions that other VMs know."""
+        now = self.clock.monotonic()
+        for table, version in versions.items():
+            known = self._heard.get(table)
+            if known is None or version > known.version:
+                self._heard[table] = _HeardVersion(version, now)
+
     async def read_table(self, table: str) -> TablePage:
         """Return all rows."""
         message = await self._ask(table, 0, 0)
@@ -144,12 +167,18 @@
         relay = self.relay()
         if not relay or self.clock.monotonic() < self.direct_until:
             return None
+        if self._is_behind(table, since):
+            self._turn_to_store()
+            return None
         url = f'http://{relay}{PATH}/{table}'
         query = {'since': str(since), 'wait': str(wait_s)}
         timeout = ClientTimeout(total=wait_s + SLACK_S)
         try:
-            message = await self._while_living(
-                relay, self._fetch(url, query, timeout)
+            message = await self._while_useful(
+                lambda: (
+                    self.relay() == relay and not self._is_behind(table, since)
+                ),
+                self._fetch(url, query, timeout),
             )
         except (ClientError, OSError, ValidationError):
             # The store is asked instead; a silent relay shows in the logs.
@@ -158,15 +187,22 @@
             self._turn_to_store()
         return message
 
-    async def _while_living(
+    def _is_behind(self, table: str, since: int) -> bool:
+        """Return whether others have known a newer version for a while."""
+        heard = self._heard.get(table)
+        if heard is None or not since or heard.version <= since:
+            return False
+        return self.clock.monotonic() - heard.at > BEHIND_S
+
+    async def _while_useful(
         self,
-        relay: str,
+        is_useful: Callable[[], bool],
         asking: Awaitable[_Answer | None],
     ) -> _Answer | None:
         """Wait for an answer, but not for that of a relay gone silent."""
         task = asyncio.ensure_future(asking)
         async with ending(task):
-            while not task.done() and self.relay() == relay:
+            while not task.done() and is_useful():
                 await asyncio.wait((task,), timeout=CHECK_INTERVAL_S)
             return task.result() if task.done() else None
 
--- a/primroserudder/fleet/router.py
+++ b/primroserudder/fleet/router.py
@@ -37,8 +37,9 @@
 CLOSING_NOTICE_S = 3.2
 # Streams that still run are cut this long before the kill.
 EXIT_RESERVE_S = 0.4
-# The lease's holder hears of engines at once; the others let changes gather.
+# Changes gather for so long; the lease's holder waits for its orders' effect.
 FEED_PAUSE_S = 0.3
+HOLDER_PAUSE_S = 0.03
 
 
 @dataclass(slots=True)
@@ -205,7 +206,7 @@
         return '' if speaker == self.settings.exchange_name else speaker
 
     def _feed_pause_s(self) -> float:
-        return 0 if self.lease.is_held() else FEED_PAUSE_S
+        return HOLDER_PAUSE_S if self.lease.is_held() else FEED_PAUSE_S
 
     def _broken_groups(self) -> set[str]:
         broken = set(self.care.keeper.broken_groups)
@@ -227,6 +228,7 @@
             lease_claim=self.lease.claim,
             struck=self.server.strikes.tell(),
             has_traffic=self._traffic.is_set(),
+            versions=self.view.versions(),
         )
 
     def _on_notice(self, notice: Notice) -> None:
@@ -234,6 +236,7 @@
             self._traffic.set()
         self.server.strikes.learn(notice.struck)
         self.server.health.lose(notice.broken_groups)
+        self.tables.hear(notice.versions)
         self.care.tenancy.hear(notice)
         self.care.keeper.question(notice.silent_heads)
 
--- a/primroserudder/fleet/siteview.py
+++ b/primroserudder/fleet/siteview.py
@@ -16,8 +16,9 @@
 from .holding import ConfigurationHolder
 from .model import Configuration
 
-# A connection that fell silent is noticed after this and the call's slack.
-FEED_WAIT_S = 1.5
+# A source that fell silent is noticed after this and the call's slack; a
+# change of the configuration is due everywhere in two seconds.
+FEED_WAIT_S = 0.9
 # Addresses of routers may be known later than all else.
 NODES_WAIT_S = 5.0
 NODES_TABLE = 'nodes'
@@ -62,6 +63,11 @@
         """Return whether configuration and engines were read once."""
         return self.holder.current is not None and self.engines.is_known
 
+    def versions(self) -> Mapping[str, int]:
+        """Return the newest version known of each table that must be fresh."""
+        followers = (self.configurations, self.engines)
+        return {follower.table: follower.newest() for follower in followers}
+
     def _follower(
         self,
         table: str,
--- /dev/null
+++ b/primroserudder/fleet/tests/test_relay.py
@@ -0,0 +1,150 @@
+"""Tables by way of a relay, and without it once it fails."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+
+import pytest
+from aiohttp import ClientSession, web
+
+from ...platform import PlatformStore
+from ...process.clock import SystemClock
+from ...process.decisions import DecisionLog
+from ...process.tables import HistoryLost, TableFollower
+from ...standins.tablestore import TableStore
+from ..relay import RelayedTables, TableRelay
+
+LONG_WAIT_S = 5.0
+
+
+@dataclass(slots=True)
+class _Pair:
+    """A relay and a router that asks it."""
+
+    standin: TableStore
+    follower: TableFollower
+    tables: RelayedTables
+    following: asyncio.Task[None]
+    relay_address: list[str] = field(default_factory=list)
+
+
+async def _listen(handler: web.Server) -> tuple[web.ServerRunner, str]:
+    runner = web.ServerRunner(handler, shutdown_timeout=0.01)
+    await runner.setup()
+    site = web.TCPSite(runner, '127.0.0.1', 0)
+    await site.start()
+    host, port = runner.addresses[0][:2]
+    return runner, f'{host}:{port}'
+
+
+def _no_pause() -> float:
+    return 0
+
+
+@asynccontextmanager
+async def _pair(wait_s: float = 0.2) -> AsyncIterator[_Pair]:
+    standin = TableStore()
+    app = web.AppRunner(standin.app(), shutdown_timeout=0.01)
+    await app.setup()
+    await web.TCPSite(app, '127.0.0.1', 0).start()
+    host, port = app.addresses[0][:2]
+    store = PlatformStore(f'{host}:{port}')
+    clock = SystemClock()
+    follower = TableFollower(
+        store, 'things', clock, DecisionLog('vm', clock), wait_s, _no_pause
+    )
+    following = asyncio.ensure_future(follower.run())
+    relay = TableRelay({'things': follower}, clock)
+    runner, address = await _listen(web.Server(relay.answer))
+    known = [address]
+    async with ClientSession() as session:
+        tables = RelayedTables(store, session, clock, lambda: known[0])
+        await asyncio.sleep(0.1)
+        yield _Pair(standin, follower, tables, following, known)
+        following.cancel()
+    await runner.cleanup()
+    await store.close()
+    await app.cleanup()
+
+
+async def test_table_and_changes_come_from_the_relay() -> None:
+    async with _pair() as pair:
+        pair.standin.rows.put('things', 'a', {'number': 1})
+        await asyncio.sleep(0.1)
+        page = await pair.tables.read_table('things')
+        assert [row.fields for row in page.rows] == [{'number': 1}]
+        pair.standin.rows.remove('things', 'a')
+        found = await pair.tables.changes('things', page.revision, 1)
+        assert [change.row for change in found.changes] == [None]
+        assert found.count == 0
+        assert pair.tables.relayed == 2
+
+
+async def test_calls_that_wait_long_leave_the_relay_in_use() -> None:
+    async with _pair(LONG_WAIT_S) as pair:
+        await asyncio.sleep(3)
+        await pair.tables.read_table('things')
+        assert pair.tables.relayed == 1
+
+
+async def test_relay_that_lost_the_store_is_left_at_once() -> None:
+    async with _pair() as pair:
+        pair.standin.rows.put('things', 'a', {})
+        await asyncio.sleep(0.1)
+        pair.follower.is_reachable = False
+        page = await pair.tables.read_table('things')
+        assert len(page.rows) == 1
+        assert pair.tables.relayed == 0
+
+
+async def test_relay_that_falls_silent_is_not_waited_for() -> None:
+    async with _pair(LONG_WAIT_S) as pair:
+        asking = asyncio.ensure_future(
+            pair.tables.changes('things', pair.follower.revision, LONG_WAIT_S)
+        )
+        await asyncio.sleep(0.05)
+        pair.relay_address[0] = ''
+        pair.standin.rows.put('things', 'a', {})
+        found = await asking
+        assert [change.key for change in found.changes] == ['things/a']
+
+
+async def test_relay_that_is_behind_makes_the_table_be_read_anew() -> None:
+    async with _pair() as pair:
+        pair.standin.rows.put('things', 'a', {})
+        await asyncio.sleep(0.1)
+        ahead = pair.follower.revision + 5
+        with pytest.raises(HistoryLost):
+            await pair.tables.changes('things', ahead, 0.05)
+        await pair.tables.read_table('things')
+        assert pair.tables.relayed == 1
+
+
+async def test_version_that_others_know_is_fetched_past_a_blind_relay() -> None:
+    # The relay's connection to the store fell silent: it neither fails nor
+    # tells anything new, and still holds itself for current.
+    async with _pair(LONG_WAIT_S) as pair:
+        pair.standin.rows.put('things', 'a', {})
+        await asyncio.sleep(0.1)
+        since = pair.follower.revision
+        pair.follower.wait_s = 1000
+        pair.following.cancel()
+        pair.standin.rows.put('things', 'b', {})
+        pair.tables.hear({'things': pair.standin.rows.revision})
+        found = await pair.tables.changes('things', since, LONG_WAIT_S)
+        assert [change.key for change in found.changes] == ['things/b']
+        assert pair.tables.relayed == 0
+
+
+async def test_relay_gone_blind_tells_so_while_others_wait() -> None:
+    async with _pair() as pair:
+        await asyncio.sleep(0.1)
+        pair.following.cancel()
+        asking = pair.tables.changes(
+            'things', pair.follower.revision, LONG_WAIT_S
+        )
+        pair.standin.rows.put('things', 'a', {})
+        found = await asking
+        assert [change.key for change in found.changes] == ['things/a']
+        assert pair.tables.relayed == 0
--- a/primroserudder/process/tables.py
+++ b/primroserudder/process/tables.py
@@ -110,6 +110,11 @@
     _lapsed: set[str] = field(default_factory=set)
     _changed: asyncio.Event = field(default_factory=asyncio.Event)
 
+    def newest(self) -> int:
+        """Return the version of the newest row, zero if there is none."""
+        rows = self.rows_by_key.values()
+        return max((row.revision for row in rows), default=0)
+
     def removed_since(self, revision: int) -> list[str]:
         """Return the keys of rows that were removed after a version."""
         return [
@@ -190,7 +195,7 @@
             self._remove(key)
         self._must_read = False
         self._lapsed -= set(fresh)
-        self.revision = max(page.revision, self.revision, 1)
+        self.revision = max(page.revision, self.revision)
         if changed or not self.is_known:
             self.is_known = True
             self._tell()
--- /dev/null
+++ b/primroserudder/process/tests/test_tables.py
@@ -0,0 +1,180 @@
+"""A followed table through outages, lost history and lapsed entries."""
+
+import asyncio
+from dataclasses import dataclass, field
+
+import pytest
+
+from ..clock import LoopClock
+from ..decisions import DecisionLog
+from ..platform import PlatformUnavailable, Row
+from ..tables import (
+    RETURN_GRACE_S,
+    Change,
+    ChangePage,
+    HistoryLost,
+    TableFollower,
+    TablePage,
+)
+
+pytestmark = pytest.mark.looptime
+WAIT_S = 1.5
+
+
+@dataclass(slots=True)
+class _Source:
+    """A table that can be away, or forget its history."""
+
+    rows_by_key: dict[str, Row] = field(default_factory=dict)
+    removed_at_by_key: dict[str, int] = field(default_factory=dict)
+    revision: int = 1
+    is_away: bool = False
+    has_forgotten: bool = False
+    whole_reads: int = 0
+    news: asyncio.Event = field(default_factory=asyncio.Event)
+
+    def put(self, key: str) -> None:
+        self.revision += 1
+        self.rows_by_key[key] = Row(key, self.revision, {})
+        self.news.set()
+
+    def remove(self, key: str) -> None:
+        self.revision += 1
+        self.rows_by_key.pop(key)
+        self.removed_at_by_key[key] = self.revision
+        self.news.set()
+
+    async def read_table(self, table: str) -> TablePage:
+        await asyncio.sleep(0.004)
+        if self.is_away:
+            raise PlatformUnavailable('away')
+        self.whole_reads += 1
+        return TablePage(tuple(self.rows_by_key.values()), self.revision)
+
+    async def changes(
+        self,
+        table: str,
+        since: int,
+        wait_s: float,
+    ) -> ChangePage:
+        self.news.clear()
+        if since == self.revision:
+            await self._wait(wait_s)
+        if self.is_away:
+            raise PlatformUnavailable('away')
+        if self.has_forgotten:
+            self.has_forgotten = False
+            raise HistoryLost('forgotten')
+        changed = [
+            Change(row.key, row)
+            for row in self.rows_by_key.values()
+            if row.revision > since
+        ]
+        removed = [
+            Change(key, None)
+            for key, at in self.removed_at_by_key.items()
+            if at > since and key not in self.rows_by_key
+        ]
+        return ChangePage(
+            (*removed, *changed), self.revision, len(self.rows_by_key)
+        )
+
+    async def _wait(self, wait_s: float) -> None:
+        try:
+            async with asyncio.timeout(wait_s):
+                await self.news.wait()
+        except TimeoutError:
+            return
+
+
+def _follower(source: _Source) -> TableFollower:
+    clock = LoopClock()
+    log = DecisionLog('vm', clock)
+    return TableFollower(source, 'things', clock, log, WAIT_S, _no_pause)
+
+
+def _no_pause() -> float:
+    return 0
+
+
+async def test_changes_and_removals_are_seen() -> None:
+    source = _Source()
+    source.put('things/a')
+    follower = _follower(source)
+    task = asyncio.ensure_future(follower.run())
+    await asyncio.sleep(0.1)
+    assert set(follower.rows_by_key) == {'things/a'}
+    source.put('things/b')
+    source.remove('things/a')
+    await asyncio.sleep(0.1)
+    assert set(follower.rows_by_key) == {'things/b'}
+    task.cancel()
+
+
+async def test_last_known_rows_stay_through_an_outage() -> None:
+    source = _Source()
+    source.put('things/a')
+    follower = _follower(source)
+    task = asyncio.ensure_future(follower.run())
+    await asyncio.sleep(0.1)
+    source.is_away = True
+    await asyncio.sleep(30)
+    assert not follower.is_reachable
+    assert set(follower.rows_by_key) == {'things/a'}
+    task.cancel()
+
+
+async def _lapse(source: _Source) -> None:
+    """Let the entries lapse in an outage, until a second after it."""
+    await asyncio.sleep(0.1)
+    source.is_away = True
+    await asyncio.sleep(5)
+    source.remove('things/a')
+    source.remove('things/b')
+    source.is_away = False
+    await asyncio.sleep(1)
+
+
+async def test_entry_that_lapsed_meanwhile_has_time_to_come_back() -> None:
+    source = _Source()
+    source.put('things/a')
+    source.put('things/b')
+    follower = _follower(source)
+    task = asyncio.ensure_future(follower.run())
+    await _lapse(source)
+    assert follower.is_reachable
+    assert set(follower.rows_by_key) == {'things/a', 'things/b'}
+    source.put('things/a')
+    await asyncio.sleep(RETURN_GRACE_S + WAIT_S)
+    assert set(follower.rows_by_key) == {'things/a'}
+    task.cancel()
+
+
+async def test_lost_history_reads_the_table_anew() -> None:
+    source = _Source()
+    source.put('things/a')
+    follower = _follower(source)
+    task = asyncio.ensure_future(follower.run())
+    await asyncio.sleep(0.1)
+    source.has_forgotten = True
+    source.put('things/b')
+    await asyncio.sleep(0.5)
+    assert set(follower.rows_by_key) == {'things/a', 'things/b'}
+    assert source.whole_reads == 2
+    task.cancel()
+
+
+async def test_removals_are_told_to_those_who_follow_the_follower() -> None:
+    source = _Source()
+    source.put('things/a')
+    follower = _follower(source)
+    task = asyncio.ensure_future(follower.run())
+    await asyncio.sleep(0.1)
+    known = follower.revision
+    waiting = asyncio.ensure_future(follower.wait_for_change(known, 5))
+    source.remove('things/a')
+    await asyncio.sleep(0.1)
+    assert waiting.done()
+    assert follower.removed_since(known) == ['things/a']
+    assert not follower.removed_since(follower.revision)
+    task.cancel()
