Let streams leave heads out of reach; know loads from the list

A new holder did not know the loads that the last one had ordered: it took an engine that still joined for one that held the model, and claimed groups that stood 15 s later. Plain services with one slow request were taken for silent heads, asked for a report that they don't have, and avoided.

Change: a router asks a silent head itself and gives up its streams there when it gets no answer; two engines of a domain out of reach let the domain rest for 1.5 s; connections are tried for 0.15 s. What an engine loads is read from the list. Only streams are watched for silence, and only the holder asks the neighbours of a lost engine. Tests for each; those of loads and of plain services fail without the change.

--- a/primroserudder/fleet/attempt.py
+++ b/primroserudder/fleet/attempt.py
@@ -15,11 +15,13 @@
 from .model import RouteKind, Target
 from .repeating import Ending
 
-CONNECT_TIMEOUT_S = 0.4
+# Between failure domains a connection takes a few milliseconds.
+CONNECT_TIMEOUT_S = 0.15
 LEAST_TIMEOUT_S = 0.001
 STATUS_OK = 200
 STATUS_REDIRECT = 300
 LARGEST_ANSWER = 16_777_216
+NO_CONNECTION = 'no connection'
 _BROKEN = (aiohttp.ClientError, TimeoutError, OSError, ValueError)
 _NOT_ADDED = ('User-Agent', 'Accept', 'Accept-Encoding', 'Content-Type')
 
@@ -107,7 +109,7 @@
             ) as response:
                 return await self._take(response)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
-            return AttemptResult(Ending.NOT_RUN, 'no connection')
+            return AttemptResult(Ending.NOT_RUN, NO_CONNECTION)
         except _BROKEN as error:
             return self._broken(type(error).__name__)
 
--- a/primroserudder/fleet/caretaking.py
+++ b/primroserudder/fleet/caretaking.py
@@ -63,7 +63,15 @@
     log = around.log
     giver = OrderGiver(orders, clock, log, around.metrics, wake)
     stock = Stock(view.directory, clock, log, LoadGate(clock), has_traffic)
-    reach = Reach(orders, view.directory, clock, log, giver.start, wake.set)
+    reach = Reach(
+        orders,
+        view.directory,
+        clock,
+        log,
+        giver.start,
+        wake.set,
+        lease.is_held,
+    )
     keeper = GroupKeeper(
         lease,
         partial(Tenure, around.platform, lease, clock, log, around.metrics),
--- a/primroserudder/fleet/directory.py
+++ b/primroserudder/fleet/directory.py
@@ -45,6 +45,22 @@
     return f'{service}/{model}'
 
 
+def joined_model(engine: Engine) -> str:
+    """Return the model of the group that an engine has joined, if any."""
+    membership = engine.membership
+    if membership is None or membership.state is GroupState.JOINING:
+        return ''
+    return model_of(membership.group)
+
+
+def joining_model(engine: Engine) -> str:
+    """Return the model of the group that an engine is about to join."""
+    membership = engine.membership
+    if membership is None or membership.state is not GroupState.JOINING:
+        return ''
+    return model_of(membership.group)
+
+
 def is_standby(group: str) -> bool:
     """Return whether a group only holds a model ready."""
     return group.endswith(STANDBY_SUFFIX)
@@ -108,9 +124,9 @@
             self.engines_by_id.pop(engine_id, None)
             return
         self.engines_by_id[engine_id] = engine
-        if engine.membership is not None:
-            known = (engine_id, engine.born_ms)
-            self.last_model_by_id[known] = model_of(engine.membership.group)
+        model = joined_model(engine)
+        if model:
+            self.last_model_by_id[engine_id, engine.born_ms] = model
 
     def _make_targets(self) -> dict[tuple[str, str], Sequence[Target]]:
         made: defaultdict[tuple[str, str], list[Target]] = defaultdict(list)
--- a/primroserudder/fleet/reach.py
+++ b/primroserudder/fleet/reach.py
@@ -35,6 +35,7 @@
     log: DecisionLog
     start: Start
     on_loss: Callable[[], None]
+    is_holder: Callable[[], bool]
     _unreachable_until: dict[str, float] = field(default_factory=dict)
     _asked_at: dict[str, float] = field(default_factory=dict)
 
@@ -69,7 +70,8 @@
         self._unreachable_until[engine_id] = now + UNREACHABLE_S
         if is_news:
             self.log.note('engine_unreachable', engine=engine_id)
-            self._ask_neighbours(engine)
+            if self.is_holder():
+                self._ask_neighbours(engine)
         self.on_loss()
 
     def _ask_neighbours(self, lost: Engine) -> None:
--- a/primroserudder/fleet/router.py
+++ b/primroserudder/fleet/router.py
@@ -178,6 +178,7 @@
             self.server.watches_by_head,
             self.server.health,
             self.care.keeper.question,
+            self.care.keeper.reach,
         )
         self._assemble_ports()
 
--- a/primroserudder/fleet/serving.py
+++ b/primroserudder/fleet/serving.py
@@ -155,11 +155,17 @@
     def _targets(self, call: Call) -> list[Target]:
         service = call.destination.service
         broken = self.broken_groups()
-        return [
+        whole = [
             target
             for target in self.directory.targets(service, call.facts.model)
             if target.group not in broken or not target.group
         ]
+        reachable = [
+            target
+            for target in whole
+            if not self.health.is_domain_avoided(target.failure_domain)
+        ]
+        return reachable or whole
 
     def _find(self, call: Call) -> Target | None:
         targets = self._targets(call)
@@ -191,7 +197,9 @@
     def _watched(self, call: Call, target: Target) -> Iterator[StreamWatch]:
         """Give the place back when the attempt ends, however it does."""
         watch = StreamWatch(asyncio.get_running_loop().time())
-        watches = self.watches_by_head[target.engine_id]
+        watches: dict[int, StreamWatch] = {}
+        if target.group:
+            watches = self.watches_by_head[target.engine_id]
         watches[id(watch)] = watch
         try:
             yield watch
@@ -203,17 +211,21 @@
         """Run an attempt; give a stream up once its group is known broken."""
         if attempt.call.destination.route.kind is not RouteKind.STREAM:
             return await attempt.run()
-        lost = self.health.lost_event(attempt.target.group)
+        target = attempt.target
+        ends = (
+            self.health.lost_event(target.group),
+            self.health.cut_event(target.engine_id),
+        )
         running = asyncio.ensure_future(attempt.run())
-        losing = asyncio.ensure_future(lost.wait())
-        async with ending(losing, running):
+        losing = [asyncio.ensure_future(end.wait()) for end in ends]
+        async with ending(running, *losing):
             await asyncio.wait(
-                (running, losing), return_when=asyncio.FIRST_COMPLETED
+                (running, *losing), return_when=asyncio.FIRST_COMPLETED
             )
         if not running.cancelled():
             return running.result()
         how = Ending.CUT if attempt.sink.is_started else Ending.UNKNOWN
-        return AttemptResult(how, 'group broken')
+        return AttemptResult(how, 'group broken or out of reach')
 
     def _learn(
         self,
--- a/primroserudder/fleet/silence.py
+++ b/primroserudder/fleet/silence.py
@@ -14,6 +14,7 @@
 
 from .attempt import StreamWatch
 from .health import TargetHealth
+from .reach import Reach
 
 # Some five times the pause between events of a group whose batch is full.
 SILENT_STREAM_S = 0.35
@@ -32,6 +33,7 @@
     watches_by_head: Watches
     health: TargetHealth
     question: Callable[[Collection[str]], None]
+    reach: Reach
 
     async def run(self) -> None:
         """Look until cancelled."""
@@ -41,6 +43,18 @@
             heads = silent_heads(self.watches_by_head, loop.time())
             self.health.silent = set(heads)
             self.question(heads)
+            for head in heads:
+                self.reach.ask(f'head {head}', (head,))
+            self._give_up(heads)
+
+    def _give_up(self, heads: Collection[str]) -> None:
+        """End the streams of silent heads that give this VM no answer."""
+        unreachable = self.reach.unreachable()
+        engines = self.reach.directory.engines_by_id
+        for head in unreachable.intersection(heads):
+            engine = engines.get(head)
+            domain = '' if engine is None else engine.failure_domain
+            self.health.note_cut_head(head, domain)
 
 
 def silent_heads(
--- a/primroserudder/fleet/stock.py
+++ b/primroserudder/fleet/stock.py
@@ -7,10 +7,10 @@
 from ..process.clock import Clock
 from ..process.decisions import DecisionLog
 from .demand import DemandMeter
-from .directory import Directory, model_of
+from .directory import Directory, joined_model, joining_model
 from .formations import Standing
 from .loads import LoadGate
-from .model import Engine, EngineSpec, Formation, GroupState, ModelSpec
+from .model import Engine, EngineSpec, Formation, ModelSpec
 from .placement import Balance, FreeEngine, domain_of
 
 # A domain that came back whole shows its engines within this time.
@@ -146,9 +146,11 @@
 
     def _free_engine(self, engine: Engine) -> FreeEngine:
         loading = self.gate.loading(engine.engine_id)
-        if loading and _joined_model(engine) == loading:
+        if loading and joined_model(engine) == loading:
             self.gate.end(engine.engine_id)
             loading = ''
+        # Another holder may have ordered a load before this one took over.
+        loading = loading or joining_model(engine)
         last = self.directory.last_model(engine)
         return FreeEngine(engine, '' if loading else last, loading)
 
@@ -157,13 +159,5 @@
         return '' if head is None else _domain(head)
 
 
-def _joined_model(engine: Engine) -> str:
-    """Return the model of the group that an engine has joined, if any."""
-    membership = engine.membership
-    if membership is None or membership.state is GroupState.JOINING:
-        return ''
-    return model_of(membership.group)
-
-
 def _domain(engine: Engine) -> str:
     return domain_of(FreeEngine(engine, ''))
--- a/primroserudder/fleet/tests/test_decisions_of_load.py
+++ b/primroserudder/fleet/tests/test_decisions_of_load.py
@@ -16,7 +16,7 @@
     target,
 )
 from ...testing.platformsite import configuration
-from ..attempt import AttemptResult, StreamWatch
+from ..attempt import NO_CONNECTION, AttemptResult, StreamWatch
 from ..choice import choose
 from ..demand import DemandMeter, first_groups
 from ..directory import Directory
@@ -140,3 +140,28 @@
     assert 'a' in health.avoided()
     clock.advance(5)
     assert 'a' not in health.avoided()
+
+
+def test_domain_rests_once_two_of_its_engines_are_out_of_reach() -> None:
+    clock = ManualClock()
+    health = TargetHealth(clock)
+    unreached = AttemptResult(Ending.NOT_RUN, NO_CONNECTION)
+    for engine_id in 'ab':
+        assert not health.is_domain_avoided('fd-2')
+        place = target(engine_id, domain='fd-2')
+        health.note(place, unreached, clock.now)
+    assert health.is_domain_avoided('fd-2')
+    assert not health.is_domain_avoided('fd-1')
+    clock.advance(5)
+    assert not health.is_domain_avoided('fd-2')
+
+
+async def test_head_out_of_reach_ends_what_runs_there_and_no_later_run() -> (
+    None
+):
+    health = TargetHealth(ManualClock())
+    running = health.cut_event('a')
+    health.note_cut_head('a', 'fd-2')
+    assert running.is_set()
+    assert not health.cut_event('a').is_set()
+    assert 'a' in health.avoided()
--- a/primroserudder/fleet/tests/test_site.py
+++ b/primroserudder/fleet/tests/test_site.py
@@ -268,3 +268,31 @@
             await answer.read()
         held = [router.lease.is_held() for router in site.routers]
         assert held.count(True) == 1
+
+
+async def test_stream_at_a_head_gone_dark_goes_on_elsewhere() -> None:
+    async with platform_site(engines=8) as site:
+        await _until_served(site)
+        await site.until(lambda: len(site.heads()) > 1)
+        await asyncio.sleep(0.5)
+        for engine in site.engines_by_id.values():
+            engine.event_s = 0.1
+        async with site.request('/notes/1', headers={ID: 'one'}) as answer:
+            first = await answer.content.readuntil(b'\n\n')
+            head = site.engines_by_id[site.arrivals('one')[0]]
+            head.faults.is_dark = True
+            assert first + await answer.read() == _whole(5)
+        assert len(site.arrivals('one')) == 2
+
+
+async def test_slow_plain_service_is_not_taken_for_a_silent_head() -> None:
+    async with platform_site() as site:
+        await _until_served(site)
+        for engine in site.engines_by_id.values():
+            engine.faults.never_answers = engine.is_plain
+        asking = asyncio.ensure_future(_answer(site, '/refunds/1'))
+        server = site.routers[0].server
+        await site.until(lambda: bool(server.book.running_by_engine))
+        plain = set(server.book.running_by_engine)
+        assert not plain.intersection(server.watches_by_head)
+        await asking
--- a/primroserudder/standins/groupengine.py
+++ b/primroserudder/standins/groupengine.py
@@ -57,6 +57,7 @@
     fails_with: int = 0
     ignores_orders: bool = False
     late_orders_s: float = 0
+    is_dark: bool = False
 
 
 @dataclass(slots=True)
@@ -137,6 +138,8 @@
         }
 
     async def _report(self, _request: web.Request) -> web.Response:
+        if self.faults.is_dark:
+            await asyncio.sleep(SILENCE_S)
         said = {
             **self._entry(),
             'Queued': 0,
@@ -149,6 +152,8 @@
 
     async def _take_order(self, request: web.Request) -> web.Response:
         order = orjson.loads(await request.read())
+        if self.faults.is_dark:
+            await asyncio.sleep(SILENCE_S)
         self.orders.append(order)
         late_s = self.faults.late_orders_s
         if late_s:
@@ -218,6 +223,8 @@
         for sent, number in enumerate(range(first, self.events + 1)):
             if sent == self.faults.cuts_after_events:
                 return await self._cut(request, response, number)
+            if self.faults.is_dark:
+                await asyncio.sleep(SILENCE_S)
             await response.write(event(number))
             await asyncio.sleep(self.event_s)
         await response.write_eof()
