Never end a cut stream as whole; load from the first engine on

A stream was cut after events and went on at a second engine that answered 500; that answer was passed on as the end of the first (docs/incidents/failure-after-events). A test over loopback shows it; it fails without the change.

Change: a failure is passed on only while the caller has nothing, and the part that ends streams asks for a delivered answer by itself.

Also: before traffic, loads begin with the first engines of a domain, which had left the weight store idle for a second; reports are waited for 0.15 s and streams count as silent after 0.28 s.

--- a/primroserudder/fleet/callers.py
+++ b/primroserudder/fleet/callers.py
@@ -22,7 +22,7 @@
 from .call import Call
 from .events import Event
 from .model import Configuration
-from .repeating import Progress
+from .repeating import Ending, Progress
 from .routes import find_destination, find_route
 from .serving import Server
 
@@ -142,9 +142,14 @@
         except RudderError as error:
             return self._refuse(request, stream, error, received_at)
         self._note_end(call, outcome, received_at)
-        if stream.response is not None:
+        if stream.response is None:
+            return self._whole_answer(outcome)
+        is_whole = outcome.ending is Ending.DELIVERED
+        self.metrics.count('streams', whole=str(is_whole))
+        if is_whole:
             return await stream.finish()
-        return self._whole_answer(outcome)
+        stream.abort()
+        return stream.response
 
     async def _read(
         self,
--- a/primroserudder/fleet/preloading.py
+++ b/primroserudder/fleet/preloading.py
@@ -23,6 +23,8 @@
 # Before traffic nothing is lost yet, and groups go before spares.
 FIRST_SPARE_RANK = 50.0
 SECOND_SPARE_RANK = 100.0
+# A group that lacks engines yet waits for those that can be completed.
+EARLY_RANK = 20.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -103,7 +105,7 @@
     has_traffic: bool,
 ) -> Iterator[_Option]:
     for model in specs:
-        yield from _completing(stock, model, balance)
+        yield from _completing(stock, model, balance, has_traffic=has_traffic)
         yield from _sparing(stock, model, has_traffic=has_traffic)
 
 
@@ -111,8 +113,16 @@
     stock: DomainStock,
     model: ModelSpec,
     balance: Balance,
+    *,
+    has_traffic: bool,
 ) -> Iterator[_Option]:
-    """Return the loads that complete a group that is wanted."""
+    """Return the loads that complete a group that is wanted.
+
+    Explanation
+    ===========
+    Before traffic engines still appear. A group is begun with those that are
+    there, so that the weight store is never idle.
+    """
     missing = model.group_size - stock.held(model)
     if missing <= 0 or not balance.is_short(model):
         return
@@ -121,6 +131,9 @@
         engines = tuple(takable[:missing])
         # Loads that are under way already leave less to be done.
         yield _Option(missing, model, engines, completes=True)
+    elif takable and not has_traffic:
+        rank = EARLY_RANK + missing - len(takable)
+        yield _Option(rank, model, tuple(takable), completes=True)
 
 
 def _cheapest(stock: DomainStock, model: ModelSpec) -> list[FreeEngine]:
--- a/primroserudder/fleet/serving.py
+++ b/primroserudder/fleet/serving.py
@@ -131,6 +131,9 @@
             step = call.progress.next_step(outcome.ending, call.left_s)
             if step is Step.REPEAT and not self._take_repeat(call):
                 step = _without_repeat(outcome.ending, call)
+            if step is Step.PASS_FAILURE and sink.is_started:
+                # The caller has the head of a success and some events.
+                step = Step.GIVE_UP
             if step is not Step.REPEAT:
                 return self._finish(step, call, outcome)
             self._note_repeat(call, target, outcome)
--- a/primroserudder/fleet/silence.py
+++ b/primroserudder/fleet/silence.py
@@ -16,8 +16,8 @@
 from .health import TargetHealth
 from .reach import Reach
 
-# Some five times the pause between events of a group whose batch is full.
-SILENT_STREAM_S = 0.35
+# Some three times the pause between events of a group whose batch is full.
+SILENT_STREAM_S = 0.28
 # A first event may wait for other prompts to be read.
 SILENT_START_S = 0.9
 
--- a/primroserudder/fleet/tests/test_placement.py
+++ b/primroserudder/fleet/tests/test_placement.py
@@ -100,6 +100,13 @@
     assert loads[-1].engine.engine_id == 'y'
 
 
+def test_engines_that_appear_first_load_before_their_group_is_there() -> None:
+    stock = [free('x'), free('y')]
+    loads = plan_loads(stock, _none, SPECS, _balance(), has_traffic=False)
+    # Both begin the group that lacks the fewest engines.
+    assert [one.model for one in loads] == [SMALL, SMALL]
+
+
 def test_engine_that_loads_already_is_not_ordered_again() -> None:
     busy = FreeEngine(free('x').engine, '', loading='large')
     stock = [*_holding('large', 5), busy]
--- a/primroserudder/fleet/tests/test_site.py
+++ b/primroserudder/fleet/tests/test_site.py
@@ -296,3 +296,20 @@
         plain = set(server.book.running_by_engine)
         assert not plain.intersection(server.watches_by_head)
         await asking
+
+
+async def test_stream_that_fails_where_it_went_on_never_looks_whole() -> None:
+    async with platform_site(engines=8) as site:
+        await _until_served(site)
+        await site.until(lambda: len(site.heads()) > 1)
+        await asyncio.sleep(0.5)
+        for engine in site.engines_by_id.values():
+            engine.event_s = 0.1
+            engine.faults.cuts_after_events = 2
+        async with site.request('/notes/1', headers={ID: 'one'}) as answer:
+            await answer.content.readuntil(b'\n\n')
+            for other in site.engines_by_id.values():
+                other.faults.fails_with = 500
+            with pytest.raises(aiohttp.ClientPayloadError):
+                await answer.read()
+        assert len(site.arrivals('one')) > 1
--- a/primroserudder/platform/orders.py
+++ b/primroserudder/platform/orders.py
@@ -15,7 +15,8 @@
 from .session import open_session
 
 ORDER_TIMEOUT_S = 0.5
-REPORT_TIMEOUT_S = 0.25
+# A report takes no slot and is answered within milliseconds.
+REPORT_TIMEOUT_S = 0.15
 
 
 class OrderOutcome(enum.StrEnum):
