Name the kinds of requests in our words; log each turn away from a relay

Cause: reading the change as a newcomer. RouteKind is the platform's word and stood in fleet/; a router that left its relay said nothing; entries and notices that can't be read were dropped without a trace.

--- a/primroserudder/fleet/attempt.py
+++ b/primroserudder/fleet/attempt.py
@@ -12,7 +12,7 @@
 from .call import Call
 from .framing import Framing
 from .events import Event, EventCutter
-from .model import RouteKind, Target
+from .model import RequestKind, Target
 from .repeating import Ending
 
 # Between failure domains a connection takes a few milliseconds.
@@ -131,7 +131,7 @@
         if not wire.is_sealed(headers) or 'Content-Encoding' in headers:
             return self._broken('answer without a seal')
         is_success = STATUS_OK <= response.status < STATUS_REDIRECT
-        is_stream = self.call.destination.route.kind is RouteKind.STREAM
+        is_stream = self.call.destination.route.kind is RequestKind.STREAM
         if is_stream and is_success:
             return await self._relay(response)
         return await self._collect(response, is_success=is_success)
--- a/primroserudder/fleet/directory.py
+++ b/primroserudder/fleet/directory.py
@@ -61,11 +61,6 @@
     return model_of(membership.group)
 
 
-def is_standby(group: str) -> bool:
-    """Return whether a group only holds a model ready."""
-    return group.endswith(STANDBY_SUFFIX)
-
-
 @dataclass(slots=True)
 class Directory:
     """Engines by id, and targets by service and model, from the list's rows.
@@ -79,6 +74,7 @@
     decode: Decode
     engines_by_id: dict[str, Engine] = field(default_factory=dict)
     last_model_by_id: dict[tuple[str, int], str] = field(default_factory=dict)
+    unreadable: set[str] = field(default_factory=set)
     _row_by_id: dict[str, Row] = field(default_factory=dict)
     _targets: dict[tuple[str, str], Sequence[Target]] = field(
         default_factory=dict,
@@ -95,6 +91,7 @@
         rows = {key.partition('/')[2]: row for key, row in rows_by_key.items()}
         for gone in set(self._row_by_id) - set(rows):
             self._row_by_id.pop(gone)
+            self.unreadable.discard(gone)
             self.engines_by_id.pop(gone, None)
         for engine_id, row in rows.items():
             if self._row_by_id.get(engine_id) != row:
@@ -122,7 +119,9 @@
     def _note(self, engine_id: str, engine: Engine | None) -> None:
         if engine is None:
             self.engines_by_id.pop(engine_id, None)
+            self.unreadable.add(engine_id)
             return
+        self.unreadable.discard(engine_id)
         self.engines_by_id[engine_id] = engine
         model = joined_model(engine)
         if model:
--- a/primroserudder/fleet/exchange.py
+++ b/primroserudder/fleet/exchange.py
@@ -74,6 +74,7 @@
     heard_by_source: dict[str, Heard] = field(default_factory=dict)
     listeners: list[Listener] = field(default_factory=list)
     ticks: int = 0
+    unreadable: int = 0
     _near: Outbox = field(default_factory=Outbox)
     _far: Outbox = field(default_factory=Outbox)
     _heard_at_by_address: dict[str, float] = field(default_factory=dict)
@@ -135,6 +136,9 @@
         try:
             notice = Notice.model_validate_json(packet)
         except ValidationError:
+            # Counted and shown in the state dump: a stray datagram a line
+            # would let any sender fill the logs.
+            self.unreadable += 1
             return
         host, port = sender
         source = f'{host}:{port}'
--- a/primroserudder/fleet/model.py
+++ b/primroserudder/fleet/model.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass, field
 
 
-class RouteKind(enum.StrEnum):
+class RequestKind(enum.StrEnum):
     """What may be repeated of a request on a route."""
 
     IDEMPOTENT = 'idempotent'
@@ -34,7 +34,7 @@
     name: str
     host: str
     prefix: str
-    kind: RouteKind
+    kind: RequestKind
     shares: tuple[ServiceShare, ...]
     timeout_s: float
     objective_s: float
@@ -47,9 +47,9 @@
     @property
     def may_repeat(self) -> bool:
         """Return whether a request may run more than once."""
-        if self.kind is RouteKind.STREAM:
+        if self.kind is RequestKind.STREAM:
             return self.is_resumable
-        return self.kind is RouteKind.IDEMPOTENT
+        return self.kind is RequestKind.IDEMPOTENT
 
 
 @dataclass(frozen=True, slots=True)
--- a/primroserudder/fleet/relay.py
+++ b/primroserudder/fleet/relay.py
@@ -19,6 +19,7 @@
 from pydantic import BaseModel, ConfigDict, ValidationError
 
 from ..process.clock import Clock
+from ..process.decisions import DecisionLog
 from ..process.platform import Row
 from ..process.loops import ending
 from ..process.tables import (
@@ -115,6 +116,7 @@
     store: TableSource
     session: ClientSession
     clock: Clock
+    log: DecisionLog
     relay: Callable[[], str]
     direct_until: float = 0
     relayed: int = 0
@@ -151,8 +153,7 @@
         if message is None:
             return await self.store.changes(table, since, wait_s)
         if message.revision < since:
-            # The relay is behind what was seen already.
-            self._turn_to_store()
+            self._turn_to_store(self.relay(), 'behind what was seen here')
             raise HistoryLost('the relay is behind')
         changed = [Change(one.key, _row(one)) for one in message.rows]
         removed = [Change(key, None) for key in message.removed]
@@ -168,7 +169,7 @@
         if not relay or self.clock.monotonic() < self.direct_until:
             return None
         if self._is_behind(table, since):
-            self._turn_to_store()
+            self._turn_to_store(relay, 'others know a newer version')
             return None
         url = f'http://{relay}{PATH}/{table}'
         query = {'since': str(since), 'wait': str(wait_s)}
@@ -180,11 +181,11 @@
                 ),
                 self._fetch(url, query, timeout),
             )
-        except (ClientError, OSError, ValidationError):
-            # The store is asked instead; a silent relay shows in the logs.
-            message = None
+        except (ClientError, OSError, ValidationError) as error:
+            self._turn_to_store(relay, repr(error))
+            return None
         if message is None:
-            self._turn_to_store()
+            self._turn_to_store(relay, 'silent, behind or out of date')
         return message
 
     def _is_behind(self, table: str, since: int) -> bool:
@@ -221,8 +222,9 @@
         self.relayed += 1
         return _TableMessage.model_validate_json(body)
 
-    def _turn_to_store(self) -> None:
+    def _turn_to_store(self, relay: str, reason: str) -> None:
         self.direct_until = self.clock.monotonic() + DIRECT_S
+        self.log.note('relay_left', relay=relay, reason=reason)
 
 
 def _encode(follower: TableFollower, since: int) -> bytes:
--- a/primroserudder/fleet/router.py
+++ b/primroserudder/fleet/router.py
@@ -121,6 +121,8 @@
             'node': self.settings.node,
             'configuration': configuration and configuration.version,
             'engines': len(self.view.directory.engines_by_id),
+            'unreadable_entries': sorted(self.view.directory.unreadable),
+            'unreadable_notices': self.exchange.unreadable,
             'places': self.meter.dump(),
             'running': dict(self.book.running_by_engine),
             'peers': sorted(self.exchange.heard_by_source),
@@ -143,7 +145,7 @@
         self.lease = make_lease(around)
         self.book = LoadBook(self.clock)
         self.tables = RelayedTables(
-            store, open_session(), self.clock, self._relay
+            store, open_session(), self.clock, self.log, self._relay
         )
         self.view = SiteView(
             self.tables, self.clock, self.log, self._feed_pause_s, self._on_view
--- a/primroserudder/fleet/serving.py
+++ b/primroserudder/fleet/serving.py
@@ -20,7 +20,7 @@
 from .directory import Directory
 from .health import TargetHealth
 from .loadbook import LoadBook
-from .model import RouteKind, Target
+from .model import RequestKind, Target
 from .repeating import Ending, RepeatBudgets, Step
 from .strikes import StrikeBook, content_digest
 from .waiting import RETRY_AFTER_NO_GROUP_S, NoPlace, WaitingRoom, patience_s
@@ -212,7 +212,7 @@
 
     async def _until_broken(self, attempt: Attempt) -> AttemptResult:
         """Run an attempt; give a stream up once its group is known broken."""
-        if attempt.call.destination.route.kind is not RouteKind.STREAM:
+        if attempt.call.destination.route.kind is not RequestKind.STREAM:
             return await attempt.run()
         target = attempt.target
         ends = (
--- a/primroserudder/fleet/tests/test_attempt.py
+++ b/primroserudder/fleet/tests/test_attempt.py
@@ -14,7 +14,7 @@
 from ...testing.fleetdata import call, route
 from ..attempt import Attempt, AttemptResult, StreamSink
 from ..events import Event
-from ..model import RouteKind, Target
+from ..model import RequestKind, Target
 from ..repeating import Ending
 
 HEAD = (
@@ -22,7 +22,7 @@
     b'X-Primroserudder-Attempt-Id: one\r\n'
     b'X-Primroserudder-Response-Seal: seal\r\n'
 )
-LOOKUP = route(kind=RouteKind.IDEMPOTENT, prefix='/lookup/')
+LOOKUP = route(kind=RequestKind.IDEMPOTENT, prefix='/lookup/')
 EVENTS = b'id: 1\ndata: a\n\nid: 2\ndata: b\n\n'
 
 
--- a/primroserudder/fleet/tests/test_relay.py
+++ b/primroserudder/fleet/tests/test_relay.py
@@ -59,7 +59,9 @@
     runner, address = await _listen(web.Server(relay.answer))
     known = [address]
     async with ClientSession() as session:
-        tables = RelayedTables(store, session, clock, lambda: known[0])
+        tables = RelayedTables(
+            store, session, clock, DecisionLog('vm', clock), lambda: known[0]
+        )
         await asyncio.sleep(0.1)
         yield _Pair(standin, follower, tables, following, known)
         following.cancel()
--- a/primroserudder/fleet/tests/test_repeating.py
+++ b/primroserudder/fleet/tests/test_repeating.py
@@ -5,10 +5,10 @@
 from hypothesis import strategies as st
 
 from ...testing.fleetdata import route
-from ..model import RouteKind
+from ..model import RequestKind
 from ..repeating import MAX_OFFERS, Ending, Progress, RepeatBudget, Step
 
-ONCE = route(kind=RouteKind.NON_IDEMPOTENT, max_attempts=1)
+ONCE = route(kind=RequestKind.NON_IDEMPOTENT, max_attempts=1)
 
 
 @pytest.mark.parametrize('ending', [Ending.UNKNOWN, Ending.FAILED, Ending.CUT])
@@ -21,7 +21,7 @@
 
 
 def test_method_does_not_decide_what_may_repeat() -> None:
-    progress = Progress(route(kind=RouteKind.NON_IDEMPOTENT, max_attempts=3))
+    progress = Progress(route(kind=RequestKind.NON_IDEMPOTENT, max_attempts=3))
     progress.count(Ending.UNKNOWN)
     assert progress.next_step(Ending.UNKNOWN, left_s=5) is Step.GIVE_UP
 
--- a/primroserudder/platform/configuration.py
+++ b/primroserudder/platform/configuration.py
@@ -19,7 +19,7 @@
     EngineSpec,
     ModelSpec,
     Route,
-    RouteKind,
+    RequestKind,
     Service,
     ServiceShare,
     Workspace,
@@ -29,9 +29,9 @@
 MILLISECONDS = 1000
 _KINDS = MappingProxyType(
     {
-        'idempotent': RouteKind.IDEMPOTENT,
-        'non_idempotent': RouteKind.NON_IDEMPOTENT,
-        'streaming': RouteKind.STREAM,
+        'idempotent': RequestKind.IDEMPOTENT,
+        'non_idempotent': RequestKind.NON_IDEMPOTENT,
+        'streaming': RequestKind.STREAM,
     }
 )
 _DEFAULTS = CallerLimits()
@@ -178,7 +178,7 @@
         name=route.name,
         host=_host(route),
         prefix=route.prefix,
-        kind=_KINDS.get(route.kind, RouteKind.NON_IDEMPOTENT),
+        kind=_KINDS.get(route.kind, RequestKind.NON_IDEMPOTENT),
         shares=shares or (ServiceShare(route.service, 1),),
         timeout_s=route.timeout_ms / MILLISECONDS,
         objective_s=route.objective_ms / MILLISECONDS,
--- a/primroserudder/platform/tests/test_decoding.py
+++ b/primroserudder/platform/tests/test_decoding.py
@@ -3,7 +3,7 @@
 import pytest
 from multidict import CIMultiDict, CIMultiDictProxy
 
-from ...fleet.model import GroupState, RouteKind
+from ...fleet.model import GroupState, RequestKind
 from ...fleet.routes import UnknownKey, UnknownRoute, find_route, find_workspace
 from ...testing.platformsite import HOST, KEY, configuration
 from ..configuration import UnreadableConfiguration, decode_configuration
@@ -71,7 +71,7 @@
     }
     decoded = decode_configuration(configuration(Routes=[route]))
     kind = decoded.routes_by_host[HOST][0].kind
-    assert kind is RouteKind.NON_IDEMPOTENT
+    assert kind is RequestKind.NON_IDEMPOTENT
 
 
 def test_key_names_its_workspace() -> None:
