Close idle kept connections when a stop takes no more new ones

The test over loopback fails without the change.

Ruled out: new connections (none after 3.2 s), a slow answer. The library's own pre_shutdown leaves such a connection open and unread.

Change: connections without a request under way are closed when listening ends; what is under way is known by connection.

--- a/primroserudder/fleet/callers.py
+++ b/primroserudder/fleet/callers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections import Counter
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, field
@@ -108,25 +109,32 @@
     draw: random.Random = field(default_factory=random.Random)
     invariants: Invariants = field(init=False)
     is_closing: bool = False
-    under_way: int = 0
+    busy_connections: Counter[web.RequestHandler] = field(
+        default_factory=Counter,
+    )
 
     def __post_init__(self) -> None:
         """Count violations with the other metrics."""
         self.invariants = Invariants(self.metrics)
 
+    @property
+    def under_way(self) -> int:
+        """Return the requests that are being served."""
+        return self.busy_connections.total()
+
     async def answer(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one request."""
         self.on_request()
-        with self._counted():
+        with self._counted(request):
             return await self._answer_counted(request)
 
     @contextmanager
-    def _counted(self) -> Iterator[None]:
-        self.under_way += 1
+    def _counted(self, request: web.BaseRequest) -> Iterator[None]:
+        self.busy_connections[request.protocol] += 1
         try:
             yield
         finally:
-            self.under_way -= 1
+            self.busy_connections -= Counter((request.protocol,))
 
     async def _answer_counted(
         self, request: web.BaseRequest
--- a/primroserudder/fleet/ports.py
+++ b/primroserudder/fleet/ports.py
@@ -66,8 +66,18 @@
         await self._listen(tables, settings.exchange_name)
 
     async def close_to_callers(self) -> None:
-        """Take no new connections of callers."""
+        """Take no new connections of callers, and end those that are idle.
+
+        Explanation
+        ===========
+        A connection with a request under way ends after its answer. Without
+        this a request could come so late that its answer would be cut.
+        """
         await self._sites[0].stop()
+        server = self._runners[0].server
+        for connection in () if server is None else server.connections:
+            if connection not in self.door.busy_connections:
+                connection.force_close()
 
     async def close(self) -> None:
         """Close everything at once."""
--- a/primroserudder/fleet/tests/test_site.py
+++ b/primroserudder/fleet/tests/test_site.py
@@ -313,3 +313,20 @@
             with pytest.raises(aiohttp.ClientPayloadError):
                 await answer.read()
         assert len(site.arrivals('one')) > 1
+
+
+async def test_stopping_router_takes_no_request_that_it_cannot_finish() -> None:
+    # A caller's kept connection was idle when the stop began.
+    async with platform_site() as site:
+        await _until_served(site)
+        router = site.routers[0]
+        host, _, port = router.settings.callers.rpartition(':')
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(b'GET /elsewhere HTTP/1.1\r\nHost: one.example\r\n\r\n')
+        head = await reader.readuntil(b'\r\n\r\n')
+        assert b'404' in head
+        await reader.readuntil(b'}}')
+        await router.stop()
+        async with asyncio.timeout(5):
+            assert not await reader.read()
+        writer.close()
