Send orders only while the lease outlives them; let closed heads leave

A round of the keeper checks its lease, awaits the store, and orders then go out from tasks of their own, so that a holder whose lease ended meanwhile could still open, close or leave. And a close that the head answered with "unfit" counted as closed: an opening takes its time while the state is still "ready", so the list could free the members of a group that was about to open.

Taking only an accepted close as proof: a head that is ready also accepts a close, and an earlier order to open may arrive seconds later. A head that left its group can't be opened by either.

The giver of orders asks right before it sends whether the lease is held until the order's own limit has passed, and otherwise logs "order_withheld". A head that answered its close and reports ready is ordered to leave; its acknowledgement frees the members, also when the head vanishes from the list afterwards.

--- a/primroserudder/fleet/caretaking.py
+++ b/primroserudder/fleet/caretaking.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from functools import partial
 
-from ..platform import EngineOrders
+from ..platform import ORDER_TIMEOUT_S, EngineOrders
 from ..process.clock import Clock
 from ..process.decisions import DecisionLog
 from ..process.lease import Lease
@@ -61,7 +61,14 @@
     orders = EngineOrders()
     clock = around.clock
     log = around.log
-    giver = OrderGiver(orders, clock, log, around.metrics, wake)
+    giver = OrderGiver(
+        orders,
+        clock,
+        log,
+        around.metrics,
+        wake,
+        partial(lease.is_held, ORDER_TIMEOUT_S),
+    )
     stock = Stock(view.directory, clock, log, LoadGate(clock), has_traffic)
     reach = Reach(
         orders,
--- a/primroserudder/fleet/formations.py
+++ b/primroserudder/fleet/formations.py
@@ -5,8 +5,11 @@
 Answers engines that fall silent, leave or restart while their group serves,
 and orders that are lost or carried out late. A group opens once every member
 has reported ready under its name and epoch. Its members become free once its
-head can't take requests any more: the head said so, or was started anew, or
-has stood still for longer than a head waits for a member that left it.
+head can't take requests any more: the head left the group, or was started
+anew, or is broken, or has stood still for longer than a head waits for a
+member that left it. A head that reports ready after its close is no proof: an
+opening that is under way, or an order to open that arrives late, would open
+it again. A head that left can't be opened.
 """
 
 from collections.abc import Collection, Mapping
@@ -39,7 +42,7 @@
     is_dissolving: bool = False
     is_graceful: bool = False
     dissolving_since: float = 0
-    is_closed: bool = False
+    is_close_answered: bool = False
     has_head_left: bool = False
     left_members: set[str] = field(default_factory=set)
     first_left_at: float | None = None
@@ -134,27 +137,28 @@
 
 
 def _needs_to_dissolve(standing: Standing, sight: Sight) -> list[Need]:
-    formation = standing.formation
-    head = sight.engine(formation.head)
+    if standing.has_head_left or not standing.is_open_asked:
+        return [Release('the head takes no requests')]
+    head = sight.engine(standing.formation.head)
     if head is None:
         return _needs_without_head(standing, sight)
-    if _is_reborn(head, standing):
-        return [Release('the head was started anew')]
-    proof = _proof_of_rest(standing, _state(head, standing))
+    proof = _proof_of_rest(standing, head)
     if proof:
         return [Release(proof)]
+    state = _state(head, standing)
+    if state is GroupState.READY and standing.is_close_answered:
+        return [Leave(head)]
     return _needs_to_close(standing, head, sight.now)
 
 
-def _proof_of_rest(standing: Standing, state: GroupState | None) -> str:
-    """Return why the head takes no requests, empty if it may."""
-    if standing.has_head_left or not standing.is_open_asked:
-        return 'the head takes no requests'
-    if state is GroupState.READY and standing.is_closed:
-        return 'the head is closed'
-    if state is GroupState.BROKEN:
-        return 'the head is broken'
-    return '' if state else 'the head left its group'
+def _proof_of_rest(standing: Standing, head: Engine) -> str:
+    """Return why a listed head takes no requests, empty if it may."""
+    if _is_reborn(head, standing):
+        return 'the head was started anew'
+    state = _state(head, standing)
+    if state is None:
+        return 'the head left its group'
+    return 'the head is broken' if state is GroupState.BROKEN else ''
 
 
 def _needs_to_close(
@@ -164,7 +168,7 @@
 ) -> list[Need]:
     waited_s = now - standing.dissolving_since
     is_patient = standing.is_graceful and waited_s < LONGEST_GRACEFUL_CLOSE_S
-    if standing.is_closed and is_patient:
+    if standing.is_close_answered and is_patient:
         return []
     return [Close(head, at_once=not is_patient)]
 
--- a/primroserudder/fleet/ordering.py
+++ b/primroserudder/fleet/ordering.py
@@ -1,9 +1,9 @@
 """Gives the orders that groups need, each again until its effect shows."""
 
 import asyncio
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
-from functools import singledispatchmethod
+from functools import partial, singledispatchmethod
 
 from ..platform.orders import EngineOrders, OrderOutcome
 from ..process.clock import Clock
@@ -20,13 +20,26 @@
 
 @dataclass(slots=True)
 class OrderGiver:
-    """Sends orders beside the holder's rounds and notes their answers."""
+    """Sends orders beside the holder's rounds and notes their answers.
+
+    Explanation
+    ===========
+    A round awaits the store between the check of its lease and its orders,
+    and an order waits for a connection. Each order is therefore sent only if
+    the lease outlives it.
+
+    Parameters
+    ==========
+    may_order : Callable
+        Whether the lease is held until an order that is sent now has ended.
+    """
 
     orders: EngineOrders
     clock: Clock
     log: DecisionLog
     metrics: Metrics
     wake: asyncio.Event
+    may_order: Callable[[], bool]
     _ordered_at: dict[tuple[str, str], float] = field(default_factory=dict)
     _tasks: set[asyncio.Task[None]] = field(default_factory=set)
 
@@ -38,15 +51,15 @@
     def give(self, need: Order, standing: Standing) -> None:
         """Begin to send an order."""
         self._ordered_at[_key(need)] = self.clock.monotonic()
-        self.start(self._give(need, standing))
+        self.start(self._send(need.engine, partial(self._give, need, standing)))
 
     def hold(self, engine: Engine, formation: Formation) -> None:
         """Let a spare engine hold a model in memory."""
-        self.start(self._hold(engine, formation))
+        self.start(self._send(engine, partial(self._hold, engine, formation)))
 
     def stage(self, engine: Engine, model: str) -> None:
         """Let an engine load a model onto its host."""
-        self.start(self._stage(engine, model))
+        self.start(self._send(engine, partial(self._stage, engine, model)))
 
     def start(self, work: Coroutine[object, object, None]) -> None:
         """Run something beside the rounds."""
@@ -54,6 +67,21 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    async def _send(
+        self,
+        engine: Engine,
+        order: Callable[[], Coroutine[object, object, None]],
+    ) -> None:
+        if self.may_order():
+            await order()
+        else:
+            self.metrics.count('orders_withheld')
+            self.log.note(
+                'order_withheld',
+                engine=engine.engine_id,
+                cause='the lease may end before the order does',
+            )
+
     @singledispatchmethod
     async def _give(self, need: Order, standing: Standing) -> None:
         """Give one order and note what its answer tells."""
@@ -76,7 +104,7 @@
             need.engine, standing.formation, at_once=need.at_once
         )
         if outcome in DELIVERED or outcome is OrderOutcome.UNFIT:
-            standing.is_closed = True
+            standing.is_close_answered = True
         self._note('close', need.engine, standing.formation, outcome)
 
     @_give.register
--- a/primroserudder/platform/__init__.py
+++ b/primroserudder/platform/__init__.py
@@ -9,11 +9,12 @@
 
 from .configuration import UnreadableConfiguration, decode_configuration
 from .enginelist import EngineReport, decode_engine, decode_report
-from .orders import EngineOrders, OrderOutcome
+from .orders import ORDER_TIMEOUT_S, EngineOrders, OrderOutcome
 from .session import open_session
 from .store import PlatformStore
 
 __all__ = (
+    'ORDER_TIMEOUT_S',
     'EngineOrders',
     'EngineReport',
     'OrderOutcome',
--- a/primroserudder/process/lease.py
+++ b/primroserudder/process/lease.py
@@ -69,9 +69,15 @@
         """Return the key of the tenure's row."""
         return f'tenures/{self.failure_domain}'
 
-    def is_held(self) -> bool:
-        """Return whether this process may act for the failure domain."""
-        is_current = self.clock.monotonic() < self.held_until
+    def is_held(self, for_s: float = 0) -> bool:
+        """Return whether this process may act for the failure domain.
+
+        Parameters
+        ==========
+        for_s : float
+            Seconds from now for which the right must last.
+        """
+        is_current = self.clock.monotonic() + for_s < self.held_until
         return is_current and self.tenure is not None
 
     def is_settled(self) -> bool:
--- a/primroserudder/process/tests/test_lease.py
+++ b/primroserudder/process/tests/test_lease.py
@@ -52,3 +52,12 @@
         second.note_claim('a/1')
         await asyncio.sleep(0.5)
     assert await second.renew()
+
+
+async def test_lease_that_ends_before_the_work_does_is_no_right_to_it() -> None:
+    lease = _lease(MemoryPlatform(), 'a')
+    assert await lease.renew()
+    assert lease.is_held(for_s=1.0)
+    await asyncio.sleep(1.2)
+    assert lease.is_held()
+    assert not lease.is_held(for_s=1.0)
