Pass the lease on at once when its holder is turned away or long gone

The store turns the holder's VM away and not the others: it asks in vain until its lease lapses, 2.6 s without a repair. All VMs are killed: the first one back first sees the row then and waits a whole lifetime, 2.2 s. And once no holder is heard, each VM asks the store for the lease every 0.3 s, on 77 VMs 250 calls a second.

A shorter lifetime: a slow store would end tenures. Clocks of VMs: they jump and stand still; the store tells its own steady time with each answer.

A renewal carries the store's time of the read before it, and the holder counts from before that read: a candidate that just started sees at once that a claim has lapsed. A holder whose renewals fail for 0.5 s while another VM says that it reaches the store stops to act and says so; who hears that from it takes the lease. Candidates ask the more seldom the further down their domain's order they stand. What a holder started ends with it.

--- a/primroserudder/fleet/caretaking.py
+++ b/primroserudder/fleet/caretaking.py
@@ -19,7 +19,7 @@
 from .settings import RouterSettings
 from .siteview import SiteView
 from .stock import Stock
-from .tenancy import LEASE_LIFETIME_S, Tenancy
+from .tenancy import LEASE_LIFETIME_S, Neighbours, Tenancy
 from .tenure import Tenure
 
 SITE = 'site'
@@ -46,7 +46,8 @@
     orders: EngineOrders
 
     async def close(self) -> None:
-        """Close the connections to engines."""
+        """End what is under way, then the connections to engines."""
+        await self.keeper.giver.close()
         await self.orders.close_session()
 
 
@@ -55,6 +56,7 @@
     view: SiteView,
     lease: Lease,
     has_traffic: Callable[[], bool],
+    neighbours: Neighbours,
 ) -> Caretaking:
     """Return the parts that keep groups, not running yet."""
     wake = asyncio.Event()
@@ -92,11 +94,14 @@
         around.settings.stall_s,
         wake,
     )
-    tenancy = Tenancy(lease, clock, log, wake)
+    tenancy = Tenancy(lease, clock, log, wake, neighbours)
     return Caretaking(tenancy, stock, keeper, orders)
 
 
-def make_lease(around: Surroundings) -> Lease:
+def make_lease(
+    around: Surroundings,
+    store_now_s: Callable[[], float | None],
+) -> Lease:
     """Return the site's lease as this start of the process sees it."""
     node = around.settings.node
     return Lease(
@@ -107,4 +112,5 @@
         LEASE_LIFETIME_S,
         # Epochs and claims keep a predecessor's late orders harmless.
         order_lifetime_s=0,
+        platform_now_s=store_now_s,
     )
--- a/primroserudder/fleet/exchange.py
+++ b/primroserudder/fleet/exchange.py
@@ -12,7 +12,7 @@
 
 import asyncio
 import socket
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 
 import orjson
@@ -119,6 +119,11 @@
             if notice.scope is Scope.VM
         }
 
+    def neighbours_before(self) -> Sequence[str]:
+        """Return the domain's living VMs that come before this one."""
+        own = self.contacts.own_address
+        return sorted(one for one in self.neighbours() if one < own)
+
     def speaker(self) -> str:
         """Return the address of the VM that speaks for the domain."""
         return min((self.contacts.own_address, *self.neighbours()))
--- a/primroserudder/fleet/notice.py
+++ b/primroserudder/fleet/notice.py
@@ -29,6 +29,10 @@
         Groups that the lease's holder found broken.
     lease_claim : str
         The mark of the holder's last renewal, as far as it is fresh.
+    lease_given_up : str
+        The mark of a lease that the sender held and gave up.
+    reaches_store : bool
+        Whether the sender's tables are up to date.
     struck : tuple of str
         Contents that were running when groups were lost.
     versions : Mapping
@@ -47,6 +51,8 @@
     silent_heads: tuple[str, ...] = ()
     broken_groups: tuple[str, ...] = ()
     lease_claim: str = ''
+    lease_given_up: str = ''
+    reaches_store: bool = False
     struck: tuple[str, ...] = ()
     has_traffic: bool = False
     versions: Mapping[str, int] = {}
@@ -80,6 +86,8 @@
         silent_heads=_union(one.silent_heads for one in notices),
         broken_groups=_union(one.broken_groups for one in notices),
         lease_claim=max(one.lease_claim for one in notices),
+        lease_given_up=max(one.lease_given_up for one in notices),
+        reaches_store=any(one.reaches_store for one in notices),
         struck=_union(one.struck for one in notices),
         has_traffic=any(one.has_traffic for one in notices),
         versions=_newest(one.versions for one in notices),
--- a/primroserudder/fleet/ordering.py
+++ b/primroserudder/fleet/ordering.py
@@ -8,6 +8,7 @@
 from ..platform.orders import EngineOrders, OrderOutcome
 from ..process.clock import Clock
 from ..process.decisions import DecisionLog
+from ..process.loops import cancel_all
 from ..process.metrics import Metrics
 from .formations import Standing
 from .model import Engine, Formation
@@ -67,6 +68,10 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    async def close(self) -> None:
+        """End everything that runs beside the rounds."""
+        await cancel_all(tuple(self._tasks))
+
     async def _send(
         self,
         engine: Engine,
--- a/primroserudder/fleet/router.py
+++ b/primroserudder/fleet/router.py
@@ -142,7 +142,7 @@
         around = Surroundings(
             settings, store, self.clock, self.log, self.metrics
         )
-        self.lease = make_lease(around)
+        self.lease = make_lease(around, lambda: store.now_s)
         self.book = LoadBook(self.clock)
         self.tables = RelayedTables(
             store, open_session(), self.clock, self.log, self._relay
@@ -163,7 +163,11 @@
             store, contacts, self.view.nodes, self.log, settings.node
         )
         self.care = assemble_caretaking(
-            around, self.view, self.lease, self._traffic.is_set
+            around,
+            self.view,
+            self.lease,
+            self._traffic.is_set,
+            self.exchange,
         )
         self.meter = PlaceMeter(
             self.view.directory,
@@ -229,6 +233,8 @@
             silent_heads=tuple(sorted(self.server.health.silent)),
             broken_groups=self.care.keeper.broken_groups,
             lease_claim=self.lease.claim,
+            lease_given_up=self.lease.given_up,
+            reaches_store=self.view.engines.is_reachable,
             struck=self.server.strikes.tell(),
             has_traffic=self._traffic.is_set(),
             versions=self.view.versions(),
--- a/primroserudder/fleet/tenancy.py
+++ b/primroserudder/fleet/tenancy.py
@@ -1,7 +1,9 @@
 """Who holds the site's lease, as this VM sees it."""
 
 import asyncio
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
+from typing import Protocol
 
 from ..process.clock import Clock
 from ..process.decisions import DecisionLog
@@ -13,6 +15,20 @@
 # A holder tells of itself more often, so that nobody need ask the store.
 HOLDER_SILENT_S = 0.9
 CANDIDATE_INTERVAL_S = 0.3
+# A renewal that failed is tried again after this time.
+RENEWAL_RETRY_S = 0.2
+# A holder whose renewals fail for so long lets others try.
+GIVE_UP_AFTER_S = 0.5
+
+
+class Neighbours(Protocol):
+    """What the exchange knows of the other VMs."""
+
+    def living(self) -> Iterable[Notice]:
+        """Return the notices of those who were heard lately."""
+
+    def neighbours_before(self) -> Sequence[str]:
+        """Return the domain's living VMs that come before this one."""
 
 
 @dataclass(slots=True)
@@ -21,14 +37,17 @@
 
     Explanation
     ===========
-    Candidates learn of renewals from notices and read the
-    store only when these end.
+    Candidates learn of renewals from notices and read the store only when
+    these end: the first VM of each failure domain often, the others the more
+    seldom the further down they stand. A holder that the store fails while
+    it answers others gives its lease up.
     """
 
     lease: Lease
     clock: Clock
     log: DecisionLog
     wake: asyncio.Event
+    others: Neighbours
     heard_at: float = float('-inf')
 
     async def run(self) -> None:
@@ -42,14 +61,35 @@
                 fencing = self.lease.fencing
                 self.log.note('lease', held=is_held, fencing=fencing)
                 self.wake.set()
-            pause_s = LEASE_RENEWAL_S if is_held else CANDIDATE_INTERVAL_S
-            await asyncio.sleep(pause_s)
+            self._check_reach()
+            await asyncio.sleep(self._pause_s())
 
     def hear(self, notice: Notice) -> None:
-        """Note a renewal that a notice tells of."""
+        """Note a renewal or the end of a tenure that a notice tells of."""
+        if notice.lease_given_up:
+            self.lease.ends.note_given_up(notice.lease_given_up)
+            self.heard_at = float('-inf')
         if notice.lease_claim:
             self.heard_at = self.clock.monotonic()
-            self.lease.note_claim(notice.lease_claim)
+            self.lease.ends.note_claim(notice.lease_claim)
 
     def _hears_holder(self) -> bool:
         return self.clock.monotonic() - self.heard_at < HOLDER_SILENT_S
+
+    def _pause_s(self) -> float:
+        if not self.lease.is_held():
+            rank = len(self.others.neighbours_before())
+            return CANDIDATE_INTERVAL_S * (1 + rank)
+        is_failing = self.lease.failing_since is not None
+        return RENEWAL_RETRY_S if is_failing else LEASE_RENEWAL_S
+
+    def _check_reach(self) -> None:
+        """Give the lease up if the store fails this VM but not the others."""
+        if not self.lease.is_held():
+            return
+        if not self.lease.has_failed_for(GIVE_UP_AFTER_S):
+            return
+        if any(notice.reaches_store for notice in self.others.living()):
+            self.lease.give_up()
+            self.log.note('lease_given_up', fencing=self.lease.fencing)
+            self.wake.set()
--- a/primroserudder/fleet/tests/test_ordering.py
+++ b/primroserudder/fleet/tests/test_ordering.py
@@ -115,6 +115,23 @@
     assert not claimed.is_open_asked
 
 
+async def test_close_ends_orders_and_probes_that_are_under_way() -> None:
+    made = giver(RecordedOrders(), Holder())
+    ended: list[str] = []
+
+    async def probe() -> None:
+        try:
+            await asyncio.sleep(60)
+        except asyncio.CancelledError:
+            ended.append('probe')
+            raise
+
+    made.start(probe())
+    await settle()
+    await made.close()
+    assert ended == ['probe']
+
+
 @pytest.mark.parametrize(
     ('outcome', 'has_left'),
     [
--- /dev/null
+++ b/primroserudder/fleet/tests/test_tenancy.py
@@ -0,0 +1,115 @@
+"""Who asks the store for the lease, how often, and who gives it up."""
+
+import asyncio
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass, field
+
+import pytest
+
+from ...process.clock import LoopClock
+from ...process.decisions import DecisionLog
+from ...process.lease import Lease
+from ...standins.memory import MemoryPlatform
+from ..notice import Notice
+from ..tenancy import LEASE_LIFETIME_S, Tenancy
+
+pytestmark = pytest.mark.looptime
+
+
+@dataclass(slots=True)
+class Others:
+    """The other VMs, as a test puts them."""
+
+    notices: list[Notice] = field(default_factory=list)
+    before: int = 0
+
+    def living(self) -> Iterable[Notice]:
+        """Return all notices."""
+        return self.notices
+
+    def neighbours_before(self) -> Sequence[str]:
+        """Return as many addresses."""
+        return [f'address-{one}' for one in range(self.before)]
+
+
+def _tenancy(platform: MemoryPlatform, name: str, others: Others) -> Tenancy:
+    clock = LoopClock()
+    lease = Lease(
+        platform,
+        clock,
+        'site',
+        name,
+        LEASE_LIFETIME_S,
+        order_lifetime_s=0,
+    )
+    log = DecisionLog(name, clock)
+    return Tenancy(lease, clock, log, asyncio.Event(), others)
+
+
+def _notice(tenancy: Tenancy, *, reaches_store: bool) -> Notice:
+    lease = tenancy.lease
+    return Notice(
+        node=lease.holder,
+        address='address',
+        sequence=1,
+        lease_claim=lease.claim,
+        lease_given_up=lease.given_up,
+        reaches_store=reaches_store,
+    )
+
+
+@pytest.mark.parametrize('reaches_store', [True, False])
+async def test_holder_that_the_store_fails_gives_up_to_those_it_serves(
+    *, reaches_store: bool
+) -> None:
+    platform = MemoryPlatform()
+    others = Others()
+    holder = _tenancy(platform.seen_by('a'), 'a', others)
+    others.notices = [_notice(holder, reaches_store=reaches_store)]
+    running = asyncio.ensure_future(holder.run())
+    await asyncio.sleep(1)
+    assert holder.lease.is_held()
+    platform.faults.cut_parties.add('a')
+    await asyncio.sleep(LEASE_LIFETIME_S * 0.7)
+    assert bool(holder.lease.given_up) is reaches_store
+    assert holder.lease.is_held() is not reaches_store
+    running.cancel()
+
+
+async def test_lease_given_up_passes_on_within_a_moment() -> None:
+    platform = MemoryPlatform()
+    holder = _tenancy(platform, 'a', Others())
+    heir = _tenancy(platform, 'b', Others())
+    assert await holder.lease.renew()
+    heir.hear(_notice(holder, reaches_store=True))
+    running = asyncio.ensure_future(heir.run())
+    await asyncio.sleep(0.1)
+    holder.lease.give_up()
+    heir.hear(_notice(holder, reaches_store=False))
+    await asyncio.sleep(0.35)
+    assert heir.lease.is_held()
+    running.cancel()
+
+
+async def _reads_in_10_s(platform: MemoryPlatform, *tenancies: Tenancy) -> int:
+    before = platform.usage.reads
+    running = [asyncio.ensure_future(one.run()) for one in tenancies]
+    await asyncio.sleep(10)
+    for task in running:
+        task.cancel()
+    return platform.usage.reads - before
+
+
+async def test_candidates_far_down_ask_the_store_seldom() -> None:
+    # Neither hears the holder, which goes on to renew.
+    platform = MemoryPlatform()
+    holder = _tenancy(platform, 'a', Others())
+    first = _tenancy(platform, 'b', Others())
+    last = _tenancy(platform, 'c', Others(before=25))
+    of_holder = await _reads_in_10_s(platform, holder)
+    assert await holder.lease.renew()
+    of_first = await _reads_in_10_s(platform, holder, first) - of_holder
+    of_last = await _reads_in_10_s(platform, holder, last) - of_holder
+    assert holder.lease.is_held()
+    assert of_first >= 30
+    assert of_last <= 3
--- a/primroserudder/platform/store.py
+++ b/primroserudder/platform/store.py
@@ -46,10 +46,16 @@
     ===========
     A key of the project is ``table/name``; rows lie in the empty part of
     their table, so that a transaction may touch several tables.
+
+    Parameters
+    ==========
+    now_s : float or None
+        The store's steady time in seconds, as of its last answer.
     """
 
     address: str
     session: aiohttp.ClientSession = field(default_factory=open_session)
+    now_s: float | None = None
 
     async def close(self) -> None:
         """Close the connections."""
@@ -142,7 +148,9 @@
     ) -> Json:
         reply = await self._read(path, query, timeout_s)
         _check_read(reply.status)
-        return _object(reply.body)
+        found = _object(reply.body)
+        self.now_s = _now_s(found) or self.now_s
+        return found
 
     async def _read(
         self,
@@ -254,6 +262,12 @@
     return int(str(found.get('RowVersion', 0)))
 
 
+def _now_s(found: Json) -> float | None:
+    """Return the store's steady time, which the name does not say."""
+    now_ms = found.get('NowMs')
+    return now_ms / MILLISECONDS if isinstance(now_ms, int | float) else None
+
+
 def _transaction(transaction: Transaction) -> Json:
     expected = [
         {**_name(condition.key), 'RowVersion': condition.revision}
--- a/primroserudder/process/drains.py
+++ b/primroserudder/process/drains.py
@@ -17,10 +17,11 @@
 from typing import Protocol
 
 from ..errors import RudderError
+from .claimends import CLOCK_DRIFT_SHARE
 from .clock import Clock
 from .engines import EngineClient, EngineOrder, EngineStatus
 from .groups import GroupRecord
-from .lease import CLOCK_DRIFT_SHARE, Lease
+from .lease import Lease
 from .testimonies import EVIDENCE_LIFETIME_S
 
 ORDER_LIFETIME_S = 5
--- a/primroserudder/process/lease.py
+++ b/primroserudder/process/lease.py
@@ -1,7 +1,9 @@
 """The lease by which one controller acts for a failure domain."""
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from .claimends import CLOCK_DRIFT_SHARE, ClaimEnds, tenure_mark
 from .clock import Clock
 from .platform import (
     Condition,
@@ -16,17 +18,12 @@
 
 LEASE_LIFETIME_S = 10
 LEASE_RENEWAL_S = 3
-CLOCK_DRIFT_SHARE = 0.01
 # An order is given up by its sender after this time.
 ORDER_LIFETIME_S = 5
 
 
-@dataclass(slots=True)
-class _Sighting:
-    """A foreign lease row and when this process first saw it."""
-
-    claim: str
-    seen_at: float
+def _no_clock() -> None:
+    """Return nothing: the platform tells no time."""
 
 
 @dataclass(slots=True)
@@ -36,14 +33,29 @@
     Explanation
     ===========
     Clocks of two machines are never compared. The holder counts its lease
-    from before it sent the renewal; a candidate waits a whole lifetime plus
-    the bound on drift after it first saw the current claim.
+    from before it read the row that it renews; a candidate waits a whole
+    lifetime plus the bound on drift after it first saw the current claim.
+    Where the platform tells its own steady time with each answer, a renewal
+    carries the time of that read, so that a candidate which has just started
+    knows at once that a claim has lapsed.
+
+    A holder that the platform turns away may give its lease up: it stops to
+    act, and whoever hears of that from it need not wait.
 
     The tenure's row is written at each change of holder and at no renewal.
     Whatever the holder commits is conditional on that row's revision, so
     that a former holder's late transaction has no effect. Orders to engines
     have no such condition: they carry the fencing number, and ``settled_at``
     tells from when on no order of a predecessor is under way.
+
+    Parameters
+    ==========
+    platform_now_s : Callable
+        The platform's time in seconds, as of its last answer.
+    failing_since : float or None
+        When the first of the renewals failed that have failed in a row.
+    given_up : str
+        The mark of a lease that this process gave up, empty if it did not.
     """
 
     platform: PlatformClient
@@ -56,8 +68,15 @@
     held_until: float = 0
     settled_at: float = 0
     tenure: Condition | None = None
+    platform_now_s: Callable[[], float | None] = _no_clock
+    failing_since: float | None = None
+    given_up: str = ''
     _renewals: int = 0
-    _sighting: _Sighting | None = field(default=None)
+    ends: ClaimEnds = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Begin without knowledge of others' claims."""
+        self.ends = ClaimEnds(self.clock, self.lifetime_s, self.platform_now_s)
 
     @property
     def key(self) -> str:
@@ -90,13 +109,22 @@
             await self._try_renew()
         except (Conflict, OutcomeUnknown, PlatformUnavailable):
             # The next renewal reads the row and sees what took effect.
+            if self.failing_since is None:
+                self.failing_since = self.clock.monotonic()
             return self.is_held()
+        self.failing_since = None
         return self.is_held()
 
-    def note_claim(self, claim: str) -> None:
-        """Note a foreign claim that its holder told of by another way."""
-        if self._sighting is None or self._sighting.claim != claim:
-            self._sighting = _Sighting(claim, self.clock.monotonic())
+    def has_failed_for(self, seconds: float) -> bool:
+        """Return whether all renewals of some time have failed."""
+        if self.failing_since is None:
+            return False
+        return self.clock.monotonic() - self.failing_since >= seconds
+
+    def give_up(self) -> None:
+        """Stop to act, so that others may take the lease at once."""
+        self.held_until = 0
+        self.given_up = tenure_mark(self.holder, self.fencing)
 
     @property
     def claim(self) -> str:
@@ -109,7 +137,7 @@
             return
         self.held_until = 0
         row = await self.platform.read(self.key)
-        if row is None or not self._is_own(row):
+        if row is None or not _is_of(row, self.holder):
             return
         fields = {**row.fields, 'holder': ''}
         condition = Condition(self.key, row.revision)
@@ -117,17 +145,18 @@
         await self.platform.commit(Transaction((condition,), (write,)))
 
     async def _try_renew(self) -> None:
+        asked_at = self.clock.monotonic()
         row = await self.platform.read(self.key)
         if not self._may_claim(row):
             return
-        asked_at = self.clock.monotonic()
-        is_renewal = self._is_own(row) and self.is_held()
+        is_renewal = _is_of(row, self.holder) and self.is_held()
         fencing = _fencing(row) if is_renewal else _fencing(row) + 1
         claim = self._next_claim()
         await self._commit(row, claim, fencing, is_renewal=is_renewal)
         if not is_renewal:
             await self._begin_tenure(row, fencing)
         self.held_until = asked_at + self.lifetime_s * (1 - CLOCK_DRIFT_SHARE)
+        self.given_up = ''
 
     async def _commit(
         self,
@@ -137,7 +166,12 @@
         *,
         is_renewal: bool,
     ) -> None:
-        fields = {'holder': self.holder, 'fencing': fencing, 'claim': claim}
+        fields = {
+            'holder': self.holder,
+            'fencing': fencing,
+            'claim': claim,
+            'renewed_s': self.platform_now_s(),
+        }
         lease = Write(self.key, fields)
         tenure = Write(self.tenure_key, fields)
         revision = 0 if row is None else row.revision
@@ -166,19 +200,15 @@
         self._renewals += 1
         return f'{self.holder}/{self._renewals}'
 
-    def _is_own(self, row: Row | None) -> bool:
-        return row is not None and row.fields['holder'] == self.holder
-
     def _may_claim(self, row: Row | None) -> bool:
-        if row is None or self._is_own(row) or not row.fields['holder']:
+        if row is None or _is_of(row, self.holder) or not row.fields['holder']:
             return True
-        claim = str(row.fields['claim'])
-        now = self.clock.monotonic()
-        if self._sighting is None or self._sighting.claim != claim:
-            self._sighting = _Sighting(claim, now)
-        waited = now - self._sighting.seen_at
-        return waited > self.lifetime_s * (1 + CLOCK_DRIFT_SHARE)
+        return self.ends.has_ended(row)
 
 
 def _fencing(row: Row | None) -> int:
     return 0 if row is None else int(str(row.fields['fencing']))
+
+
+def _is_of(row: Row | None, holder: str) -> bool:
+    return row is not None and row.fields['holder'] == holder
--- a/primroserudder/process/loops.py
+++ b/primroserudder/process/loops.py
@@ -31,16 +31,33 @@
 
 @asynccontextmanager
 async def ending(*tasks: asyncio.Task[Any]) -> AsyncIterator[None]:
-    """Cancel what still runs at the end, and wait until it has ended."""
+    """Cancel what still runs at the end, and wait until it has ended.
+
+    Explanation
+    ===========
+    If the block itself is left by an error, such as the cancellation of its
+    caller, nobody will ask for the tasks' results; their errors are logged.
+    """
     try:
         yield
-    finally:
-        unfinished = [task for task in tasks if not task.done()]
-        await _cancel(unfinished)
+    except BaseException:
+        await cancel_all(tasks)
+        _note_errors(tasks)
+        raise
+    await cancel_all(tasks)
 
 
-async def _cancel(tasks: Collection[asyncio.Task[Any]]) -> None:
-    for task in tasks:
+async def cancel_all(tasks: Collection[asyncio.Task[Any]]) -> None:
+    """Cancel the tasks that still run, and wait until they have ended."""
+    unfinished = [task for task in tasks if not task.done()]
+    for task in unfinished:
         task.cancel()
-    if tasks:
-        await asyncio.wait(tasks)
+    if unfinished:
+        await asyncio.wait(unfinished)
+
+
+def _note_errors(tasks: Collection[asyncio.Task[Any]]) -> None:
+    for task in tasks:
+        error = None if task.cancelled() else task.exception()
+        if error is not None:
+            logger.debug('a task that nobody waits for failed: {!r}', error)
--- a/primroserudder/standins/tablestore.py
+++ b/primroserudder/standins/tablestore.py
@@ -8,6 +8,7 @@
 """
 
 import asyncio
+import time
 from dataclasses import dataclass, field
 from http import HTTPStatus
 
@@ -64,7 +65,7 @@
             return _answer(
                 {'Rows': rows}, status=HTTPStatus.PRECONDITION_FAILED
             )
-        return _answer({'RowVersion': self.rows.revision, 'NowMs': 0})
+        return _answer({'RowVersion': self.rows.revision, 'NowMs': _now_ms()})
 
     def _apply_later(self, asked: Json) -> None:
         task = asyncio.ensure_future(self._apply_late(asked))
@@ -95,7 +96,7 @@
                 'Rows': [row.wire() for row in rows[:limit]],
                 'HasMore': len(rows) > limit,
                 'RowVersion': self.rows.revision,
-                'NowMs': 0,
+                'NowMs': _now_ms(),
             }
         )
 
@@ -112,7 +113,7 @@
             {
                 'Rows': [row.wire() for row in rows],
                 'RowVersion': self.rows.revision,
-                'NowMs': 0,
+                'NowMs': _now_ms(),
             }
         )
 
@@ -141,6 +142,10 @@
     )
 
 
+def _now_ms() -> float:
+    return time.monotonic() * MILLISECONDS
+
+
 def _drop(request: web.Request) -> web.Response:
     """Cut the connection in place of an answer."""
     if request.transport is not None:
