Ask a second relay before the store

By the logs of its first 18 s, 350 times a router left its relay, 24 to 60 of a failure domain within a second: whenever the first VM of a domain was silent, killed or without the store, each of the other 25 asked the store itself for 2 s, three tables each. While the store was away for all, all of them went on asking.

Longer calls: they don't end the asking when a relay fails. One more table of relays in the store: known too late.

A router that leaves a relay asks the next VM of its domain's order for 2 s; a relay that has just turned to another source waits 0.3 s for it before it says that it is out of date. Two relays are tried before the store. A router with two VMs before it that the store failed as well asks it once a second. A whole table from a relay is taken only if it has the newest row seen here; the store's counter, which other tables move, no longer makes a relay "behind". test_relay_that_is_behind_makes_the_table_be_read_anew gives way to two tests: nothing older is ever taken, and a lower counter alone changes nothing. The module is three now: messages, the relay, those who ask it.

--- a/primroserudder/fleet/exchange.py
+++ b/primroserudder/fleet/exchange.py
@@ -124,13 +124,9 @@
         own = self.contacts.own_address
         return sorted(one for one in self.neighbours() if one < own)
 
-    def speaker(self) -> str:
-        """Return the address of the VM that speaks for the domain."""
-        return min((self.contacts.own_address, *self.neighbours()))
-
     def is_speaker(self) -> bool:
-        """Return whether this VM speaks for its failure domain."""
-        return self.speaker() == self.contacts.own_address
+        """Return whether this VM, the domain's first, speaks for it."""
+        return not self.neighbours_before()
 
     def datagram_received(
         self,
--- /dev/null
+++ b/primroserudder/fleet/relaymessages.py
@@ -0,0 +1,57 @@
+"""Tables on their way from a relay to the routers that ask it."""
+
+from collections.abc import Mapping
+
+import orjson
+from pydantic import BaseModel, ConfigDict
+
+from ..process.platform import Row
+from ..process.tables import TableFollower
+
+PATH = '/tables'
+
+
+class RowMessage(BaseModel):
+    """One row as it is now."""
+
+    model_config = ConfigDict(frozen=True)
+
+    key: str
+    revision: int
+    fields: Mapping[str, object]
+
+    def row(self) -> Row:
+        """Return the row as the store gave it."""
+        return Row(self.key, self.revision, self.fields)
+
+
+class TableMessage(BaseModel):
+    """Rows changed since a version; ``count`` is that of all rows."""
+
+    model_config = ConfigDict(frozen=True)
+
+    revision: int
+    count: int
+    rows: tuple[RowMessage, ...]
+    removed: tuple[str, ...] = ()
+
+    def newest(self) -> int:
+        """Return the version of the newest row, zero if there is none."""
+        return max((row.revision for row in self.rows), default=0)
+
+
+def encode_table(follower: TableFollower, since: int) -> bytes:
+    """Return what has changed in a followed table since a version."""
+    rows = [
+        {'key': row.key, 'revision': row.revision, 'fields': row.fields}
+        for row in follower.rows_by_key.values()
+        if row.revision > since
+    ]
+    return orjson.dumps(
+        {
+            'revision': follower.revision,
+            'count': len(follower.rows_by_key),
+            'rows': rows,
+            'removed': follower.removed_since(since),
+        }
+    )
--- a/primroserudder/fleet/router.py
+++ b/primroserudder/fleet/router.py
@@ -1,7 +1,7 @@
 """A router process: its parts, put together, started and stopped."""
 
 import asyncio
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 
 
@@ -25,7 +25,8 @@
 from .notice import Notice
 from .places import PlaceMeter
 from .ports import Ports
-from .relay import RelayedTables, TableRelay
+from .relay import TableRelay
+from .relayed import RelayedTables
 from .serverparts import assemble_server
 from .serving import Server
 from .settings import RouterSettings
@@ -145,7 +146,7 @@
         self.lease = make_lease(around, lambda: store.now_s)
         self.book = LoadBook(self.clock)
         self.tables = RelayedTables(
-            store, open_session(), self.clock, self.log, self._relay
+            store, open_session(), self.clock, self.log, self._relays
         )
         self.view = SiteView(
             self.tables, self.clock, self.log, self._feed_pause_s, self._on_view
@@ -196,7 +197,11 @@
             self.metrics,
             self._traffic.set,
         )
-        relay = TableRelay(self.view.followers_by_table, self.clock)
+        relay = TableRelay(
+            self.view.followers_by_table,
+            self.clock,
+            lambda: self.tables.turned_at,
+        )
         self.ports = Ports(
             self.settings, door, self.metrics, self.is_ready, self.dump, relay
         )
@@ -205,12 +210,11 @@
         self.server.look()
         self.care.keeper.wake.set()
 
-    def _relay(self) -> str:
-        """Return who reads the store for this VM, empty if it does itself."""
+    def _relays(self) -> Sequence[str]:
+        """Return who reads the store for this VM, none if it does itself."""
         if self.lease.is_held():
-            return ''
-        speaker = self.exchange.speaker()
-        return '' if speaker == self.settings.exchange_name else speaker
+            return ()
+        return self.exchange.neighbours_before()
 
     def _feed_pause_s(self) -> float:
         return HOLDER_PAUSE_S if self.lease.is_held() else FEED_PAUSE_S
