End connections with answers that outlast a stop's notice

Its connection was not idle when idle ones were closed, and its head had promised to keep it; the caller's next request came there 3.8 s after the signal and was cut by the exit.

The port (closed), an idle connection (closed), the stream's length.

At the end of the notice busy connections are told to end with their answer, idle ones are closed as before.

--- a/primroserudder/fleet/ports.py
+++ b/primroserudder/fleet/ports.py
@@ -70,13 +70,16 @@
 
         Explanation
         ===========
-        A connection with a request under way ends after its answer. Without
+        A connection with a request under way ends after its answer, also one
+        whose answer began before the stop and promised to keep it. Without
         this a request could come so late that its answer would be cut.
         """
         await self._sites[0].stop()
         server = self._runners[0].server
         for connection in () if server is None else server.connections:
-            if connection not in self.door.busy_connections:
+            if connection in self.door.busy_connections:
+                connection.close()
+            else:
                 connection.force_close()
 
     async def close(self) -> None:
--- a/primroserudder/fleet/tests/test_site.py
+++ b/primroserudder/fleet/tests/test_site.py
@@ -7,6 +7,7 @@
 
 from ...standins.groupengine import event
 from ...testing.platformsite import (
+    KEY,
     GROUP_SIZE,
     PlatformSite,
     configuration,
@@ -329,3 +330,29 @@
         await router.stop()
         assert not await reader.read()
         writer.close()
+
+
+async def test_connection_ends_with_an_answer_that_outlasted_the_notice() -> (
+    None
+):
+    # The answer began before the stop, so that it did not say "close".
+    request = (
+        'POST /notes/1 HTTP/1.1\r\nHost: one.example\r\n'
+        f'Authorization: Bearer {KEY}\r\n{ID}: %s\r\n'
+        'X-Primroserudder-Model: small\r\nContent-Length: 4\r\n\r\ntext'
+    )
+    async with platform_site() as site:
+        await _until_served(site)
+        for engine in site.engines_by_id.values():
+            engine.event_s = 0.75
+        router = site.routers[0]
+        host, _, port = router.settings.callers.rpartition(':')
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write((request % 'first').encode())
+        await reader.readuntil(b'id: 1')
+        await router.stop()
+        await reader.readuntil(b'0\r\n\r\n')
+        writer.write((request % 'second').encode())
+        assert not await reader.read()
+        assert not site.arrivals('second')
+        writer.close()
