--- a/primroserudder/programs/tests/test_router.py
+++ b/primroserudder/programs/tests/test_router.py
@@ -2,9 +2,12 @@
 
 import json
 import pathlib
+import re
+import signal
 import socket
 import subprocess
 import sys
+import time
 
 import pytest
 
@@ -13,6 +16,8 @@
 from ...fleet.settings import RouterSettings
 from ...testing.platformsite import free_ports
 
+PROGRAM = 'primroserudder.programs.router'
+SIGNAL_INTERVAL_S = 0.002
 GOOD = {
     'node': 'vm-1',
     'ip': '127.0.0.1',
@@ -29,7 +34,7 @@
         [
             sys.executable,
             '-m',
-            'primroserudder.programs.router',
+            PROGRAM,
             '--settings',
             str(path),
             *flags,
@@ -110,3 +115,42 @@
         with pytest.raises(PortTaken, match=address):
             await router.start()
         await router.close()
+
+
+def _ignores_reload(pid: int) -> bool:
+    status = pathlib.Path(f'/proc/{pid}/status').read_text()
+    ignored = re.search(r'SigIgn:\s*(\w+)', status)
+    assert ignored is not None
+    return bool(int(ignored[1], 16) & (1 << (signal.SIGHUP - 1)))
+
+
+def test_reload_signals_end_no_process_that_starts_or_stops(
+    tmp_path: pathlib.Path,
+) -> None:
+    path = tmp_path / 'node.json'
+    ports = free_ports(5)
+    changes = {
+        'callers': f'127.0.0.1:{ports[0]}',
+        'readiness': f'127.0.0.1:{ports[1]}',
+        'inner_ports': ports[2:4],
+        'metrics_port': ports[4],
+        'grace_s': 2,
+    }
+    path.write_text(json.dumps({**GOOD, **changes}))
+    process = subprocess.Popen(
+        [sys.executable, '-m', PROGRAM, '--settings', str(path)],
+        stdout=subprocess.PIPE,
+    )
+    with process:
+        assert process.stdout is not None
+        while not _ignores_reload(process.pid):
+            time.sleep(SIGNAL_INTERVAL_S)
+        for _ in range(20):
+            process.send_signal(signal.SIGHUP)
+            time.sleep(SIGNAL_INTERVAL_S)
+        assert b'"start"' in process.stdout.readline()
+        process.terminate()
+        while process.poll() is None:
+            process.send_signal(signal.SIGHUP)
+            time.sleep(SIGNAL_INTERVAL_S)
+    assert process.returncode == 0
