--- /dev/null
+++ b/primroserudder/loadreplay/arrivals.py
@@ -0,0 +1,83 @@
+"""Generated arrivals of a model's requests."""
+
+import random
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+# Sizes spread by this factor around their median, as those of texts do.
+SIZE_SPREAD = 0.8
+LONGEST_ANSWER_TOKENS = 1200
+# A few workspaces ask most: the n-th asks a share of about 1/n.
+WORKSPACES = 8
+
+
+@dataclass(frozen=True, slots=True)
+class LoadPattern:
+    """A load and the groups that face it.
+
+    Parameters
+    ==========
+    rate : float
+        Requests a second; ``burst_rate`` from ``burst_from_s`` on, for
+        ``burst_s`` seconds.
+    losses : tuple of float
+        Times at which one group stops, to stand again after ``repair_s``.
+    """
+
+    name: str
+    seconds: float
+    rate: float
+    groups: int
+    burst_rate: float = 0
+    burst_from_s: float = 0
+    burst_s: float = 0
+    losses: tuple[float, ...] = ()
+    repair_s: float = 2.0
+    vms: int = 7
+    slots: int = 13
+    objective_s: float = 0.25
+    prompt_tokens: int = 900
+    answer_tokens: int = 60
+
+    def rate_at(self, now: float) -> float:
+        """Return the requests a second at a time."""
+        in_burst = 0 <= now - self.burst_from_s < self.burst_s
+        return self.burst_rate if in_burst else self.rate
+
+
+@dataclass(frozen=True, slots=True)
+class Arrival:
+    """One request as a caller first sends it."""
+
+    number: int
+    at_s: float
+    vm: int
+    workspace: int
+    prompt_tokens: int
+    answer_tokens: int
+
+
+def draw_arrivals(pattern: LoadPattern, seed: int) -> list[Arrival]:
+    """Return the arrivals of a pattern, in order of time."""
+    return list(_draw(pattern, random.Random(seed)))
+
+
+def _draw(pattern: LoadPattern, rng: random.Random) -> Iterator[Arrival]:
+    weights = [1 / (number + 1) for number in range(WORKSPACES)]
+    now = float(0)
+    number = 0
+    while True:
+        now += rng.expovariate(pattern.rate_at(now))
+        if now >= pattern.seconds:
+            return
+        answer = pattern.answer_tokens * rng.lognormvariate(0, SIZE_SPREAD)
+        prompt = pattern.prompt_tokens * rng.lognormvariate(0, SIZE_SPREAD)
+        yield Arrival(
+            number,
+            now,
+            rng.randrange(pattern.vms),
+            rng.choices(range(WORKSPACES), weights)[0],
+            max(1, round(prompt)),
+            max(1, min(LONGEST_ANSWER_TOKENS, round(answer))),
+        )
+        number += 1
--- /dev/null
+++ b/primroserudder/loadreplay/cost.py
@@ -0,0 +1,128 @@
+"""What the router's decisions cost at the sizes that it must carry."""
+
+import time
+from collections import Counter
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+
+from ..fleet.choice import choose
+from ..fleet.formations import Sight, Standing, next_needs
+from ..fleet.model import (
+    Engine,
+    Formation,
+    GroupState,
+    Membership,
+    ModelSpec,
+    Target,
+)
+from ..fleet.placement import Balance, FreeEngine, plan_groups
+from ..fleet.preloading import plan_loads
+
+SIZES = (16, 66, 216, 3700)
+GROUP_SIZE = 4
+DOMAIN_ENGINES = 11
+# One engine in so many is free.
+FREE_SHARE = 6
+REPEATS = 20
+SLOTS = 13
+LOAD_S = 12
+MICROSECONDS = 1_000_000
+SMALL = ModelSpec(
+    name='small', group_size=GROUP_SIZE, work_share=1, load_s=LOAD_S, warm_s=1
+)
+
+
+@dataclass(frozen=True, slots=True)
+class DecisionCost:
+    """Microseconds of one decision at a number of engines."""
+
+    engines: int
+    choice_us: float
+    tending_us: float
+    planning_us: float
+
+
+def measure(engines: int) -> DecisionCost:
+    """Return the cost of a choice and of a round of the lease's holder."""
+    listed = {name: _engine(name) for name in map(str, range(engines))}
+    formations = _formations(engines)
+    standings = [
+        Standing(made, dict.fromkeys(made.members, 1), 0) for made in formations
+    ]
+    targets = [
+        Target(made.head, '127.0.0.1:1', 'fd-1', SLOTS, made.name)
+        for made in formations
+    ]
+    running = Counter({one.engine_id: SLOTS // 2 for one in targets})
+    seen = {**listed, **_members(formations)}
+    sight = Sight(seen, frozenset(), 4, 10)
+    return DecisionCost(
+        engines,
+        _timed(lambda: choose(targets, running.__getitem__, 'fd-1')),
+        _timed(lambda: [next_needs(one, sight) for one in standings]),
+        _timed(lambda: _plan(listed, len(formations))),
+    )
+
+
+def _plan(listed: Mapping[str, Engine], groups: int) -> None:
+    free = [
+        FreeEngine(engine, SMALL.name)
+        for number, engine in enumerate(listed.values())
+        if not number % FREE_SHARE
+    ]
+    wanted = {SMALL.name: float(groups)}
+    balance = Balance(Counter({SMALL.name: groups}), wanted)
+    plan_groups(free, (SMALL,), balance, lambda _: True)
+    plan_loads(free, lambda _: Counter(), (SMALL,), balance, has_traffic=True)
+
+
+def _formations(engines: int) -> list[Formation]:
+    return [
+        Formation(
+            f'small.{first}',
+            first + 1,
+            'small',
+            tuple(str(first + rank) for rank in range(GROUP_SIZE)),
+        )
+        for first in range(0, engines - GROUP_SIZE + 1, GROUP_SIZE)
+    ]
+
+
+def _members(formations: list[Formation]) -> Mapping[str, Engine]:
+    return {
+        member: _engine(member, made, rank)
+        for made in formations
+        for rank, member in enumerate(made.members)
+    }
+
+
+def _engine(
+    name: str,
+    made: Formation | None = None,
+    rank: int = 0,
+) -> Engine:
+    state = GroupState.READY if rank else GroupState.OPEN
+    domain = int(name) // DOMAIN_ENGINES
+    membership = (
+        None if made is None else Membership(made.name, made.epoch, rank, state)
+    )
+    return Engine(
+        name,
+        'model',
+        '127.0.0.1:1',
+        'fd-1',
+        SLOTS,
+        fabric_domain=f'd{domain}',
+        membership=membership,
+        born_ms=1,
+    )
+
+
+def _timed(decide: Callable[[], object]) -> float:
+    """Return the least of several timings, in microseconds."""
+    timings = []
+    for _ in range(REPEATS):
+        began_at = time.process_time()
+        decide()
+        timings.append(time.process_time() - began_at)
+    return min(timings) * MICROSECONDS
--- /dev/null
+++ b/primroserudder/loadreplay/run.py
@@ -0,0 +1,88 @@
+"""``bin/replay-load``: policies against loads, and what decisions cost."""
+
+import argparse
+import sys
+from collections.abc import Sequence
+
+from ..testing.virtualtime import run_virtually
+from .arrivals import LoadPattern, draw_arrivals
+from .bound import most_served
+from .cost import SIZES, measure
+from .outcome import Outcome, Served
+from .patterns import read_patterns
+from .policies import POLICIES
+from .replay import Replay
+
+COLUMNS = ('in time', 'late', 'refused', 'left', 'lost', 'held s', 'largest')
+NAME_WIDTH = 30
+CELL_WIDTH = 10
+
+
+def play(pattern: LoadPattern, policy: str, seed: int) -> Outcome:
+    """Replay one load against one policy."""
+    replay = Replay(pattern, POLICIES[policy])
+    return run_virtually(replay.play(draw_arrivals(pattern, seed)))
+
+
+def main() -> int:
+    """Print a table of policies, or of costs."""
+    arguments = _parser().parse_args()
+    if arguments.costs:
+        _print_costs()
+        return 0
+    for pattern in read_patterns().values():
+        if arguments.load in {'all', pattern.name}:
+            _print_pattern(pattern, range(arguments.seeds))
+    return 0
+
+
+def _parser() -> argparse.ArgumentParser:
+    made = argparse.ArgumentParser(
+        prog='bin/replay-load',
+        description='Replays load against ways to wait, in virtual time.',
+    )
+    names = tuple(read_patterns())
+    made.add_argument('--load', choices=['all', *names], default='all')
+    made.add_argument('--seeds', type=int, default=3, help='how many seeds')
+    made.add_argument(
+        '--costs', action='store_true', help='what decisions cost, instead'
+    )
+    return made
+
+
+def _print_pattern(pattern: LoadPattern, seeds: Sequence[int]) -> None:
+    bounds = [
+        most_served(pattern, draw_arrivals(pattern, one)) for one in seeds
+    ]
+    mean_bound = _mean(bounds)
+    _print_row(f'{pattern.name}, bound {mean_bound:.3f}', COLUMNS)
+    for policy in POLICIES:
+        outcomes = [play(pattern, policy, seed) for seed in seeds]
+        shares = [
+            _mean([one.share(served) for one in outcomes]) for served in Served
+        ]
+        held_s = max(one.longest_held_s() for one in outcomes)
+        largest = _mean([one.in_time_by_size()[-1] for one in outcomes])
+        columns = [f'{one:.3f}' for one in (*shares, held_s, largest)]
+        _print_row(policy, columns)
+
+
+def _print_costs() -> None:
+    _print_row('microseconds', ('choice', 'tending', 'planning'))
+    for engines in SIZES:
+        cost = measure(engines)
+        spent = (cost.choice_us, cost.tending_us, cost.planning_us)
+        _print_row(f'{engines} engines', [f'{one:.0f}' for one in spent])
+
+
+def _mean(numbers: Sequence[float]) -> float:
+    return sum(numbers) / len(numbers)
+
+
+def _print_row(name: str, columns: Sequence[str]) -> None:
+    cells = ''.join(column.rjust(CELL_WIDTH) for column in columns)
+    sys.stdout.write(f'{name.ljust(NAME_WIDTH)}{cells}\n')
+
+
+if __name__ == '__main__':
+    sys.exit(main())
