--- a/primroserudder/faultsoak/callers.py
+++ b/primroserudder/faultsoak/callers.py
@@ -9,6 +9,7 @@
 
 import aiohttp
 
+from ..platform import names
 from ..testing.platformsite import HOST, KEY
 
 MEAN_PAUSE_S = 0.05
@@ -128,9 +129,9 @@
     headers = {
         'Host': HOST,
         'Authorization': f'Bearer {KEY}',
-        'X-Primroserudder-Attempt-Id': request_id,
-        'X-Primroserudder-Model': 'small',
-        'X-Primroserudder-Deadline-Ms': str(round(PATIENCE_S * 1000)),
+        names.ATTEMPT_ID: request_id,
+        names.MODEL: 'small',
+        names.DEADLINE_MS: str(round(PATIENCE_S * 1000)),
     }
     try:
         async with asyncio.timeout(stay_s):
--- a/primroserudder/faultsoak/engines.py
+++ b/primroserudder/faultsoak/engines.py
@@ -7,7 +7,7 @@
 
 from aiohttp import web
 
-from ..standins.groupengine import GroupEngine
+from ..standins.groupengine import ATTEMPT_ID, GroupEngine
 from ..standins.groupmember import GroupMember
 from .links import BOTH_WAYS, Link
 
@@ -128,6 +128,6 @@
     def _refusal(self, request: web.Request) -> web.Response | None:
         refusal = GroupEngine._refusal(self, request)
         if refusal is None and self.observer is not None:
-            attempt_id = request.headers.get('X-Primroserudder-Attempt-Id', '')
+            attempt_id = request.headers.get(ATTEMPT_ID, '')
             self.observer.note_run(self, attempt_id)
         return refusal
--- a/primroserudder/platform/tests/test_words.py
+++ b/primroserudder/platform/tests/test_words.py
@@ -7,8 +7,8 @@
 import pytest
 
 PACKAGE = pathlib.Path(__file__).parents[2]
-# Tests, stand-ins and the soak play the platform's part.
-SPEAKERS = frozenset(('platform', 'standins', 'testing', 'tests', 'faultsoak'))
+# Tests and stand-ins play the platform's part.
+SPEAKERS = frozenset(('platform', 'standins', 'testing', 'tests'))
 # Data types, and the one reader of settings errors.
 TYPES_OF_THE_PRODUCT = frozenset(
     (
