Log strikes, their clearing and each send of a struck content

Change: lines strike, strikes_merged, strikes_cleared and send_of_struck_content, each with the content's digest, and two counters. The content's checks move from Server into Quarantine, which logs them.

--- a/primroserudder/fleet/router.py
+++ b/primroserudder/fleet/router.py
@@ -272,7 +272,7 @@
             lease_claim=self.lease.claim,
             lease_given_up=self.lease.given_up,
             reaches_store=self.view.engines.is_reachable,
-            struck=self.server.strikes.recent(),
+            struck=self.server.quarantine.strikes.recent(),
             has_traffic=self._traffic_seen.is_set(),
             versions=self.view.versions(),
         )
@@ -280,7 +280,7 @@
     def _on_notice(self, notice: Notice) -> None:
         if notice.has_traffic:
             self._traffic_seen.set()
-        self.server.strikes.merge(notice.struck)
+        self.server.quarantine.merge(notice.node, notice.struck)
         self.server.health.mark_groups_lost(notice.broken_groups)
         self.tables.note_peer_versions(notice.versions)
         self.control_plane.election.on_notice(notice)
--- a/primroserudder/fleet/serverassembly.py
+++ b/primroserudder/fleet/serverassembly.py
@@ -7,10 +7,10 @@
 from .health import TargetHealth
 from .in_flight import InFlightCounts
 from .peeraddresses import PeerAddresses
+from .quarantine import Quarantine
 from .retries import RetryBudgets
 from .serving import Server
 from .site_view import SiteView
-from .strikes import StrikeRegistry
 
 ENGINE_SESSION_TIMEOUT_S = 60.0
 
@@ -31,7 +31,7 @@
         view.directory,
         in_flight_counts,
         TargetHealth(context.clock),
-        StrikeRegistry(),
+        Quarantine(context.log, context.metrics),
         context.log,
         context.metrics,
         RetryBudgets(
--- a/primroserudder/fleet/serving.py
+++ b/primroserudder/fleet/serving.py
@@ -21,8 +21,9 @@
 from .health import TargetHealth
 from .in_flight import InFlightCounts
 from .model import RequestKind, Target
+from .quarantine import Quarantine
 from .retries import Ending, RetryBudgets, Step
-from .strikes import StrikeRegistry, content_digest
+from .strikes import content_digest
 from .waitqueue import RETRY_AFTER_NO_GROUP_S, NoFreeSlot, WaitQueue, max_wait_s
 
 # A pause before each retry, so that a momentary fault of an engine or a
@@ -48,15 +49,6 @@
     default_remedy = 'set a longer deadline, or send a smaller request'
 
 
-class Quarantined(RudderError):
-    """Requests with the same content broke several groups."""
-
-    code = 'quarantined'
-    status = 503
-    ran = Ran.NO
-    default_remedy = 'change the request; its content seems to crash engines'
-
-
 class RetryBudgetSpent(RudderError):
     """The request has not run, and no further attempt is allowed."""
 
@@ -76,7 +68,7 @@
     directory: Directory
     in_flight_counts: InFlightCounts
     health: TargetHealth
-    strikes: StrikeRegistry
+    quarantine: Quarantine
     log: DecisionLog
     metrics: Metrics
     budgets: RetryBudgets
@@ -97,8 +89,7 @@
             No response of an engine can be returned to the caller.
         """
         digest = content_digest(call)
-        if self.strikes.is_quarantined(digest):
-            raise Quarantined('requests with this content broke several groups')
+        self.quarantine.check(digest)
         budget = self.budgets.for_service(call.destination.service.name)
         budget.record_request(self.clock.monotonic())
         try:
@@ -129,6 +120,7 @@
     ) -> AttemptResult:
         while True:
             target = await self._acquire_slot(call)
+            self.quarantine.note_send(call, target, digest)
             outcome = await self._attempt(call, target, sink)
             self._record_outcome(call, target, outcome, digest)
             call.retry_state.record(outcome.ending)
@@ -259,10 +251,7 @@
     ) -> None:
         call.tried_engines.add(target.engine_id)
         self.health.note(target, outcome, self.clock.monotonic())
-        if outcome.ending is Ending.DELIVERED:
-            self.strikes.clear(digest)
-        elif outcome.may_have_crashed and target.group:
-            self.strikes.strike(digest, target.group)
+        self.quarantine.note_outcome(call, target, outcome, digest)
 
     def _try_spend_retry(self, call: Call) -> bool:
         budget = self.budgets.for_service(call.destination.service.name)
--- a/primroserudder/fleet/strikes.py
+++ b/primroserudder/fleet/strikes.py
@@ -43,8 +43,11 @@
 
     def is_quarantined(self, digest: str) -> bool:
         """Return whether a content must not run again."""
-        groups = self.groups_by_digest.get(digest, ())
-        return len(groups) >= STRIKES_TO_QUARANTINE
+        return self.count(digest) >= STRIKES_TO_QUARANTINE
+
+    def count(self, digest: str) -> int:
+        """Return the number of groups lost while they ran a content."""
+        return len(self.groups_by_digest.get(digest, ()))
 
     def strike(self, digest: str, group: str) -> None:
         """Record that a group was lost while it ran a content."""
@@ -71,12 +74,17 @@
             for group in sorted(groups)
         )[-MAX_SHARED_STRIKES:]
 
-    def merge(self, strikes: Iterable[str]) -> None:
-        """Merge strikes that another VM reported."""
+    def merge(self, strikes: Iterable[str]) -> list[str]:
+        """Merge strikes that another VM reported; return the new ones."""
+        merged = []
         for strike in strikes:
             digest, _, group = strike.partition('=')
             if group not in self.groups_by_digest.get(digest, ()):
+                before = self.count(digest)
                 self.strike(digest, group)
+                if self.count(digest) > before:
+                    merged.append(strike)
+        return merged
 
 
 def content_digest(call: Call) -> str:
