--- a/primroserudder/standins/groupengine.py
+++ b/primroserudder/standins/groupengine.py
@@ -16,6 +16,7 @@
 import orjson
 from aiohttp import web
 
+from .enginecrash import crash
 from .groupmember import GroupMember
 from .tablestore import TableStore
 
@@ -58,6 +59,9 @@
     ignores_orders: bool = False
     late_orders_s: float = 0
     is_unresponsive: bool = False
+    # A request with this body ends the engine's process.
+    crashing_body: bytes | None = None
+    crashes_silently: bool = False
 
 
 @dataclass(slots=True)
@@ -73,6 +77,7 @@
     events: int = 5
     event_s: float = 0.01
     join_s: float = 0.02
+    restart_s: float = 0.05
     faults: EngineFaults = field(default_factory=EngineFaults)
     received_requests: list[ReceivedRequest] = field(default_factory=list)
     orders: list[Json] = field(default_factory=list)
@@ -80,6 +85,8 @@
     born: int = 1
     running: int = 0
     cancelled: int = 0
+    crashes: int = 0
+    is_down: bool = False
     member: GroupMember = field(init=False)
 
     def __post_init__(self) -> None:
@@ -164,6 +171,8 @@
 
     async def _serve(self, request: web.Request) -> web.StreamResponse:
         body = await request.read()
+        if self.is_down:
+            return _abort(request)
         refusal = self._refusal(request)
         if refusal is not None:
             return refusal
@@ -176,6 +185,11 @@
                 body,
             )
         )
+        if body == self.faults.crashing_body:
+            crash(self)
+            if self.faults.crashes_silently:
+                await asyncio.sleep(HANG_S)
+            return _abort(request)
         self.running += 1
         try:
             return await self._answer(request)
@@ -244,6 +258,13 @@
         return response
 
 
+def _abort(request: web.Request) -> web.Response:
+    """Reset the connection without a response."""
+    if request.transport is not None:
+        request.transport.abort()
+    return web.Response()
+
+
 def event(number: int) -> bytes:
     """Return one event of a stream."""
     return f'id: {number}\ndata: piece {number}\n\n'.encode()
--- a/primroserudder/testing/platformsite.py
+++ b/primroserudder/testing/platformsite.py
@@ -82,6 +82,13 @@
             engine for engine in self.engines_by_id.values() if engine.is_open()
         ]
 
+    async def restart_routers(self) -> None:
+        """Replace each router by a new one with the same settings."""
+        for number, router in enumerate(self.routers):
+            await router.close()
+            self.routers[number] = Router(router.settings)
+            await self.routers[number].start()
+
     async def until(self, condition: Callable[[], bool]) -> None:
         """Wait until a condition is true."""
         while not condition():
@@ -201,8 +208,12 @@
     )
     router = Router(settings)
     await router.start()
-    stack.push_async_callback(router.close)
     site.routers.append(router)
+    stack.push_async_callback(_close_router, site, number)
+
+
+async def _close_router(site: PlatformSite, number: int) -> None:
+    await site.routers[number].close()
 
 
 async def _serve(stack: AsyncExitStack, app: web.Application) -> str:
