Count every engine that ends under a content, and keep the count

Cause: whether a content crashes engines was one VM's guess from one symptom. Five ways round it, each reproduced or read: a crash on an engine without a group, by silence, behind a group's loss, or after the caller had left was not counted; only an arriving request was checked, not one that waits or is retried; one completion made a content immune for good; notices held the last 40 strikes, which a lost fabric domain fills with innocents; and nothing was kept, nor told to VMs that hear no notices. Change: a strike is now one incarnation of an engine that ended under a content, a fact that all VMs can merge. Runs without a response are suspicions that the engine list confirms; strikes of engines that prove alive are void, as are those of contents that complete. The check stands before each send. Why it works: the evidence no longer depends on how a crash looks, on which VM saw it, nor on a VM that lives.

--- a/primroserudder/fleet/attempt.py
+++ b/primroserudder/fleet/attempt.py
@@ -22,7 +22,7 @@
 STATUS_REDIRECT = 300
 MAX_RESPONSE_BYTES = 16_777_216
 NO_CONNECTION = 'no connection'
-_TRANSPORT_ERRORS = (aiohttp.ClientError, TimeoutError, OSError, ValueError)
+_TRANSPORT_ERRORS = (aiohttp.ClientError, OSError, ValueError)
 _OMITTED_DEFAULT_HEADERS = (
     'User-Agent',
     'Accept',
@@ -128,13 +128,20 @@
                 return await self._read_response(response)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
             return AttemptResult(Ending.NOT_RUN, NO_CONNECTION)
+        except TimeoutError as error:
+            # A slow engine times out too.
+            return self._broken_result(
+                type(error).__name__, may_have_crashed=False
+            )
         except _TRANSPORT_ERRORS as error:
             return self._broken_result(type(error).__name__)
 
-    def _broken_result(self, reason: str) -> AttemptResult:
+    def _broken_result(
+        self, reason: str, *, may_have_crashed: bool = True
+    ) -> AttemptResult:
         is_cut = self.sink.is_started
         ending = Ending.CUT if is_cut else Ending.UNKNOWN
-        return AttemptResult(ending, reason, may_have_crashed=True)
+        return AttemptResult(ending, reason, may_have_crashed=may_have_crashed)
 
     async def _read_response(
         self, response: aiohttp.ClientResponse
--- /dev/null
+++ b/primroserudder/fleet/attemptrunner.py
@@ -0,0 +1,101 @@
+"""Runs attempts and watches the engines that they run on."""
+
+import asyncio
+from collections import defaultdict
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+
+import aiohttp
+
+from ..process.loops import cancel_on_exit
+from .attempt import Attempt, AttemptResult, StreamActivity, StreamSink
+from .call import Call
+from .health import TargetHealth
+from .model import RequestKind, Target
+from .quarantine import Quarantine
+from .retries import Ending
+
+
+@dataclass(slots=True)
+class AttemptRunner:
+    """Runs attempts, and ends streams whose group is lost.
+
+    Parameters
+    ==========
+    streams_by_head : defaultdict
+        Activity of the running attempts at each group's head.
+    """
+
+    session: aiohttp.ClientSession
+    health: TargetHealth
+    quarantine: Quarantine
+    streams_by_head: defaultdict[str, dict[int, StreamActivity]] = field(
+        default_factory=lambda: defaultdict(dict),
+    )
+
+    async def run(
+        self, call: Call, target: Target, sink: StreamSink
+    ) -> AttemptResult:
+        """Run one attempt and return how it ended."""
+        number = call.retry_state.tries + 1
+        call.dispatch.open(number)
+        with self._tracked_attempt(target) as activity:
+            attempt = Attempt(self.session, call, target, sink, activity)
+            with self._noted_if_abandoned(attempt):
+                outcome = await self._run_until_lost(attempt)
+        if outcome.ending is Ending.NOT_RUN:
+            call.dispatch.note_refused(number)
+        return outcome
+
+    @contextmanager
+    def _tracked_attempt(self, target: Target) -> Iterator[StreamActivity]:
+        """Track an attempt's activity until it ends in any way."""
+        activity = StreamActivity(asyncio.get_running_loop().time())
+        activities: dict[int, StreamActivity] = {}
+        if target.group:
+            activities = self.streams_by_head[target.engine_id]
+        activities[id(activity)] = activity
+        try:
+            yield activity
+        finally:
+            activities.pop(id(activity))
+
+    @contextmanager
+    def _noted_if_abandoned(self, attempt: Attempt) -> Iterator[None]:
+        """Note an attempt that the caller or the deadline ends."""
+        try:
+            yield
+        except BaseException:
+            self.quarantine.note_abandoned(attempt.call, attempt.target)
+            raise
+
+    async def _run_until_lost(self, attempt: Attempt) -> AttemptResult:
+        """Run an attempt; cancel a stream if its group breaks.
+
+        Explanation
+        ===========
+        A stream is also cancelled if its head can't be reached from this VM.
+        """
+        if attempt.call.destination.route.kind is not RequestKind.STREAM:
+            return await attempt.run()
+        target = attempt.target
+        loss_event = self.health.lost_event(target.group)
+        unreachable_event = self.health.unreachable_event(target.engine_id)
+        running = asyncio.ensure_future(attempt.run())
+        loss_waits = [
+            asyncio.ensure_future(event.wait())
+            for event in (loss_event, unreachable_event)
+        ]
+        async with cancel_on_exit(running, *loss_waits):
+            await asyncio.wait(
+                (running, *loss_waits), return_when=asyncio.FIRST_COMPLETED
+            )
+        if not running.cancelled():
+            return running.result()
+        ending_kind = Ending.CUT if attempt.sink.is_started else Ending.UNKNOWN
+        return AttemptResult(
+            ending_kind,
+            'group is broken or unreachable',
+            may_have_crashed=unreachable_event.is_set(),
+        )
--- a/primroserudder/fleet/call.py
+++ b/primroserudder/fleet/call.py
@@ -3,6 +3,7 @@
 import asyncio
 from dataclasses import dataclass, field
 
+import xxhash
 from multidict import CIMultiDictProxy
 
 from ..platform.headers import RequestMetadata
@@ -21,7 +22,9 @@
     ``received_at`` and ``deadline_at`` are times of the event loop, in
     seconds. ``last_event_id`` is the id of the last event that the caller
     received. ``tried_engines`` holds the ids of the engines of all earlier
-    attempts.
+    attempts. ``digest`` names the content: path, workspace and body,
+    which stay the same when a caller sends a request again under another id
+    or key.
     """
 
     method: str
@@ -36,6 +39,14 @@
     dispatch: DispatchRecord
     last_event_id: str = ''
     tried_engines: set[str] = field(default_factory=set)
+    digest: str = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Compute the digest of the content."""
+        hasher = xxhash.xxh3_64(self.raw_path.encode())
+        hasher.update(self.destination.workspace.name.encode())
+        hasher.update(self.body)
+        self.digest = hasher.hexdigest()
 
     @property
     def remaining_s(self) -> float:
--- a/primroserudder/fleet/directory.py
+++ b/primroserudder/fleet/directory.py
@@ -192,6 +192,7 @@
                 service.engine.slots,
                 head.membership.group,
                 tuple(by_rank[rank].engine_id for rank in sorted(by_rank)),
+                head.born_ms,
             )
         )
 
@@ -202,4 +203,5 @@
         engine.address,
         engine.failure_domain,
         engine.slots,
+        born_ms=engine.born_ms,
     )
--- a/primroserudder/fleet/model.py
+++ b/primroserudder/fleet/model.py
@@ -186,7 +186,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Target:
-    """A destination of requests: an open group's head or a plain engine."""
+    """A destination of requests: an open group's head or a plain engine.
+
+    Explanation
+    ===========
+    ``born_ms`` is the start time of the engine that takes the requests.
+    """
 
     engine_id: str
     address: str
@@ -194,3 +199,4 @@
     slots: int
     group: str = ''
     members: tuple[str, ...] = field(default=())
+    born_ms: int = 0
--- a/primroserudder/fleet/notice.py
+++ b/primroserudder/fleet/notice.py
@@ -34,8 +34,9 @@
     reaches_store : bool
         Whether the sender's copies of the store's tables are up to date.
     struck : tuple of str
-        Requests that were running when a group was lost, each as
-        ``digest=group``.
+        Ids of the strikes that the sender knows, see ``strikes``.
+    void_strikes : tuple of str
+        Ids of the strikes that the sender found void last.
     has_traffic : bool
         Whether the site has received requests since the sender started.
     versions : Mapping
@@ -57,6 +58,7 @@
     lease_given_up: str = ''
     reaches_store: bool = False
     struck: tuple[str, ...] = ()
+    void_strikes: tuple[str, ...] = ()
     has_traffic: bool = False
     versions: Mapping[str, int] = {}
 
@@ -92,6 +94,7 @@
         lease_given_up=max(notice.lease_given_up for notice in notices),
         reaches_store=any(notice.reaches_store for notice in notices),
         struck=_union(notice.struck for notice in notices),
+        void_strikes=_union(notice.void_strikes for notice in notices),
         has_traffic=any(notice.has_traffic for notice in notices),
         versions=_newest(notice.versions for notice in notices),
     )
--- a/primroserudder/fleet/quarantine.py
+++ b/primroserudder/fleet/quarantine.py
@@ -1,20 +1,37 @@
-"""Refuses contents that crashed several groups, and logs the evidence."""
+"""Refuses contents that crashed several engines.
 
-from collections.abc import Iterable
+Explanation
+===========
+A broken connection, or an engine that no longer answers, is a strike at once.
+A request that ended in another way without a response, because its group was
+reported lost, its caller left or its time was over, is a suspicion: it becomes
+a strike if the engine's incarnation ends within a few seconds. A strike is
+void if the engine's incarnation is still listed after the time within which
+the list drops an engine that ended.
+"""
+
+import asyncio
+from collections import deque
+from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass, field
 
 from ..errors import Ran, RudderError
+from ..process.clock import Clock
 from ..process.decisions import DecisionLog
 from ..process.metrics import Metrics
 from .attempt import AttemptResult
 from .call import Call
+from .directory import Directory
 from .model import Target
 from .retries import Ending
-from .strikes import StrikeRegistry
+from .strikes import STRIKE_LIFETIME_S, Strike, StrikeRegistry
+
+SETTLE_INTERVAL_S = 0.25
+MAX_SUSPICIONS = 5000
 
 
 class Quarantined(RudderError):
-    """Requests with the same content broke several groups."""
+    """Requests with the same content crashed several engines."""
 
     code = 'quarantined'
     status = 503
@@ -22,28 +39,62 @@
     default_remedy = 'change the request; its content seems to crash engines'
 
 
+@dataclass(frozen=True, slots=True)
+class _Suspicion:
+    """A run without a response on an engine that may have ended."""
+
+    strike: Strike
+    noted_at: float
+
+
 @dataclass(slots=True)
 class Quarantine:
-    """Counts the crashes of each content and refuses those with too many."""
+    """Counts the crashes of each content and refuses those with too many.
+
+    Parameters
+    ==========
+    unreachable : Callable
+        Returns the ids of engines that did not answer probes of this VM.
+    list_current_since : Callable
+        Returns since when the engine list has been up to date, as a monotonic
+        time; ``None`` while it is not.
+    list_expiry_s : float
+        Time within which an engine that ended leaves the list, in seconds.
+    """
 
+    clock: Clock
     log: DecisionLog
     metrics: Metrics
-    strikes: StrikeRegistry = field(default_factory=StrikeRegistry)
+    directory: Directory
+    unreachable: Callable[[], Collection[str]]
+    list_current_since: Callable[[], float | None]
+    list_expiry_s: float
+    strikes: StrikeRegistry = field(init=False)
+    _suspicions: deque[_Suspicion] = field(
+        default_factory=lambda: deque(maxlen=MAX_SUSPICIONS),
+    )
 
-    def check(self, digest: str) -> None:
-        """Raise ``Quarantined`` if a content must not run."""
-        if self.strikes.is_quarantined(digest):
-            raise Quarantined(f'content {digest} broke several groups')
+    def __post_init__(self) -> None:
+        """Create the registry, which knows no strikes yet."""
+        self.strikes = StrikeRegistry(self.clock)
 
-    def note_send(self, call: Call, target: Target, digest: str) -> None:
+    def check(self, call: Call) -> None:
+        """Raise ``Quarantined`` if a request's content must not run."""
+        if self.strikes.is_quarantined(call.digest):
+            raise Quarantined(
+                f'content {call.digest} crashed several engines',
+                retry_after=STRIKE_LIFETIME_S,
+            )
+
+    def note_send(self, call: Call, target: Target) -> None:
         """Log that a content with strikes is sent to an engine."""
-        count = self.strikes.count(digest)
+        count = self.strikes.count(call.digest)
         if not count:
             return
         self.metrics.count('sends_of_struck_content', strikes=str(count))
         self.log.note(
             'send_of_struck_content',
-            content=digest,
+            content=call.digest,
             request=call.metadata.attempt_id,
             engine=target.engine_id,
             group=target.group,
@@ -51,33 +102,97 @@
         )
 
     def note_outcome(
-        self,
-        call: Call,
-        target: Target,
-        outcome: AttemptResult,
-        digest: str,
+        self, call: Call, target: Target, outcome: AttemptResult
     ) -> None:
-        """Record a strike, or clear the strikes of a content that completed."""
+        """Record what the result of an attempt says about its content."""
         if outcome.ending is Ending.DELIVERED:
-            if self.strikes.count(digest):
-                self.log.note('strikes_cleared', content=digest)
-            self.strikes.clear(digest)
-        elif outcome.may_have_crashed and target.group:
-            self.strikes.strike(digest, target.group)
-            self.metrics.count('strikes')
-            self.log.note(
-                'strike',
-                content=digest,
-                request=call.metadata.attempt_id,
-                engine=target.engine_id,
-                group=target.group,
-                ending=outcome.ending.value,
-                reason=outcome.reason,
-                count=self.strikes.count(digest),
-            )
+            if self.strikes.complete(call.digest):
+                self.log.note('strikes_cleared', content=call.digest)
+        elif outcome.may_have_crashed:
+            self._strike(_strike(call, target), outcome.reason)
+        elif outcome.ending in {Ending.UNKNOWN, Ending.CUT}:
+            self.note_abandoned(call, target)
 
-    def merge(self, source: str, strikes: Iterable[str]) -> None:
+    def note_abandoned(self, call: Call, target: Target) -> None:
+        """Suspect a content whose run ended without a response."""
+        engine = self.directory.engines_by_id.get(target.engine_id)
+        if engine is not None and engine.is_draining:
+            # It leaves the list soon, whatever it runs.
+            return
+        now = self.clock.monotonic()
+        self._suspicions.append(_Suspicion(_strike(call, target), now))
+
+    def merge(
+        self,
+        source: str,
+        strike_ids: Iterable[str],
+        void_ids: Iterable[str] = (),
+    ) -> None:
         """Merge the strikes that another VM reported."""
-        merged = self.strikes.merge(strikes)
+        merged = self.strikes.merge(strike_ids, void_ids)
         if merged:
             self.log.note('strikes_merged', source=source, strikes=merged)
+
+    async def run(self) -> None:
+        """Settle suspicions and strikes until cancelled."""
+        while True:
+            await asyncio.sleep(SETTLE_INTERVAL_S)
+            self.settle()
+
+    def settle(self) -> None:
+        """Decide on suspicions and strikes by the list of engines."""
+        self._settle_suspicions()
+        current_since = self.list_current_since()
+        if current_since is not None:
+            self._settle_strikes(current_since)
+        self.strikes.drop_expired()
+
+    def _settle_suspicions(self) -> None:
+        oldest = self.clock.monotonic() - self.list_expiry_s
+        unreachable = self.unreachable()
+        suspicions = tuple(self._suspicions)
+        self._suspicions.clear()
+        for suspicion in suspicions:
+            strike = suspicion.strike
+            if not self._is_listed(strike):
+                self._strike(strike, 'the engine ended without a response')
+            elif strike.engine_id in unreachable:
+                self._strike(strike, 'the engine does not answer probes')
+            elif suspicion.noted_at > oldest:
+                self._suspicions.append(suspicion)
+
+    def _settle_strikes(self, current_since: float) -> None:
+        settled_before = self.clock.monotonic() - self.list_expiry_s
+        if current_since > settled_before:
+            return
+        due = [
+            (strike, record)
+            for strike, record in self.strikes.records()
+            if not record.is_confirmed and record.known_at <= settled_before
+        ]
+        for strike, record in due:
+            record.is_confirmed = not self._is_listed(strike)
+            if not record.is_confirmed:
+                self.strikes.void(strike)
+                self.log.note('strike_void', strike=strike.strike_id)
+
+    def _is_listed(self, strike: Strike) -> bool:
+        engine = self.directory.engines_by_id.get(strike.engine_id)
+        return engine is not None and engine.born_ms == strike.born_ms
+
+    def _strike(self, strike: Strike, reason: str) -> None:
+        if not self.strikes.add(strike, is_own=True):
+            return
+        self.metrics.count('strikes')
+        self.log.note(
+            'strike',
+            content=strike.digest,
+            engine=strike.engine_id,
+            born=strike.born_ms,
+            reason=reason,
+            count=self.strikes.count(strike.digest),
+        )
+
+
+def _strike(call: Call, target: Target) -> Strike:
+    return Strike(call.digest, target.engine_id, target.born_ms)
--- a/primroserudder/fleet/router.py
+++ b/primroserudder/fleet/router.py
@@ -30,6 +30,7 @@
 from .settings import RouterSettings
 from .silent_heads import SilentHeadDetector
 from .site_view import SiteView
+from .struckcontents import StruckContents
 from .supervision import Supervisor
 from .tablerelay import TableRelay
 
@@ -67,6 +68,7 @@
     registry: NodeRegistry = field(init=False)
     control_plane: ControlPlane = field(init=False)
     pool_meter: PoolMeter = field(init=False)
+    struck_contents: StruckContents = field(init=False)
     ports: Ports = field(init=False)
     silent_head_detector: SilentHeadDetector = field(init=False)
     supervisor: Supervisor = field(init=False)
@@ -83,6 +85,9 @@
             self.view.configurations.run(),
             self.view.engines.run(),
             self.view.nodes.run(),
+            self.view.strikes.run(),
+            self.server.quarantine.run(),
+            self.struck_contents.run(),
             self.exchange.run(),
             self.control_plane.election.run(),
             self.control_plane.reconciler.run(),
@@ -117,7 +122,7 @@
         await self.supervisor.close()
         self.exchange.stop()
         await self.ports.close()
-        await self.server.session.close()
+        await self.server.runner.session.close()
         await self.control_plane.close()
         await self.tables.close()
         await self.store.close()
@@ -202,9 +207,19 @@
             self.in_flight_counts,
             peers,
             self._broken_groups,
+            self.control_plane.reconciler.reachability.unreachable,
+        )
+        self.struck_contents = StruckContents(
+            store,
+            self.view.strikes,
+            self.server.quarantine.strikes,
+            self.clock,
+            self.log,
+            lambda: len(self.exchange.neighbours_before()),
+            lambda: store.server_time_s,
         )
         self.silent_head_detector = SilentHeadDetector(
-            self.server.streams_by_head,
+            self.server.runner.streams_by_head,
             self.server.health,
             self.control_plane.reconciler.probe_groups_of,
             self.control_plane.reconciler.reachability,
@@ -272,7 +287,8 @@
             lease_claim=self.lease.claim,
             lease_given_up=self.lease.given_up,
             reaches_store=self.view.engines.is_reachable,
-            struck=self.server.quarantine.strikes.recent(),
+            struck=self.server.quarantine.strikes.shared(),
+            void_strikes=self.server.quarantine.strikes.shared_void(),
             has_traffic=self._traffic_seen.is_set(),
             versions=self.view.versions(),
         )
@@ -280,7 +296,9 @@
     def _on_notice(self, notice: Notice) -> None:
         if notice.has_traffic:
             self._traffic_seen.set()
-        self.server.quarantine.merge(notice.node, notice.struck)
+        self.server.quarantine.merge(
+            notice.node, notice.struck, notice.void_strikes
+        )
         self.server.health.mark_groups_lost(notice.broken_groups)
         self.tables.note_peer_versions(notice.versions)
         self.control_plane.election.on_notice(notice)
--- a/primroserudder/fleet/serverassembly.py
+++ b/primroserudder/fleet/serverassembly.py
@@ -3,6 +3,8 @@
 from collections.abc import Callable, Collection
 
 from ..platform import open_session
+from ..process.tables import TableFollower
+from .attemptrunner import AttemptRunner
 from .control_plane import RouterContext
 from .health import TargetHealth
 from .in_flight import InFlightCounts
@@ -21,17 +23,29 @@
     in_flight_counts: InFlightCounts,
     peers: PeerAddresses,
     broken_groups: Callable[[], Collection[str]],
+    unreachable: Callable[[], Collection[str]],
 ) -> Server:
     """Return the server that assigns requests to engines and sends them."""
+    quarantine = Quarantine(
+        context.clock,
+        context.log,
+        context.metrics,
+        view.directory,
+        unreachable,
+        lambda: _current_since(view.engines),
+        context.settings.list_expiry_s,
+    )
     retry_settings = context.settings.repeats
+    health = TargetHealth(context.clock)
+    session = open_session(ENGINE_SESSION_TIMEOUT_S, reuses_connections=False)
     return Server(
         context.settings.failure_domain,
-        open_session(ENGINE_SESSION_TIMEOUT_S, reuses_connections=False),
+        AttemptRunner(session, health, quarantine),
         context.clock,
         view.directory,
         in_flight_counts,
-        TargetHealth(context.clock),
-        Quarantine(context.log, context.metrics),
+        health,
+        quarantine,
         context.log,
         context.metrics,
         RetryBudgets(
@@ -40,3 +54,7 @@
         peers.count,
         broken_groups,
     )
+
+
+def _current_since(rows: TableFollower) -> float | None:
+    return rows.current_since if rows.is_reachable else None
--- a/primroserudder/fleet/serving.py
+++ b/primroserudder/fleet/serving.py
@@ -2,28 +2,24 @@
 
 import asyncio
 import random
-from collections import defaultdict
 from collections.abc import Callable, Collection, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, field
 
-import aiohttp
-
 from ..errors import Ran, RudderError
 from ..process.clock import Clock
 from ..process.decisions import DecisionLog
-from ..process.loops import cancel_on_exit
 from ..process.metrics import Metrics
-from .attempt import Attempt, AttemptResult, StreamActivity, StreamSink
+from .attempt import AttemptResult, StreamSink
+from .attemptrunner import AttemptRunner
 from .balancing import choose_target
 from .call import Call
 from .directory import Directory
 from .health import TargetHealth
 from .in_flight import InFlightCounts
-from .model import RequestKind, Target
-from .quarantine import Quarantine
+from .model import Target
+from .quarantine import Quarantine, Quarantined
 from .retries import Ending, RetryBudgets, Step
-from .strikes import content_digest
 from .waitqueue import RETRY_AFTER_NO_GROUP_S, NoFreeSlot, WaitQueue, max_wait_s
 
 # A pause before each retry, so that a momentary fault of an engine or a
@@ -63,7 +59,7 @@
     """Assigns requests to engines, sends them and retries failed attempts."""
 
     failure_domain: str
-    session: aiohttp.ClientSession
+    runner: AttemptRunner
     clock: Clock
     directory: Directory
     in_flight_counts: InFlightCounts
@@ -76,9 +72,6 @@
     broken_groups: Callable[[], Collection[str]]
     rng: random.Random = field(default_factory=random.Random)
     queues_by_pool: dict[str, WaitQueue] = field(default_factory=dict)
-    streams_by_head: defaultdict[str, dict[int, StreamActivity]] = field(
-        default_factory=lambda: defaultdict(dict),
-    )
 
     async def serve(self, call: Call, sink: StreamSink) -> AttemptResult:
         """Serve a request and return the result of its last attempt.
@@ -88,13 +81,12 @@
         RudderError
             No response of an engine can be returned to the caller.
         """
-        digest = content_digest(call)
-        self.quarantine.check(digest)
         budget = self.budgets.for_service(call.destination.service.name)
         budget.record_request(self.clock.monotonic())
+        self.quarantine.check(call)
         try:
             async with asyncio.timeout_at(call.deadline_at):
-                return await self._serve(call, sink, digest)
+                return await self._serve(call, sink)
         except TimeoutError as error:
             raise self._timeout_error(call) from error
 
@@ -112,17 +104,12 @@
             DeadlinePassed('the deadline of the request passed')
         )
 
-    async def _serve(
-        self,
-        call: Call,
-        sink: StreamSink,
-        digest: str,
-    ) -> AttemptResult:
+    async def _serve(self, call: Call, sink: StreamSink) -> AttemptResult:
         while True:
             target = await self._acquire_slot(call)
-            self.quarantine.note_send(call, target, digest)
+            self._check_before_send(call, target)
             outcome = await self._attempt(call, target, sink)
-            self._record_outcome(call, target, outcome, digest)
+            self._record_outcome(call, target, outcome)
             call.retry_state.record(outcome.ending)
             step = call.retry_state.next_step(outcome.ending, call.remaining_s)
             if step is Step.RETRY and not self._try_spend_retry(call):
@@ -135,6 +122,17 @@
             self._log_retry(call, target, outcome)
             await asyncio.sleep(RETRY_PAUSE_S)
 
+    def _check_before_send(self, call: Call, target: Target) -> None:
+        """Refuse a content that was quarantined since the request arrived."""
+        try:
+            self.quarantine.check(call)
+        except Quarantined as error:
+            self._queue(call.pool).release(target)
+            if call.dispatch.ran is Ran.NO:
+                raise call.dispatch.close(error) from None
+            raise call.dispatch.close(MayHaveRun(str(error))) from error
+        self.quarantine.note_send(call, target)
+
     async def _acquire_slot(self, call: Call) -> Target:
         queue = self._queue(call.pool)
         route = call.destination.route
@@ -190,68 +188,26 @@
         target: Target,
         sink: StreamSink,
     ) -> AttemptResult:
-        number = call.retry_state.tries + 1
-        call.dispatch.open(number)
-        with self._tracked_attempt(call, target) as activity:
-            attempt = Attempt(self.session, call, target, sink, activity)
-            outcome = await self._run_attempt(attempt)
-        if outcome.ending is Ending.NOT_RUN:
-            call.dispatch.note_refused(number)
-        return outcome
+        with self._held_slot(call, target):
+            return await self.runner.run(call, target, sink)
 
     @contextmanager
-    def _tracked_attempt(
-        self, call: Call, target: Target
-    ) -> Iterator[StreamActivity]:
-        """Track an attempt's activity; free its slot however it ends."""
-        activity = StreamActivity(asyncio.get_running_loop().time())
-        activities: dict[int, StreamActivity] = {}
-        if target.group:
-            activities = self.streams_by_head[target.engine_id]
-        activities[id(activity)] = activity
+    def _held_slot(self, call: Call, target: Target) -> Iterator[None]:
+        """Free a slot however its attempt ends."""
         try:
-            yield activity
+            yield
         finally:
-            activities.pop(id(activity))
             self._queue(call.pool).release(target)
 
-    async def _run_attempt(self, attempt: Attempt) -> AttemptResult:
-        """Run an attempt; cancel a stream if its group breaks.
-
-        Explanation
-        ===========
-        A stream is also cancelled if its head can't be reached from this VM.
-        """
-        if attempt.call.destination.route.kind is not RequestKind.STREAM:
-            return await attempt.run()
-        target = attempt.target
-        loss_events = (
-            self.health.lost_event(target.group),
-            self.health.unreachable_event(target.engine_id),
-        )
-        running = asyncio.ensure_future(attempt.run())
-        loss_waits = [
-            asyncio.ensure_future(event.wait()) for event in loss_events
-        ]
-        async with cancel_on_exit(running, *loss_waits):
-            await asyncio.wait(
-                (running, *loss_waits), return_when=asyncio.FIRST_COMPLETED
-            )
-        if not running.cancelled():
-            return running.result()
-        ending_kind = Ending.CUT if attempt.sink.is_started else Ending.UNKNOWN
-        return AttemptResult(ending_kind, 'group is broken or unreachable')
-
     def _record_outcome(
         self,
         call: Call,
         target: Target,
         outcome: AttemptResult,
-        digest: str,
     ) -> None:
         call.tried_engines.add(target.engine_id)
         self.health.note(target, outcome, self.clock.monotonic())
-        self.quarantine.note_outcome(call, target, outcome, digest)
+        self.quarantine.note_outcome(call, target, outcome)
 
     def _try_spend_retry(self, call: Call) -> bool:
         budget = self.budgets.for_service(call.destination.service.name)
--- a/primroserudder/fleet/settings.py
+++ b/primroserudder/fleet/settings.py
@@ -9,6 +9,11 @@
 MILLISECONDS_PER_SECOND = 1000
 MAX_PORT = 65_535
 DEFAULT_STALL_MS = 4000.0
+DEFAULT_HEARTBEAT_MS = 1200.0
+# The platform drops an entry after this many heartbeats are missing.
+HEARTBEATS_TO_EXPIRY = 3
+# A missing entry reaches all VMs within this time.
+LIST_LAG_S = 1.4
 DEFAULT_RETRY_RATIO = 0.2
 DEFAULT_EXTRA_RETRIES = 20.0
 
@@ -34,6 +39,8 @@
         First and last port reserved for traffic between routers.
     stall_ms : float
         How long a head waits for a lost member, in milliseconds.
+    heartbeat_ms : float
+        Interval of the engines' heartbeats, in milliseconds.
     grace_s : float
         Time from SIGTERM until the process is killed, in seconds.
     """
@@ -47,6 +54,7 @@
     inner_ports: tuple[int, int]
     store: Address
     stall_ms: float = Field(default=DEFAULT_STALL_MS, gt=0)
+    heartbeat_ms: float = Field(default=DEFAULT_HEARTBEAT_MS, gt=0)
     grace_s: float = Field(default=8, gt=1)
     repeats: RetrySettings = RetrySettings()
     metrics_port: int = Field(default=METRICS_PORT, gt=0, le=MAX_PORT)
@@ -59,6 +67,12 @@
         """Return how long a head waits for a lost member, in seconds."""
         return self.stall_ms / MILLISECONDS_PER_SECOND
 
+    @property
+    def list_expiry_s(self) -> float:
+        """Return how soon an engine that ended has left the list."""
+        heartbeat_s = self.heartbeat_ms / MILLISECONDS_PER_SECOND
+        return HEARTBEATS_TO_EXPIRY * heartbeat_s + LIST_LAG_S
+
     @property
     def exchange_address(self) -> tuple[str, int]:
         """Return the address for datagrams and requests of other routers."""
--- a/primroserudder/fleet/site_view.py
+++ b/primroserudder/fleet/site_view.py
@@ -15,12 +15,15 @@
 from .active_configuration import ActiveConfiguration
 from .directory import Directory
 from .model import Configuration
+from .struckcontents import STRIKES_TABLE
 
 # Long-poll time. A source that stops answering is detected after this time and
 # the call's slack; a configuration change must reach all VMs in two seconds.
 FEED_WAIT_S = 0.9
 # Router addresses may arrive later than the other tables.
 NODES_WAIT_S = 5.0
+# Strikes change rarely; a change is returned at once.
+STRIKES_WAIT_S = 5.0
 NODES_TABLE = 'nodes'
 
 
@@ -38,6 +41,7 @@
     configurations: TableFollower = field(init=False)
     engines: TableFollower = field(init=False)
     nodes: TableFollower = field(init=False)
+    strikes: TableFollower = field(init=False)
 
     def __post_init__(self) -> None:
         """Create the table followers."""
@@ -48,11 +52,17 @@
         self.engines = self._follower(ENGINES_TABLE)
         self.engines.listeners.append(self._on_engines)
         self.nodes = self._follower(NODES_TABLE, NODES_WAIT_S)
+        self.strikes = self._follower(STRIKES_TABLE, STRIKES_WAIT_S)
 
     @property
     def followers_by_table(self) -> Mapping[str, TableFollower]:
         """Return all followers by table, to relay them to other routers."""
-        followers = (self.configurations, self.engines, self.nodes)
+        followers = (
+            self.configurations,
+            self.engines,
+            self.nodes,
+            self.strikes,
+        )
         return {follower.table: follower for follower in followers}
 
     def configuration(self) -> Configuration | None:
@@ -60,8 +70,10 @@
         return self.active.current
 
     def is_known(self) -> bool:
-        """Return whether configuration and engines were read at least once."""
-        return self.active.current is not None and self.engines.is_loaded
+        """Return whether all that a request depends on was read once."""
+        if self.active.current is None:
+            return False
+        return self.engines.is_loaded and self.strikes.is_loaded
 
     def versions(self) -> Mapping[str, int]:
         """Return the newest known version of each table that must be fresh."""
--- a/primroserudder/fleet/strikes.py
+++ b/primroserudder/fleet/strikes.py
@@ -1,95 +1,229 @@
-"""Quarantines requests that were running when several groups were lost.
+"""Counts the engines that ended while they ran a digest.
 
 Explanation
 ===========
 A request may crash each engine that runs it and be sent again under another
-id, to any VM. Strikes are therefore counted by content and shared with the
-other VMs through the exchange. A completed run clears the content.
+id, to any VM. Strikes are therefore counted by digest. Each names one
+incarnation of an engine, so that all VMs can merge them in any order. A strike
+is void for good once the content completed or the engine proved to be alive.
 """
 
 from collections import OrderedDict
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 
-import xxhash
-
-from .call import Call
+from ..process.clock import Clock
 
 STRIKES_TO_QUARANTINE = 3
+STRIKE_LIFETIME_S = 600.0
+# A content that completed this recently does not crash engines: those that
+# end while they run it have another cause, such as a failure of their rack.
+COMPLETION_LIFETIME_S = 10.0
 MAX_CONTENTS = 5000
+MAX_VOID_STRIKES = 5000
 MAX_SHARED_STRIKES = 40
 
 
+@dataclass(frozen=True, slots=True, order=True)
+class Strike:
+    """An engine's incarnation that ended while it ran a digest.
+
+    Parameters
+    ==========
+    digest : str
+        Names the content, see ``Call.digest``.
+    born_ms : int
+        Start time of the engine, which tells its incarnations apart.
+
+    Examples
+    ========
+    >>> Strike('c0ffee', 'i-7', 12).strike_id
+    'c0ffee=i-7@12'
+    """
+
+    digest: str
+    engine_id: str
+    born_ms: int
+
+    @property
+    def strike_id(self) -> str:
+        """Return the id that names the strike to other VMs."""
+        return f'{self.digest}={self.engine_id}@{self.born_ms}'
+
+
+def parse_strike(strike_id: str) -> Strike | None:
+    """Return the strike with an id, or ``None`` if it is no valid id.
+
+    Examples
+    ========
+    >>> parse_strike('c0ffee=i-7@12')
+    Strike(digest='c0ffee', engine_id='i-7', born_ms=12)
+    >>> parse_strike('c0ffee=small.7') is None
+    True
+    """
+    digest, _, incarnation = strike_id.partition('=')
+    engine_id, _, born = incarnation.rpartition('@')
+    if not (digest and engine_id and born.isdecimal()):
+        return None
+    return Strike(digest, engine_id, int(born))
+
+
+@dataclass(slots=True)
+class StrikeRecord:
+    """What this VM knows of a strike; ``known_at`` is a monotonic time."""
+
+    known_at: float
+    is_own: bool
+    is_confirmed: bool = False
+
+
 @dataclass(slots=True)
 class StrikeRegistry:
-    """The groups lost while they ran a content, by its digest.
+    """The strikes of each digest, and those that are void.
 
     Examples
     ========
-    >>> registry = StrikeRegistry()
-    >>> for group in ('a.1', 'a.2', 'a.2'):
-    ...     registry.strike('digest', group)
-    >>> registry.is_quarantined('digest')
-    False
-    >>> registry.strike('digest', 'a.3')
-    >>> registry.is_quarantined('digest')
-    True
+    >>> from ..process.clock import SystemClock
+    >>> registry = StrikeRegistry(SystemClock())
+    >>> for engine_id in ('i-1', 'i-2', 'i-2', 'i-3'):
+    ...     strike = Strike('c0ffee', engine_id, 12)
+    ...     print(registry.add(strike), registry.is_quarantined('c0ffee'))
+    True False
+    True False
+    False False
+    True True
     """
 
-    groups_by_digest: OrderedDict[str, set[str]] = field(
+    clock: Clock
+    records_by_digest: OrderedDict[str, dict[Strike, StrikeRecord]] = field(
         default_factory=OrderedDict,
     )
-    cleared: OrderedDict[str, bool] = field(default_factory=OrderedDict)
+    void_since: OrderedDict[Strike, float] = field(default_factory=OrderedDict)
+    _completed_at: OrderedDict[str, float] = field(default_factory=OrderedDict)
+    _shared: tuple[str, ...] | None = None
 
     def is_quarantined(self, digest: str) -> bool:
         """Return whether a content must not run again."""
         return self.count(digest) >= STRIKES_TO_QUARANTINE
 
     def count(self, digest: str) -> int:
-        """Return the number of groups lost while they ran a content."""
-        return len(self.groups_by_digest.get(digest, ()))
-
-    def strike(self, digest: str, group: str) -> None:
-        """Record that a group was lost while it ran a content."""
-        if digest in self.cleared:
-            return
-        self.groups_by_digest.setdefault(digest, set()).add(group)
-        self.groups_by_digest.move_to_end(digest)
-        while len(self.groups_by_digest) > MAX_CONTENTS:
-            self.groups_by_digest.popitem(last=False)
-
-    def clear(self, digest: str) -> None:
-        """Record that a content ran to completion, and delete its strikes."""
-        self.groups_by_digest.pop(digest, None)
-        self.cleared[digest] = True
-        while len(self.cleared) > MAX_CONTENTS:
-            self.cleared.popitem(last=False)
-
-    def recent(self) -> tuple[str, ...]:
-        """Return the latest strikes as ``digest=group``, for the other VMs."""
-        latest = list(self.groups_by_digest.items())[-MAX_SHARED_STRIKES:]
-        return tuple(
-            f'{digest}={group}'
-            for digest, groups in latest
-            for group in sorted(groups)
-        )[-MAX_SHARED_STRIKES:]
-
-    def merge(self, strikes: Iterable[str]) -> list[str]:
-        """Merge strikes that another VM reported; return the new ones."""
-        merged = []
+        """Return the number of strikes of a digest."""
+        return len(self.records_by_digest.get(digest, ()))
+
+    def records(self) -> Iterator[tuple[Strike, StrikeRecord]]:
+        """Yield all strikes."""
+        for records in self.records_by_digest.values():
+            yield from records.items()
+
+    def add(
+        self, strike: Strike, *, age_s: float = 0, is_own: bool = False
+    ) -> bool:
+        """Count a strike; return whether it is new and counts."""
+        records = self.records_by_digest.get(strike.digest, {})
+        if strike in self.void_since or strike in records:
+            return False
+        if age_s >= STRIKE_LIFETIME_S:
+            return False
+        now = self.clock.monotonic()
+        completed_at = self._completed_at.get(strike.digest, float('-inf'))
+        if now - completed_at < COMPLETION_LIFETIME_S:
+            self._note_void(strike)
+            return False
+        records[strike] = StrikeRecord(now - age_s, is_own)
+        self.records_by_digest[strike.digest] = records
+        self.records_by_digest.move_to_end(strike.digest)
+        self._shared = None
+        self._limit_size()
+        return True
+
+    def void(self, strike: Strike) -> None:
+        """Make a strike void, known or not; it never counts again."""
+        self._note_void(strike)
+        records = self.records_by_digest.get(strike.digest, {})
+        records.pop(strike, None)
+        if not records:
+            self.records_by_digest.pop(strike.digest, None)
+        self._shared = None
+
+    def complete(self, digest: str) -> bool:
+        """Record that a content completed; return whether it had strikes."""
+        self._completed_at[digest] = self.clock.monotonic()
+        self._completed_at.move_to_end(digest)
+        if len(self._completed_at) > MAX_CONTENTS:
+            self._completed_at.popitem(last=False)
+        strikes = tuple(self.records_by_digest.get(digest, ()))
         for strike in strikes:
-            digest, _, group = strike.partition('=')
-            if group not in self.groups_by_digest.get(digest, ()):
-                before = self.count(digest)
-                self.strike(digest, group)
-                if self.count(digest) > before:
-                    merged.append(strike)
-        return merged
-
-
-def content_digest(call: Call) -> str:
-    """Return a digest of a request's content that ignores its id."""
-    digest = xxhash.xxh3_64(call.raw_path.encode())
-    digest.update(call.metadata.api_key.encode())
-    digest.update(call.body)
-    return digest.hexdigest()
+            self.void(strike)
+        return bool(strikes)
+
+    def merge(
+        self, strike_ids: Iterable[str], void_ids: Iterable[str] = ()
+    ) -> list[str]:
+        """Merge what another VM reported; return the ids of new strikes."""
+        for void_strike in _parse_all(void_ids):
+            if void_strike not in self.void_since:
+                self.void(void_strike)
+        return [
+            strike.strike_id
+            for strike in _parse_all(strike_ids)
+            if self.add(strike)
+        ]
+
+    def shared(self) -> tuple[str, ...]:
+        """Return the ids of the strikes to report to the other VMs.
+
+        Explanation
+        ===========
+        Contents with more strikes come first: after the loss of many engines
+        most contents have a single one.
+        """
+        if self._shared is None:
+            most_struck = sorted(
+                reversed(self.records_by_digest.values()),
+                key=len,
+                reverse=True,
+            )[:MAX_SHARED_STRIKES]
+            self._shared = tuple(
+                strike.strike_id
+                for records in most_struck
+                for strike in records
+            )[:MAX_SHARED_STRIKES]
+        return self._shared
+
+    def shared_void(self) -> tuple[str, ...]:
+        """Return the ids of the latest void strikes, for the other VMs."""
+        latest = list(self.void_since)[-MAX_SHARED_STRIKES:]
+        return tuple(strike.strike_id for strike in latest)
+
+    def drop_expired(self) -> None:
+        """Drop the strikes that are older than their lifetime."""
+        oldest = self.clock.monotonic() - STRIKE_LIFETIME_S
+        expired = [
+            strike
+            for strike, record in self.records()
+            if record.known_at <= oldest
+        ]
+        for strike in expired:
+            self.void(strike)
+
+    def _note_void(self, strike: Strike) -> None:
+        self.void_since[strike] = self.clock.monotonic()
+        if len(self.void_since) > MAX_VOID_STRIKES:
+            self.void_since.popitem(last=False)
+
+    def _limit_size(self) -> None:
+        """Drop the oldest content with one strike if there are too many."""
+        if len(self.records_by_digest) <= MAX_CONTENTS:
+            return
+        oldest = next(iter(self.records_by_digest))
+        single = (
+            digest
+            for digest, records in self.records_by_digest.items()
+            if len(records) == 1
+        )
+        self.records_by_digest.pop(next(single, oldest))
+
+
+def _parse_all(strike_ids: Iterable[str]) -> Iterator[Strike]:
+    parsed = map(parse_strike, strike_ids)
+    return (strike for strike in parsed if strike is not None)
--- a/primroserudder/fleet/tests/test_crashing_content.py
+++ b/primroserudder/fleet/tests/test_crashing_content.py
@@ -7,7 +7,7 @@
 import xxhash
 
 from ...standins.groupengine import GroupEngine
-from ...testing.platformsite import KEY, PlatformSite, platform_site
+from ...testing.platformsite import WORKSPACE, PlatformSite, platform_site
 
 CRASHING = b'this crashes each engine that runs it'
 SENDS = 9
@@ -42,10 +42,10 @@
 
 def _digest(path: str = '/refunds/1') -> str:
     """Return the digest of the crashing content as a caller sends it."""
-    digest = xxhash.xxh3_64(path.encode())
-    digest.update(KEY.encode())
-    digest.update(CRASHING)
-    return digest.hexdigest()
+    hasher = xxhash.xxh3_64(path.encode())
+    hasher.update(WORKSPACE.encode())
+    hasher.update(CRASHING)
+    return hasher.hexdigest()
 
 
 async def _send(
@@ -140,6 +140,24 @@
         assert CRASHING not in bodies
 
 
+async def test_content_that_others_complete_survives_the_loss_of_engines() -> (
+    None
+):
+    # Engines end for another reason under a content that many callers send.
+    async with platform_site(plain=5) as site:
+        await _wait_until_serving(site)
+        engines = _plain_engines(site)
+        for engine in engines[:4]:
+            assert await _send(site, '/lookups/1') == 200
+            engine.faults.crashing_body = CRASHING
+        for _ in range(SENDS):
+            await _send(site, '/lookups/1')
+        for engine in engines:
+            engine.faults.crashing_body = None
+        await _wait_until_serving(site)
+        assert await _send(site, '/lookups/1') == 200
+
+
 async def test_quarantine_outlives_all_routers() -> None:
     async with platform_site(plain=4) as site:
         await _wait_until_serving(site)
--- a/primroserudder/fleet/tests/test_site.py
+++ b/primroserudder/fleet/tests/test_site.py
@@ -326,7 +326,7 @@
             lambda: bool(server.in_flight_counts.running_by_engine)
         )
         busy_engines = set(server.in_flight_counts.running_by_engine)
-        assert not busy_engines.intersection(server.streams_by_head)
+        assert not busy_engines.intersection(server.runner.streams_by_head)
         await pending
 
 
--- a/primroserudder/process/tables.py
+++ b/primroserudder/process/tables.py
@@ -91,6 +91,9 @@
         Longest time that one call waits for a change.
     pause_s : Callable
         Returns the seconds to wait after an answer, which batches changes.
+    current_since : float
+        Monotonic time since which the rows have been up to date, in seconds;
+        meaningless while the store is not reachable.
     """
 
     source: TableSource
@@ -104,6 +107,7 @@
     is_loaded: bool = False
     is_reachable: bool = False
     confirmed_at: float = 0
+    current_since: float = 0
     revision: int = 0
     removed_at_by_key: dict[str, int] = field(default_factory=dict)
     _must_read_table: bool = True
@@ -187,6 +191,7 @@
         if self.is_loaded:
             self._grace_until = self.clock.monotonic() + RETURN_GRACE_S
         self.is_reachable = True
+        self.current_since = self.clock.monotonic()
         self.log.note('store_reached', table=self.table)
 
     def _replace(self, page: TablePage) -> None:
--- a/primroserudder/testing/fleetdata.py
+++ b/primroserudder/testing/fleetdata.py
@@ -134,9 +134,21 @@
     return FreeEngine(engine(engine_id, domain, staged=staged), holds)
 
 
-def target(engine_id: str, slots: int = 13, domain: str = 'fd-1') -> Target:
+def target(
+    engine_id: str,
+    slots: int = 13,
+    domain: str = 'fd-1',
+    born_ms: int = 0,
+) -> Target:
     """Return a target that accepts requests."""
-    return Target(engine_id, '127.0.0.1:1', domain, slots, f'{engine_id}.1')
+    return Target(
+        engine_id,
+        '127.0.0.1:1',
+        domain,
+        slots,
+        f'{engine_id}.1',
+        born_ms=born_ms,
+    )
 
 
 def route(**fields: object) -> Route:
--- a/primroserudder/testing/platformsite.py
+++ b/primroserudder/testing/platformsite.py
@@ -22,6 +22,7 @@
 LOOPBACK = '127.0.0.1'
 HOST = 'one.example'
 KEY = 'key-of-north'
+WORKSPACE = 'north'
 NO_FIELDS: Mapping[str, str] = MappingProxyType({})
 POLL_INTERVAL_S = 0.01
 GROUP_SIZE = 2
@@ -145,7 +146,7 @@
             {'Name': 'model', 'MaxConns': 50, 'Engine': engine},
             {'Name': 'ledger', 'MaxConns': 50},
         ],
-        'Tenants': [{'Name': 'north', 'ApiKeys': [KEY]}],
+        'Tenants': [{'Name': WORKSPACE, 'ApiKeys': [KEY]}],
         **changes,
     }
 
