--- a/primroserudder/fleet/active_configuration.py
+++ b/primroserudder/fleet/active_configuration.py
@@ -18,7 +18,7 @@
     decode: Decode
     log: DecisionLog
     current: Configuration | None = None
-    _refused_revision: int = 0
+    _refused_row: Row | None = None
 
     def update(self, row: Row | None) -> bool:
         """Activate the version in a row if it is newer than the current one.
@@ -28,13 +28,13 @@
         Returns whether it was activated. A row that can't be decoded is
         logged once and ignored.
         """
-        if row is None or row.revision == self._refused_revision:
+        if row is None or row == self._refused_row:
             return False
         current_version = 0 if self.current is None else self.current.version
         try:
             decoded = self.decode(row.fields)
         except RudderError as error:
-            self._refused_revision = row.revision
+            self._refused_row = row
             self.log.note('configuration_refused', reason=str(error))
             return False
         if self.current is not None and decoded.version <= current_version:
--- a/primroserudder/fleet/control_plane.py
+++ b/primroserudder/fleet/control_plane.py
@@ -103,6 +103,7 @@
 def build_lease(
     context: RouterContext,
     store_now_s: Callable[[], float | None],
+    store_era: Callable[[], int],
 ) -> Lease:
     """Return this process's handle on the site's lease.
 
@@ -121,4 +122,5 @@
         # Epochs and claims make late orders of a previous holder harmless.
         order_lifetime_s=0,
         platform_now_s=store_now_s,
+        platform_era=store_era,
     )
--- a/primroserudder/fleet/directory.py
+++ b/primroserudder/fleet/directory.py
@@ -2,7 +2,7 @@
 
 from collections import defaultdict
 from collections.abc import Callable, Mapping, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from ..process.platform import Row
 from .model import Configuration, Engine, GroupState, Service, Target
@@ -76,6 +76,7 @@
     engines_by_id: dict[str, Engine] = field(default_factory=dict)
     last_model_by_id: dict[tuple[str, int], str] = field(default_factory=dict)
     unreadable_ids: set[str] = field(default_factory=set)
+    draining_born_by_id: dict[str, int] = field(default_factory=dict)
     _row_by_id: dict[str, Row] = field(default_factory=dict)
     _targets: dict[tuple[str, str], Sequence[Target]] = field(
         default_factory=dict,
@@ -130,11 +131,25 @@
             self.unreadable_ids.add(engine_id)
             return
         self.unreadable_ids.discard(engine_id)
+        engine = self._keep_draining(engine)
         self.engines_by_id[engine_id] = engine
         model = model_joined(engine)
         if model:
             self.last_model_by_id[engine_id, engine.born_ms] = model
 
+    def _keep_draining(self, engine: Engine) -> Engine:
+        """Return an engine as draining if it ever was since its start.
+
+        Explanation
+        ===========
+        A store that comes back from an older copy lists it as ready again.
+        """
+        if engine.is_draining:
+            self.draining_born_by_id[engine.engine_id] = engine.born_ms
+        if self.draining_born_by_id.get(engine.engine_id) != engine.born_ms:
+            return engine
+        return replace(engine, is_draining=True)
+
     def _make_targets(self) -> dict[tuple[str, str], Sequence[Target]]:
         targets_by_key: defaultdict[tuple[str, str], list[Target]] = (
             defaultdict(list)
--- a/primroserudder/fleet/nodes.py
+++ b/primroserudder/fleet/nodes.py
@@ -34,18 +34,27 @@
         self.nodes.listeners.append(self._update_peers)
 
     async def run(self) -> None:
-        """Write this VM's row, with retries until it is in the table."""
+        """Write this VM's row whenever the table lacks it.
+
+        Explanation
+        ===========
+        The store may come back from a copy that is older than the row.
+        """
         key = NODES_PREFIX + self.peers.own_address
         own = Write(
             key, {'node': self.node, 'domain': self.peers.failure_domain}
         )
-        while key not in self.nodes.rows_by_key:
-            try:
-                await self.platform.commit(Transaction((), (own,)))
-            except RudderError as error:
-                self.log.note('node_not_written', reason=str(error))
+        while True:
+            if not self.nodes.rows.is_stored(key):
+                await self._write(own)
             await asyncio.sleep(RETRY_INTERVAL_S)
 
+    async def _write(self, own: Write) -> None:
+        try:
+            await self.platform.commit(Transaction((), (own,)))
+        except RudderError as error:
+            self.log.note('node_not_written', reason=str(error))
+
     def _update_peers(self) -> None:
         self.peers.add_addresses(
             {
--- a/primroserudder/fleet/notice.py
+++ b/primroserudder/fleet/notice.py
@@ -40,7 +40,9 @@
     has_traffic : bool
         Whether the site has received requests since the sender started.
     versions : Mapping
-        Version of the newest row that the sender has, by table of the store.
+        Revision of the newest row that the sender has, by table of the store.
+    store_era : int
+        How often the store had come back from a copy at these revisions.
     """
 
     model_config = ConfigDict(frozen=True, extra='ignore')
@@ -61,6 +63,7 @@
     void_strikes: tuple[str, ...] = ()
     has_traffic: bool = False
     versions: Mapping[str, int] = {}
+    store_era: int = 0
 
     def equals_except_sequence(self, other: 'Notice | None') -> bool:
         """Return whether two notices differ at most in their sequence."""
@@ -80,6 +83,7 @@
     {'e': 3}
     """
     notices = (own, *peers)
+    era = max(notice.store_era for notice in notices)
     return Notice(
         scope=Scope.FAILURE_DOMAIN,
         node=own.node,
@@ -96,7 +100,10 @@
         struck=_union(notice.struck for notice in notices),
         void_strikes=_union(notice.void_strikes for notice in notices),
         has_traffic=any(notice.has_traffic for notice in notices),
-        versions=_newest(notice.versions for notice in notices),
+        versions=_newest(
+            notice.versions for notice in notices if notice.store_era == era
+        ),
+        store_era=era,
     )
 
 
--- a/primroserudder/fleet/relayedtables.py
+++ b/primroserudder/fleet/relayedtables.py
@@ -26,7 +26,8 @@
 from ..process.decisions import DecisionLog
 from ..process.loops import cancel_on_exit
 from ..process.platform import PlatformUnavailable, Row
-from ..process.tables import Change, ChangePage, TablePage, TableSource
+from ..process.tablepages import Change, ChangePage, StoreVersion, TablePage
+from ..process.tables import TableSource
 from .relaymessages import PATH, TableMessage
 from .tablerelay import CATCH_UP_TIMEOUT_S, CHECK_INTERVAL_S
 
@@ -42,6 +43,9 @@
 # behind.
 RELAY_LAG_LIMIT_S = 0.8
 
+# Asks for the whole table.
+START = StoreVersion(0, 0)
+
 _Answer = TypeVar('_Answer')
 _Page = TypeVar('_Page', TablePage, ChangePage)
 
@@ -50,7 +54,7 @@
 class _PeerVersion:
     """A version that peers have, and when this VM first received it."""
 
-    version: int
+    version: StoreVersion
     at: float
 
 
@@ -60,15 +64,15 @@
 
     Parameters
     ==========
-    newest : int
+    newest : StoreVersion
         Version of the newest row that this VM has read, for a query of the
         whole table; a relay that does not have this row is behind.
     """
 
     table: str
-    since: int
+    since: StoreVersion
     wait_s: float
-    newest: int = 0
+    newest: StoreVersion = START
 
 
 @dataclass(slots=True)
@@ -96,7 +100,7 @@
     _peer_version_by_table: dict[str, _PeerVersion] = field(
         default_factory=dict
     )
-    _newest_by_table: dict[str, int] = field(default_factory=dict)
+    _newest_by_table: dict[str, StoreVersion] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
         """Count the start as a switch to another source."""
@@ -106,10 +110,13 @@
         """Close the connections to relays."""
         await self.session.close()
 
-    def note_peer_versions(self, versions: Mapping[str, int]) -> None:
-        """Record the table versions that other VMs have."""
+    def note_peer_versions(
+        self, revisions: Mapping[str, int], era: int = 0
+    ) -> None:
+        """Record the revisions of tables that other VMs have in an era."""
         now = self.clock.monotonic()
-        for table, version in versions.items():
+        for table, revision in revisions.items():
+            version = StoreVersion(era, revision)
             known = self._peer_version_by_table.get(table)
             if known is None or version > known.version:
                 self._peer_version_by_table[table] = _PeerVersion(version, now)
@@ -122,20 +129,20 @@
         PlatformUnavailable
             Neither a relay nor the store answers.
         """
-        newest = self._newest_by_table.get(table, 0)
-        message = await self._query_relays(_TableQuery(table, 0, 0, newest))
+        newest = self._newest_by_table.get(table, START)
+        message = await self._query_relays(_TableQuery(table, START, 0, newest))
         if message is None:
             page = await self._from_store(lambda: self.store.read_table(table))
         else:
             rows = tuple(row.row() for row in message.rows)
-            page = TablePage(rows, message.revision)
-        self._note_newest(table, page.rows)
+            page = TablePage(rows, message.revision, message.era)
+        self._note_newest(table, page.era, page.rows)
         return page
 
     async def changes(
         self,
         table: str,
-        since: int,
+        since: StoreVersion,
         wait_s: float,
     ) -> ChangePage:
         """Return the changes after a version; wait up to ``wait_s`` for one.
@@ -156,17 +163,19 @@
             changed = [Change(row.key, row.row()) for row in message.rows]
             removed = [Change(key, None) for key in message.removed]
             page = ChangePage(
-                (*removed, *changed), message.revision, message.count
+                (*removed, *changed),
+                message.revision,
+                message.count,
+                message.era,
             )
-        self._note_newest(
-            table, [change.row for change in page.changes if change.row]
-        )
+        changed_rows = [change.row for change in page.changes if change.row]
+        self._note_newest(table, page.era, changed_rows)
         return page
 
-    def _note_newest(self, table: str, rows: Iterable[Row]) -> None:
-        known = self._newest_by_table.get(table, 0)
+    def _note_newest(self, table: str, era: int, rows: Iterable[Row]) -> None:
+        known = self._newest_by_table.get(table, START)
         newest = max((row.revision for row in rows), default=0)
-        self._newest_by_table[table] = max(known, newest)
+        self._newest_by_table[table] = max(known, StoreVersion(era, newest))
 
     async def _query_relays(
         self, table_query: _TableQuery
@@ -208,14 +217,16 @@
             return repr(error)
         if message is None:
             return 'the relay is no longer live, behind or out of date'
-        if table_query.newest and message.newest() < table_query.newest:
+        if StoreVersion(message.era, message.newest()) < table_query.newest:
             return 'the relay returned older rows than this VM has read'
+        if message.era < table_query.since.era:
+            return 'the relay has not seen that the store came back from a copy'
         return message
 
     def _is_behind(self, table_query: _TableQuery, queried_at: float) -> bool:
         """Return whether peers have had a newer version for some time."""
         peer_version = self._peer_version_by_table.get(table_query.table)
-        if peer_version is None or not table_query.since:
+        if peer_version is None or table_query.since == START:
             return False
         if peer_version.version <= table_query.since:
             return False
@@ -261,7 +272,8 @@
         table_query: _TableQuery,
     ) -> TableMessage | None:
         query = {
-            'since': str(table_query.since),
+            'since': str(table_query.since.revision),
+            'era': str(table_query.since.era),
             'wait': str(table_query.wait_s),
         }
         timeout = ClientTimeout(
--- a/primroserudder/fleet/relaymessages.py
+++ b/primroserudder/fleet/relaymessages.py
@@ -6,6 +6,7 @@
 from pydantic import BaseModel, ConfigDict
 
 from ..process.platform import Row
+from ..process.tablepages import StoreVersion
 from ..process.tables import TableFollower
 
 PATH = '/tables'
@@ -26,12 +27,19 @@
 
 
 class TableMessage(BaseModel):
-    """Rows changed since a version; ``count`` includes unchanged rows."""
+    """Rows changed since a version; ``count`` includes unchanged rows.
+
+    Explanation
+    ===========
+    ``era`` counts how often the store has come back from a copy; revisions
+    compare only within an era.
+    """
 
     model_config = ConfigDict(frozen=True)
 
     revision: int
     count: int
+    era: int = 0
     rows: tuple[RowMessage, ...]
     removed: tuple[str, ...] = ()
 
@@ -40,18 +48,26 @@
         return max((row.revision for row in self.rows), default=0)
 
 
-def encode_table(follower: TableFollower, since: int) -> bytes:
-    """Return a table's changes since a version, encoded as JSON."""
+def encode_table(follower: TableFollower, since: StoreVersion) -> bytes:
+    """Return a table's changes since a version, encoded as JSON.
+
+    Explanation
+    ===========
+    Changes since a version of another era can't be told; the receiver sees
+    the era and reads the whole table.
+    """
+    followed = follower.rows
     rows = [
         {'key': row.key, 'revision': row.revision, 'fields': row.fields}
-        for row in follower.rows_by_key.values()
-        if row.revision > since
+        for row in followed.by_key.values()
+        if row.revision > since.revision
     ]
     return orjson.dumps(
         {
-            'revision': follower.revision,
-            'count': len(follower.rows_by_key),
+            'revision': followed.version.revision,
+            'era': followed.version.era,
+            'count': len(followed.by_key),
             'rows': rows,
-            'removed': follower.removed_since(since),
+            'removed': followed.removed_since(since.revision),
         }
     )
--- a/primroserudder/fleet/router.py
+++ b/primroserudder/fleet/router.py
@@ -145,6 +145,8 @@
             'running': dict(self.in_flight_counts.running_by_engine),
             'peers': sorted(self.exchange.received_by_source),
             'store_reachable': self.view.engines.is_reachable,
+            'store_era': self.view.store_era(),
+            'strikes': self.server.quarantine.strikes.shared(),
             'lease_held': self.lease.is_held(),
             'groups': sorted(tenure.groups_by_name) if tenure else [],
             'log_lines_dropped': self.log.dropped,
@@ -160,7 +162,9 @@
         context = RouterContext(
             settings, store, self.clock, self.log, self.metrics
         )
-        self.lease = build_lease(context, lambda: store.server_time_s)
+        self.lease = build_lease(
+            context, lambda: store.server_time_s, lambda: store.era
+        )
         self.in_flight_counts = InFlightCounts(self.clock)
         self.tables = RelayedTableSource(
             store, open_session(), self.clock, self.log, self._relay_candidates
@@ -291,6 +295,7 @@
             void_strikes=self.server.quarantine.strikes.shared_void(),
             has_traffic=self._traffic_seen.is_set(),
             versions=self.view.versions(),
+            store_era=self.view.store_era(),
         )
 
     def _on_notice(self, notice: Notice) -> None:
@@ -300,7 +305,7 @@
             notice.node, notice.struck, notice.void_strikes
         )
         self.server.health.mark_groups_lost(notice.broken_groups)
-        self.tables.note_peer_versions(notice.versions)
+        self.tables.note_peer_versions(notice.versions, notice.store_era)
         self.control_plane.election.on_notice(notice)
         self.control_plane.reconciler.probe_groups_of(notice.silent_heads)
 
--- a/primroserudder/fleet/site_view.py
+++ b/primroserudder/fleet/site_view.py
@@ -3,7 +3,11 @@
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 
-from ..platform import decode_configuration, decode_engine
+from ..platform import (
+    decode_configuration,
+    decode_engine,
+    engine_row_age,
+)
 from ..platform.names import (
     CONFIGURATION_KEY,
     ENGINES_TABLE,
@@ -50,6 +54,7 @@
         self.configurations = self._follower(OPERATOR_TABLE)
         self.configurations.listeners.append(self._on_configuration)
         self.engines = self._follower(ENGINES_TABLE)
+        self.engines.rows.age = engine_row_age
         self.engines.listeners.append(self._on_engines)
         self.nodes = self._follower(NODES_TABLE, NODES_WAIT_S)
         self.strikes = self._follower(STRIKES_TABLE, STRIKES_WAIT_S)
@@ -76,9 +81,25 @@
         return self.engines.is_loaded and self.strikes.is_loaded
 
     def versions(self) -> Mapping[str, int]:
-        """Return the newest known version of each table that must be fresh."""
-        followers = (self.configurations, self.engines)
-        return {follower.table: follower.newest() for follower in followers}
+        """Return the newest known revision of tables that must be fresh.
+
+        Explanation
+        ===========
+        All are of the era that ``store_era`` returns.
+        """
+        era = self.store_era()
+        return {
+            follower.table: follower.rows.newest()
+            for follower in (self.configurations, self.engines)
+            if follower.rows.version.era == era
+        }
+
+    def store_era(self) -> int:
+        """Return how often the store has come back from a copy."""
+        return max(
+            follower.rows.version.era
+            for follower in (self.configurations, self.engines)
+        )
 
     def _follower(
         self,
--- a/primroserudder/fleet/struckcontents.py
+++ b/primroserudder/fleet/struckcontents.py
@@ -46,7 +46,7 @@
     """
 
     platform: PlatformClient
-    rows: TableFollower
+    table: TableFollower
     strikes: StrikeRegistry
     clock: Clock
     log: DecisionLog
@@ -56,14 +56,14 @@
 
     def __post_init__(self) -> None:
         """Subscribe to changes of the table."""
-        self.rows.listeners.append(self._merge_rows)
+        self.table.listeners.append(self._merge_rows)
 
     async def run(self) -> None:
         """Write missing rows and remove void ones until cancelled."""
         while True:
             await asyncio.sleep(CHECK_INTERVAL_S)
             writes = [*self._missing(), *self._outdated()][:MAX_WRITES]
-            if writes and self.rows.is_reachable:
+            if writes and self.table.is_reachable:
                 await self._commit(writes)
 
     async def _commit(self, writes: list[Write]) -> None:
@@ -91,14 +91,14 @@
                     yield Write(key, {'struck_s': self._struck_s(record)})
 
     def _is_missing(self, key: str, record: StrikeRecord) -> bool:
-        if key in self.rows.rows_by_key:
+        if self.table.rows.is_stored(key):
             return False
         delay_s = 0 if record.is_own else self._delay_s()
         return self._is_due(key, record.known_at + delay_s)
 
     def _outdated(self) -> Iterator[Write]:
         """Yield the removals of rows whose strikes are void."""
-        for key in self.rows.rows_by_key:
+        for key in self.table.rows_by_key:
             strike = _strike_of(key)
             if strike is None or strike not in self.strikes.void_since:
                 continue
@@ -122,7 +122,7 @@
         return store_now_s - (self.clock.monotonic() - record.known_at)
 
     def _merge_rows(self) -> None:
-        for key, row in self.rows.rows_by_key.items():
+        for key, row in self.table.rows_by_key.items():
             strike = _strike_of(key)
             if strike is None:
                 continue
--- a/primroserudder/fleet/tablerelay.py
+++ b/primroserudder/fleet/tablerelay.py
@@ -9,6 +9,7 @@
 
 from ..process.clock import Clock
 from ..process.loops import cancel_on_exit
+from ..process.tablepages import StoreVersion
 from ..process.tables import TableFollower
 from .relaymessages import PATH, encode_table
 
@@ -35,13 +36,17 @@
         Explanation
         ===========
         Answers 404 for an unknown table, and 503 while this VM's own copy is
-        out of date. The ``wait`` parameter is in seconds.
+        out of date. The ``wait`` parameter is in seconds; ``since`` is a
+        revision of the era in ``era``.
         """
         table = request.path.removeprefix(f'{PATH}/')
         follower = self.followers_by_table.get(table)
         if follower is None:
             return web.Response(status=HTTPStatus.NOT_FOUND)
-        since = int(request.query.get('since', '0'))
+        since = StoreVersion(
+            int(request.query.get('era', '0')),
+            int(request.query.get('since', '0')),
+        )
         wait_s = float(request.query.get('wait', '0'))
         await self._catch_up(follower)
         waiting = asyncio.ensure_future(follower.wait_for_change(since, wait_s))
--- a/primroserudder/fleet/tests/test_tablerelay.py
+++ b/primroserudder/fleet/tests/test_tablerelay.py
@@ -12,6 +12,7 @@
 from ...process.clock import SystemClock
 from ...process.decisions import DecisionLog
 from ...process.platform import PlatformUnavailable
+from ...process.tablepages import StoreVersion
 from ...process.tables import TableFollower
 from ...standins.tablestore import TableStore
 from ...testing.platformsite import free_ports
@@ -101,7 +102,7 @@
         table = await pair.tables.read_table('things')
         assert [row.fields for row in table.rows] == [{'number': 1}]
         pair.standin.rows.remove('things', 'a')
-        page = await pair.tables.changes('things', table.revision, 1)
+        page = await pair.tables.changes('things', table.version, 1)
         assert [change.row for change in page.changes] == [None]
         assert page.count == 0
         assert pair.tables.relayed_reads == 2
@@ -127,7 +128,9 @@
 async def test_call_to_a_relay_that_is_no_longer_live_is_abandoned() -> None:
     async with _relay_and_router(LONG_WAIT_S) as pair:
         request = asyncio.ensure_future(
-            pair.tables.changes('things', pair.follower.revision, LONG_WAIT_S)
+            pair.tables.changes(
+                'things', pair.follower.rows.version, LONG_WAIT_S
+            )
         )
         await asyncio.sleep(0.05)
         pair.relay_addresses.clear()
@@ -157,7 +160,7 @@
     async with _relay_and_router() as pair:
         pair.standin.rows.put('things', 'a', {})
         await asyncio.sleep(0.1)
-        ahead = pair.follower.revision + 5
+        ahead = StoreVersion(0, pair.follower.rows.version.revision + 5)
         page = await pair.tables.changes('things', ahead, 0.05)
         assert not page.changes
         assert pair.tables.relayed_reads == 1
@@ -169,7 +172,7 @@
     async with _relay_and_router(LONG_WAIT_S) as pair:
         pair.standin.rows.put('things', 'a', {})
         await asyncio.sleep(0.1)
-        since = pair.follower.revision
+        since = pair.follower.rows.version
         pair.follower.wait_s = 1000
         pair.follower_task.cancel()
         pair.standin.rows.put('things', 'b', {})
@@ -184,7 +187,7 @@
         await asyncio.sleep(0.1)
         pair.follower_task.cancel()
         request = pair.tables.changes(
-            'things', pair.follower.revision, LONG_WAIT_S
+            'things', pair.follower.rows.version, LONG_WAIT_S
         )
         pair.standin.rows.put('things', 'a', {})
         page = await request
--- a/primroserudder/platform/__init__.py
+++ b/primroserudder/platform/__init__.py
@@ -9,7 +9,12 @@
 """
 
 from .configuration import UnreadableConfiguration, decode_configuration
-from .enginelist import EngineReport, decode_engine, decode_report
+from .enginelist import (
+    EngineReport,
+    decode_engine,
+    decode_report,
+    engine_row_age,
+)
 from .orders import ORDER_TIMEOUT_S, EngineOrders, OrderOutcome
 from .session import open_session
 from .store import PlatformStore
@@ -24,5 +29,6 @@
     'decode_configuration',
     'decode_engine',
     'decode_report',
+    'engine_row_age',
     'open_session',
 )
--- a/primroserudder/platform/enginelist.py
+++ b/primroserudder/platform/enginelist.py
@@ -6,6 +6,7 @@
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
 from ..fleet.model import Engine, GroupState, Membership
+from ..process.platform import Row
 
 STATE_READY = 'ready'
 STATE_DRAINING = 'draining'
@@ -92,6 +93,18 @@
     )
 
 
+def engine_row_age(row: Row) -> tuple[int, ...]:
+    """Return what orders an entry's contents by age: start and heartbeat.
+
+    Explanation
+    ===========
+    ``Sequence`` counts the heartbeats of an engine's life here. A field that
+    is missing or no number counts as zero.
+    """
+    fields = (row.fields.get(name) for name in ('born', 'Sequence'))
+    return tuple(number if isinstance(number, int) else 0 for number in fields)
+
+
 def decode_report(fields: object) -> EngineReport | None:
     """Return an engine's report, or ``None`` if it can't be decoded."""
     try:
--- a/primroserudder/platform/names.py
+++ b/primroserudder/platform/names.py
@@ -15,6 +15,7 @@
 SERVER_LOAD = 'X-Primroserudder-Server-Load'
 AT_SERVER = 'At-Server'
 LAST_EVENT_ID = 'Last-Event-Id'
+STORE_ERA = 'Store-Era'
 
 # Paths of HTTP calls.
 READY_PATH = '/api/readyz'
--- a/primroserudder/platform/store.py
+++ b/primroserudder/platform/store.py
@@ -1,6 +1,5 @@
 """Client of the platform's store, behind ``PlatformClient``."""
 
-import base64
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 from http import HTTPStatus
@@ -17,13 +16,26 @@
     Transaction,
     VmListing,
 )
-from ..process.tables import Change, ChangePage, HistoryLost, TablePage
+from ..process.tablepages import (
+    ChangePage,
+    HistoryLost,
+    StoreVersion,
+    TablePage,
+)
 from . import names
 from .session import CALL_TIMEOUT_S, open_session
+from .storeformat import (
+    MILLISECONDS_PER_SECOND,
+    Json,
+    decode_changes,
+    decode_rows,
+    encode_transaction,
+    json_object,
+    revision_of,
+    server_time_s,
+    split_key,
+)
 
-Json = Mapping[str, object]
-
-MILLISECONDS_PER_SECOND = 1000
 # The response to a feed call may come this long after its wait time.
 FEED_SLACK_S = 0.8
 PAGE_ROWS = 500
@@ -34,10 +46,19 @@
 
 @dataclass(frozen=True, slots=True)
 class _Reply:
-    """Status and body of a response of the store."""
+    """Status and body of a response of the store, and the store's era."""
 
     status: int
     body: bytes
+    era: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class _Answer:
+    """The fields of a successful response, and the store's era."""
+
+    fields: Json
+    era: int
 
 
 @dataclass(slots=True)
@@ -53,11 +74,15 @@
     ==========
     server_time_s : float or None
         The store's monotonic time in seconds, as of its last response.
+    era : int
+        How often the store has come back from a copy, as of its last response.
+        Revisions compare only within an era.
     """
 
     address: str
     session: aiohttp.ClientSession = field(default_factory=open_session)
     server_time_s: float | None = None
+    era: int = 0
 
     async def close(self) -> None:
         """Close the connections."""
@@ -67,14 +92,17 @@
         """Return the row with a key, or ``None`` if there is none."""
         table, name = split_key(key)
         query = {'Table': table, 'part': '', 'Source': name, 'Limit': '1'}
-        payload = await self._get(names.ROWS_PATH, query)
-        rows = tuple(row for row in _rows(payload) if row.key == key)
+        answer = await self._get(names.ROWS_PATH, query)
+        rows = tuple(
+            row for row in decode_rows(answer.fields) if row.key == key
+        )
         return rows[0] if rows else None
 
     async def scan(self, prefix: str) -> Sequence[Row]:
         """Return the rows of the table that a key prefix names, by key."""
         table, _ = split_key(prefix)
-        return (await self.read_table(table)).rows
+        page = await self.read_table(table)
+        return tuple(page.rows)
 
     async def read_table(self, table: str) -> TablePage:
         """Return all rows of a table and the version to read changes from.
@@ -83,21 +111,31 @@
         ===========
         A long table takes several calls. The version of the first call is
         returned, so that a feed from this version misses no change.
+
+        Raises
+        ======
+        PlatformUnavailable
+            The store failed, or came back from a copy between the calls.
         """
         query = {'Table': table, 'part': '', 'Limit': str(PAGE_ROWS)}
         page = await self._get(names.ROWS_PATH, query)
-        revision = _revision(page)
-        rows = list(_rows(page))
-        while page.get('HasMore'):
+        era = page.era
+        revision = revision_of(page.fields)
+        rows = list(decode_rows(page.fields))
+        while page.fields.get('HasMore'):
             query['Source'] = split_key(rows[-1].key)[1] + _KEY_SUCCESSOR
             page = await self._get(names.ROWS_PATH, query)
-            rows.extend(_rows(page))
-        return TablePage(tuple(rows), revision)
+            rows.extend(decode_rows(page.fields))
+        if page.era != era:
+            raise PlatformUnavailable(
+                'the store came back from a copy while a table was read'
+            )
+        return TablePage(tuple(rows), revision, era)
 
     async def changes(
         self,
         table: str,
-        since: int,
+        since: StoreVersion,
         wait_s: float,
     ) -> ChangePage:
         """Return the changes after a version; wait up to ``wait_s`` for one.
@@ -107,20 +145,22 @@
         HistoryLost
             The store no longer has the changes since that version.
         """
+        if since.era != self.era:
+            raise HistoryLost('the store has come back from a copy')
         query = {
             'Table': table,
-            'SinceRev': str(since),
+            'SinceRev': str(since.revision),
             'WaitMs': str(int(wait_s * MILLISECONDS_PER_SECOND)),
         }
-        payload = await self._get(
+        answer = await self._get(
             names.FEED_PATH, query, timeout_s=wait_s + FEED_SLACK_S
         )
-        changes = tuple(_change(raw) for raw in _raw_rows(payload))
-        return ChangePage(changes, _revision(payload))
+        changes = tuple(decode_changes(answer.fields))
+        return ChangePage(changes, revision_of(answer.fields), era=answer.era)
 
     async def commit(self, transaction: Transaction) -> None:
         """Apply a transaction; see ``process.platform`` for the errors."""
-        body = orjson.dumps(_transaction(transaction))
+        body = orjson.dumps(encode_transaction(transaction))
         headers = {'Content-Type': 'application/json'}
         reply = await self._write('POST', names.TRANSACTION_PATH, body, headers)
         _check_written(reply.status)
@@ -147,12 +187,16 @@
         path: str,
         query: Mapping[str, str],
         timeout_s: float = CALL_TIMEOUT_S,
-    ) -> Json:
+    ) -> _Answer:
         reply = await self._read(path, query, timeout_s)
         _check_read(reply.status)
-        payload = _json_object(reply.body)
-        self.server_time_s = _server_time_s(payload) or self.server_time_s
-        return payload
+        if reply.era < self.era:
+            raise PlatformUnavailable(
+                'the store came back from a copy after this answer'
+            )
+        payload = json_object(reply.body)
+        self.server_time_s = server_time_s(payload) or self.server_time_s
+        return _Answer(payload, reply.era)
 
     async def _read(
         self,
@@ -166,7 +210,7 @@
             async with self.session.get(
                 url, params=query, timeout=timeout
             ) as answer:
-                return _Reply(answer.status, await answer.read())
+                return await self._reply(answer)
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             raise PlatformUnavailable(
                 f'the call to the store failed: {error!r}'
@@ -193,7 +237,7 @@
             async with self.session.request(
                 method, url, data=body, headers=headers
             ) as answer:
-                return _Reply(answer.status, await answer.read())
+                return await self._reply(answer)
         except aiohttp.ClientConnectorError as error:
             raise PlatformUnavailable(
                 f'no connection to the store: {error}'
@@ -203,17 +247,12 @@
                 f'the store did not answer a write: {error!r}'
             ) from error
 
-
-def split_key(key: str) -> tuple[str, str]:
-    """Split a key into its table and name.
-
-    Examples
-    ========
-    >>> split_key('leases/site')
-    ('leases', 'site')
-    """
-    table, _, name = key.partition('/')
-    return table, name
+    async def _reply(self, answer: aiohttp.ClientResponse) -> _Reply:
+        """Read a response and note the store's era, which never falls."""
+        era_text = answer.headers.get(names.STORE_ERA, '')
+        era = int(era_text) if era_text.isdecimal() else self.era
+        self.era = max(self.era, era)
+        return _Reply(answer.status, await answer.read(), era)
 
 
 def _check_read(status: int) -> None:
@@ -228,94 +267,3 @@
         raise Conflict('a row does not have the version that the write expects')
     if status != HTTPStatus.OK:
         raise PlatformUnavailable(f'the store answered {status}')
-
-
-def _json_object(body: bytes) -> Json:
-    try:
-        payload = orjson.loads(body)
-    except orjson.JSONDecodeError as error:
-        raise PlatformUnavailable(
-            'the response of the store is not JSON'
-        ) from error
-    if not isinstance(payload, dict):
-        raise PlatformUnavailable(
-            'the response of the store is not a JSON object'
-        )
-    return payload
-
-
-def _raw_rows(payload: Json) -> Sequence[Json]:
-    rows = payload.get('Rows')
-    if not isinstance(rows, list):
-        return ()
-    return [row for row in rows if isinstance(row, dict)]
-
-
-def _rows(payload: Json) -> Sequence[Row]:
-    return [_row(raw) for raw in _raw_rows(payload)]
-
-
-def _row(raw: Json) -> Row:
-    key = f'{raw["Table"]}/{raw["Key"]}'
-    return Row(key, int(str(raw['RowVersion'])), _fields(raw.get('Value')))
-
-
-def _fields(encoded: object) -> Json:
-    """Return a row's fields; empty if another writer left invalid JSON."""
-    try:
-        fields = orjson.loads(base64.b64decode(str(encoded)))
-    except ValueError:
-        return {}
-    return fields if isinstance(fields, dict) else {}
-
-
-def _change(raw: Json) -> Change:
-    key = f'{raw["Table"]}/{raw["Key"]}'
-    if raw.get('Deleted'):
-        return Change(key, None)
-    return Change(key, _row(raw))
-
-
-def _revision(payload: Json) -> int:
-    return int(str(payload.get('RowVersion', 0)))
-
-
-def _server_time_s(payload: Json) -> float | None:
-    """Return the store's monotonic time in seconds.
-
-    Explanation
-    ===========
-    ``NowMs`` is not the time of day, although its name suggests it.
-    """
-    now_ms = payload.get('NowMs')
-    return (
-        now_ms / MILLISECONDS_PER_SECOND
-        if isinstance(now_ms, int | float)
-        else None
-    )
-
-
-def _transaction(transaction: Transaction) -> Json:
-    expected = [
-        {**_row_address(condition.key), 'RowVersion': condition.revision}
-        for condition in transaction.conditions
-    ]
-    puts = [
-        {
-            **_row_address(write.key),
-            'Value': base64.b64encode(orjson.dumps(write.fields)).decode(),
-        }
-        for write in transaction.writes
-        if write.fields is not None
-    ]
-    removed = [
-        _row_address(write.key)
-        for write in transaction.writes
-        if write.fields is None
-    ]
-    return {'ExpectedRev': expected, 'Puts': puts, 'Remove': removed}
-
-
-def _row_address(key: str) -> Json:
-    table, name = split_key(key)
-    return {'Table': table, 'part': '', 'Key': name}
--- a/primroserudder/platform/tests/test_store.py
+++ b/primroserudder/platform/tests/test_store.py
@@ -14,7 +14,7 @@
     Transaction,
     Write,
 )
-from ...process.tables import HistoryLost
+from ...process.tablepages import HistoryLost, StoreVersion
 from ...standins.tablestore import TableStore
 from ..store import PlatformStore
 
@@ -91,9 +91,9 @@
         table = await store.read_table('things')
         standin.rows.put('things', 'one', {'number': 1})
         standin.rows.remove('things', 'one')
-        page = await store.changes('things', table.revision, 1)
+        page = await store.changes('things', table.version, 1)
         assert [change.row is None for change in page.changes] == [False, True]
-        later = await store.changes('things', page.revision, 0.05)
+        later = await store.changes('things', page.version, 0.05)
         assert not later.changes
 
 
@@ -103,7 +103,7 @@
         standin.rows.put('things', 'two', {})
         standin.rows.truncate_history()
         with pytest.raises(HistoryLost):
-            await store.changes('things', 1, 0.05)
+            await store.changes('things', StoreVersion(0, 1), 0.05)
 
 
 async def test_unreadable_value_gives_a_row_without_fields() -> None:
--- a/primroserudder/platform/tests/test_wire_names.py
+++ b/primroserudder/platform/tests/test_wire_names.py
@@ -16,7 +16,7 @@
         'fleet.model',
         'process.platform',
         'process.settings',
-        'process.tables',
+        'process.tablepages',
     )
 )
 FORBIDDEN_MODULES = frozenset(('asyncio', 'random', 'time', 'threading'))
--- a/primroserudder/process/claimexpiry.py
+++ b/primroserudder/process/claimexpiry.py
@@ -57,6 +57,20 @@
             or self._is_unrenewed(row)
         )
 
+    def has_expired_since(self, row: Row | None, since: float) -> bool:
+        """Return whether no claim was renewed for a lifetime after a time.
+
+        Explanation
+        ===========
+        For a row that may not show the last claim: only what this process
+        observed after ``since``, a monotonic time, counts.
+        """
+        self.note_claim('' if row is None else str(row.fields['claim']))
+        if self._observed is None:
+            return False
+        began_at = max(self._observed.first_seen_at, since)
+        return self.clock.monotonic() - began_at > self._max_age_s
+
     @property
     def _max_age_s(self) -> float:
         return self.lifetime_s * (1 + CLOCK_DRIFT_SHARE)
--- a/primroserudder/process/lease.py
+++ b/primroserudder/process/lease.py
@@ -5,6 +5,14 @@
 
 from .claimexpiry import CLOCK_DRIFT_SHARE, ClaimExpiry, tenure_id
 from .clock import Clock
+from .leaserows import (
+    EraWatch,
+    fencing_of,
+    is_held_by,
+    next_fencing,
+    tenure_key,
+    tenure_writes,
+)
 from .platform import (
     Condition,
     Conflict,
@@ -26,6 +34,11 @@
     """Return ``None``, for a platform that reports no time."""
 
 
+def _no_era() -> int:
+    """Return zero, for a platform that never comes back from a copy."""
+    return 0
+
+
 @dataclass(slots=True)
 class Lease:
     """One candidate's view of the lease of a failure domain.
@@ -49,10 +62,25 @@
     and after ``prior_orders_expire_at`` no order of a former holder is in
     flight.
 
+    A platform that comes back from a copy loses its last seconds: its era
+    rises, and its revisions are given out again. A tenure then ends at once.
+    What a row of an earlier era says of the holder may be outdated, so that
+    only a process that held the lease until then may claim it without waiting
+    for a whole lifetime. Fencing tokens skip those that may have been lost.
+    The tenure's row has the token in its key, so that no revision that was
+    given out again can fulfil the condition of an earlier tenure.
+
     Parameters
     ==========
     platform_now_s : Callable
         Returns the platform's time in seconds, as of its last answer.
+    platform_era : Callable
+        Returns how often the platform has come back from a copy, as of its
+        last answer.
+    is_after_restore : bool
+        Whether the current tenure began on a row of an earlier era.
+    has_survived_restore : bool
+        Whether this process also held the lease when that era ended.
     failing_since : float or None
         When the current series of failed renewals began.
     given_up : str
@@ -70,13 +98,19 @@
     prior_orders_expire_at: float = 0
     tenure: Condition | None = None
     platform_now_s: Callable[[], float | None] = _no_clock
+    platform_era: Callable[[], int] = _no_era
+    is_after_restore: bool = False
+    has_survived_restore: bool = False
     failing_since: float | None = None
     given_up: str = ''
     _renewals: int = 0
+    _tenure_era: int = 0
+    _eras: EraWatch = field(init=False)
     claim_expiry: ClaimExpiry = field(init=False)
 
     def __post_init__(self) -> None:
-        """Create the expiry check, which has observed no claim yet."""
+        """Create the checks, which have observed nothing yet."""
+        self._eras = EraWatch(self.clock)
         self.claim_expiry = ClaimExpiry(
             self.clock, self.lifetime_s, self.platform_now_s
         )
@@ -86,11 +120,6 @@
         """Return the key of the lease's row."""
         return f'leases/{self.failure_domain}'
 
-    @property
-    def tenure_key(self) -> str:
-        """Return the key of the tenure's row."""
-        return f'tenures/{self.failure_domain}'
-
     def is_held(self, for_s: float = 0) -> bool:
         """Return whether this process may act for the failure domain.
 
@@ -99,8 +128,9 @@
         for_s : float
             Seconds from now for which the lease must still be held.
         """
-        is_current = self.clock.monotonic() + for_s < self.held_until
-        return is_current and self.tenure is not None
+        if self.platform_era() != self._tenure_era:
+            return False
+        return self._was_held(for_s)
 
     def have_prior_orders_expired(self) -> bool:
         """Return whether no order of a former holder can be in flight."""
@@ -140,24 +170,31 @@
             return
         self.held_until = 0
         row = await self.platform.read(self.key)
-        if row is None or not _is_held_by(row, self.holder):
+        if row is None or not is_held_by(row, self.holder):
             return
         fields = {**row.fields, 'holder': ''}
         condition = Condition(self.key, row.revision)
         write = Write(self.key, fields)
         await self.platform.commit(Transaction((condition,), (write,)))
 
+    def _was_held(self, for_s: float = 0) -> bool:
+        """Return whether the lease is held, but for a restore."""
+        is_current = self.clock.monotonic() + for_s < self.held_until
+        return is_current and self.tenure is not None
+
     async def _try_renew(self) -> None:
         requested_at = self.clock.monotonic()
         row = await self.platform.read(self.key)
-        if not self._may_claim(row):
+        era = self.platform_era()
+        self._eras.note(era)
+        if not self._may_claim(row, era):
             return
-        is_renewal = _is_held_by(row, self.holder) and self.is_held()
-        fencing = _fencing(row) if is_renewal else _fencing(row) + 1
+        is_renewal = is_held_by(row, self.holder) and self.is_held()
+        fencing = fencing_of(row) if is_renewal else next_fencing(row, era)
         claim = self._next_claim()
         await self._commit(row, claim, fencing, is_renewal=is_renewal)
         if not is_renewal:
-            await self._begin_tenure(row, fencing)
+            await self._begin_tenure(row, fencing, era)
         self.held_until = requested_at + self.lifetime_s * (
             1 - CLOCK_DRIFT_SHARE
         )
@@ -176,14 +213,17 @@
             'fencing': fencing,
             'claim': claim,
             'renewed_s': self.platform_now_s(),
+            'era': self.platform_era(),
         }
         lease = Write(self.key, fields)
-        tenure = Write(self.tenure_key, fields)
         revision = 0 if row is None else row.revision
-        transaction = Transaction(
-            conditions=(Condition(self.key, revision),),
-            writes=(lease,) if is_renewal else (lease, tenure),
-        )
+        condition = Condition(self.key, revision)
+        transaction = Transaction((condition,), (lease,))
+        if not is_renewal:
+            changed = tenure_writes(self.failure_domain, row, fields)
+            transaction = Transaction((condition,), (lease, *changed))
+        elif self.tenure is not None:
+            transaction = Transaction((condition, self.tenure), (lease,))
         try:
             await self.platform.commit(transaction)
         except OutcomeUnknown:
@@ -191,13 +231,19 @@
             if written is None or written.fields['claim'] != claim:
                 raise
 
-    async def _begin_tenure(self, before: Row | None, fencing: int) -> None:
+    async def _begin_tenure(
+        self, before: Row | None, fencing: int, era: int
+    ) -> None:
+        has_survived = self._was_held()
         self.tenure = None
-        row = await self.platform.read(self.tenure_key)
-        if row is None or _fencing(row) != fencing:
+        row = await self.platform.read(tenure_key(self.failure_domain, fencing))
+        if row is None or self.platform_era() != era:
             raise Conflict('another candidate took the lease in the meantime')
+        self.is_after_restore = self._eras.is_outdated(before, era)
+        self.has_survived_restore = self.is_after_restore and has_survived
         self.fencing = fencing
-        self.tenure = Condition(self.tenure_key, row.revision)
+        self.tenure = Condition(row.key, row.revision)
+        self._tenure_era = era
         wait_s = 0 if before is None else self.order_lifetime_s
         self.prior_orders_expire_at = self.clock.monotonic() + wait_s
 
@@ -205,19 +251,16 @@
         self._renewals += 1
         return f'{self.holder}/{self._renewals}'
 
-    def _may_claim(self, row: Row | None) -> bool:
+    def _may_claim(self, row: Row | None, era: int) -> bool:
+        if self._eras.is_outdated(row, era):
+            if self._was_held():
+                return True
+            since = self._eras.restored_at
+            return self.claim_expiry.has_expired_since(row, since)
         if (
             row is None
-            or _is_held_by(row, self.holder)
+            or is_held_by(row, self.holder)
             or not row.fields['holder']
         ):
             return True
         return self.claim_expiry.has_expired(row)
-
-
-def _fencing(row: Row | None) -> int:
-    return 0 if row is None else int(str(row.fields['fencing']))
-
-
-def _is_held_by(row: Row | None, holder: str) -> bool:
-    return row is not None and row.fields['holder'] == holder
--- /dev/null
+++ b/primroserudder/process/leaserows.py
@@ -0,0 +1,99 @@
+"""The rows of a lease: its claim, and the tenures of its holders."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from .clock import Clock
+from .platform import Row, Write
+
+# More tenures than can begin in the seconds that a platform loses when it
+# comes back from a copy.
+MAX_LOST_TENURES = 100
+
+
+def tenure_key(failure_domain: str, fencing: int) -> str:
+    """Return the key of a tenure's row; no other tenure ever has it."""
+    return f'tenures/{failure_domain}.{fencing}'
+
+
+def fencing_of(row: Row | None) -> int:
+    """Return the fencing token in a lease's row, zero if there is none."""
+    return 0 if row is None else int(str(row.fields['fencing']))
+
+
+def era_of(row: Row) -> int:
+    """Return in which era a row was written, zero if it does not say so."""
+    return int(str(row.fields.get('era', 0)))
+
+
+def next_fencing(row: Row | None, era: int) -> int:
+    """Return a fencing token that was never given out before.
+
+    Examples
+    ========
+    >>> next_fencing(None, era=0), next_fencing(None, era=2)
+    (1, 201)
+    >>> next_fencing(Row('leases/a', 9, {'fencing': 7, 'era': 1}), era=2)
+    108
+    """
+    if row is None:
+        return era * MAX_LOST_TENURES + 1
+    skipped = 0 if era_of(row) == era else MAX_LOST_TENURES
+    return fencing_of(row) + skipped + 1
+
+
+def is_held_by(row: Row | None, holder: str) -> bool:
+    """Return whether a lease's row names a holder."""
+    return row is not None and row.fields['holder'] == holder
+
+
+def tenure_writes(
+    failure_domain: str,
+    before: Row | None,
+    fields: Mapping[str, object],
+) -> list[Write]:
+    """Return the writes that begin a tenure and end the one before it."""
+    fencing = int(str(fields['fencing']))
+    writes = [
+        Write(tenure_key(failure_domain, fencing), fields),
+        # Holders of version 0.1.0 make their transactions conditional on it.
+        Write(f'tenures/{failure_domain}', fields),
+    ]
+    if before is not None:
+        ended = tenure_key(failure_domain, fencing_of(before))
+        writes.append(Write(ended, None))
+    return writes
+
+
+@dataclass(slots=True)
+class EraWatch:
+    """Notes when the platform came back from a copy.
+
+    Parameters
+    ==========
+    restored_at : float
+        Monotonic time in seconds at which this process saw the last change of
+        the era, negative infinity if it saw none.
+    """
+
+    clock: Clock
+    era: int | None = None
+    restored_at: float = float('-inf')
+
+    def note(self, era: int) -> None:
+        """Record the era of an answer."""
+        if self.era not in {None, era}:
+            self.restored_at = self.clock.monotonic()
+        self.era = era
+
+    def is_outdated(self, row: Row | None, era: int) -> bool:
+        """Return whether later claims than the one in a row may be lost.
+
+        Explanation
+        ===========
+        A lease without a row was never claimed, unless this process saw a
+        change of the era.
+        """
+        if row is None:
+            return self.restored_at > float('-inf')
+        return era_of(row) < era
--- a/primroserudder/process/tables.py
+++ b/primroserudder/process/tables.py
@@ -1,59 +1,18 @@
 """A local copy of a store's table that follows the table's changes."""
 
 import asyncio
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Protocol
 
-from ..errors import RudderError
 from .clock import Clock
 from .decisions import DecisionLog
+from .followedrows import FollowedRows
 from .platform import PlatformUnavailable, Row
+from .tablepages import ChangePage, HistoryLost, StoreVersion, TablePage
 
-# The platform also keeps lapsed entries this long after an outage.
-RETURN_GRACE_S = 2.2
 FIRST_RETRY_PAUSE_S = 0.1
 MAX_RETRY_PAUSE_S = 0.5
-MIN_WAIT_S = 0.05
-
-
-class HistoryLost(RudderError):
-    """The store no longer holds all changes since a version."""
-
-    code = 'history_lost'
-    status = 503
-    default_remedy = 'read the whole table again'
-
-
-@dataclass(frozen=True, slots=True)
-class TablePage:
-    """All rows of a table as of one version."""
-
-    rows: Sequence[Row]
-    revision: int
-
-
-@dataclass(frozen=True, slots=True)
-class Change:
-    """A row's new content; ``None`` where the row was removed."""
-
-    key: str
-    row: Row | None
-
-
-@dataclass(frozen=True, slots=True)
-class ChangePage:
-    """Changes in order, and the version to continue from.
-
-    Parameters
-    ==========
-    count : int or None
-        Number of rows in the table, if the source reports it.
-    """
-
-    changes: Sequence[Change]
-    revision: int
-    count: int | None = None
 
 
 class TableSource(Protocol):
@@ -65,7 +24,7 @@
     async def changes(
         self,
         table: str,
-        since: int,
+        since: StoreVersion,
         wait_s: float,
     ) -> ChangePage:
         """Return the changes after a version; wait up to ``wait_s`` for one."""
@@ -76,7 +35,7 @@
 
 @dataclass(slots=True)
 class TableFollower:
-    """Keeps ``rows_by_key`` equal to the store's table.
+    """Keeps ``rows`` equal to the store's table.
 
     Explanation
     ===========
@@ -102,37 +61,33 @@
     log: DecisionLog
     wait_s: float
     pause_s: Callable[[], float]
-    rows_by_key: dict[str, Row] = field(default_factory=dict)
+    rows: FollowedRows = field(init=False)
     listeners: list[Listener] = field(default_factory=list)
-    is_loaded: bool = False
     is_reachable: bool = False
     confirmed_at: float = 0
     current_since: float = 0
-    revision: int = 0
-    removed_at_by_key: dict[str, int] = field(default_factory=dict)
     _must_read_table: bool = True
-    _grace_until: float = 0
-    _lapsed_keys: set[str] = field(default_factory=set)
     _changed: asyncio.Event = field(default_factory=asyncio.Event)
 
-    def newest(self) -> int:
-        """Return the version of the newest row, zero if there is none."""
-        rows = self.rows_by_key.values()
-        return max((row.revision for row in rows), default=0)
+    def __post_init__(self) -> None:
+        """Create the rows, of which none is known yet."""
+        self.rows = FollowedRows(self.clock)
 
-    def removed_since(self, revision: int) -> list[str]:
-        """Return the keys of rows that were removed after a version."""
-        return [
-            key
-            for key, at in self.removed_at_by_key.items()
-            if at > revision and key not in self.rows_by_key
-        ]
+    @property
+    def rows_by_key(self) -> dict[str, Row]:
+        """Return the known rows by key."""
+        return self.rows.by_key
 
-    async def wait_for_change(self, revision: int, wait_s: float) -> None:
+    @property
+    def is_loaded(self) -> bool:
+        """Return whether the table was read at least once."""
+        return self.rows.is_loaded
+
+    async def wait_for_change(self, since: StoreVersion, wait_s: float) -> None:
         """Wait for a change after a version, for ``wait_s`` at most."""
         try:
             async with asyncio.timeout(wait_s):
-                while self._is_unchanged(revision):
+                while self.rows.is_unchanged(since):
                     await self._changed.wait()
         except TimeoutError:
             return
@@ -157,23 +112,18 @@
 
     async def _step(self) -> None:
         if self._must_read_table or not self.is_reachable:
-            page = await self.source.read_table(self.table)
-            self._note_return()
-            self._replace(page)
+            self._replace(await self.source.read_table(self.table))
         else:
-            wait_s = self._wait_s()
-            change_page = await self.source.changes(
-                self.table, self.revision, wait_s
+            self._apply(
+                await self.source.changes(
+                    self.table,
+                    self.rows.version,
+                    self.rows.wait_s(self.wait_s),
+                )
             )
-            self._apply(change_page)
         self.confirmed_at = self.clock.monotonic()
-        self._drop_lapsed()
-
-    def _wait_s(self) -> float:
-        if not self._lapsed_keys:
-            return self.wait_s
-        remaining_s = self._grace_until - self.clock.monotonic()
-        return min(self.wait_s, max(remaining_s, MIN_WAIT_S))
+        if self.rows.settle():
+            self._notify_listeners()
 
     async def _pause(self) -> None:
         pause = self.pause_s()
@@ -189,60 +139,40 @@
         if self.is_reachable:
             return
         if self.is_loaded:
-            self._grace_until = self.clock.monotonic() + RETURN_GRACE_S
+            self.rows.begin_grace()
         self.is_reachable = True
         self.current_since = self.clock.monotonic()
         self.log.note('store_reached', table=self.table)
 
     def _replace(self, page: TablePage) -> None:
-        fresh = {row.key: row for row in page.rows}
-        missing = set(self.rows_by_key) - set(fresh)
-        changed = fresh != self.rows_by_key
-        self.rows_by_key.update(fresh)
-        for key in missing:
-            self._remove(key)
+        self._note_return()
+        if self.is_loaded and page.era != self.rows.version.era:
+            self._note_restore(page)
         self._must_read_table = False
-        self._lapsed_keys -= set(fresh)
-        self.revision = max(page.revision, self.revision)
-        if changed or not self.is_loaded:
-            self.is_loaded = True
+        if self.rows.replace(page):
             self._notify_listeners()
 
+    def _note_restore(self, page: TablePage) -> None:
+        self.current_since = self.clock.monotonic()
+        self.log.note(
+            'store_restored',
+            table=self.table,
+            era=page.era,
+            revision=page.revision,
+            era_before=self.rows.version.era,
+            revision_before=self.rows.version.revision,
+        )
+
     def _apply(self, page: ChangePage) -> None:
-        for change in page.changes:
-            if change.row is None:
-                self._remove(change.key)
-            else:
-                self._lapsed_keys.discard(change.key)
-                self.rows_by_key[change.key] = change.row
-        self.revision = max(page.revision, self.revision)
-        if page.changes:
-            self._notify_listeners()
-        if page.count not in {None, len(self.rows_by_key)}:
-            # A change was missed: the next step reads the whole table.
+        if page.era != self.rows.version.era:
+            # The store came back from a copy: its revisions start anew.
             self._must_read_table = True
-
-    def _remove(self, key: str) -> None:
-        if self.clock.monotonic() < self._grace_until:
-            self._lapsed_keys.add(key)
-        elif self.rows_by_key.pop(key, None) is not None:
-            self.removed_at_by_key[key] = self.revision + 1
-
-    def _drop_lapsed(self) -> None:
-        if not self._lapsed_keys or self.clock.monotonic() < self._grace_until:
             return
-        for key in self._lapsed_keys:
-            self.rows_by_key.pop(key, None)
-            self.removed_at_by_key[key] = self.revision + 1
-        self._lapsed_keys.clear()
-        self._notify_listeners()
-
-    def _is_unchanged(self, revision: int) -> bool:
-        if revision >= self.revision:
-            return True
-        return not self.removed_since(revision) and not any(
-            row.revision > revision for row in self.rows_by_key.values()
-        )
+        if not self.rows.apply(page):
+            # A change was missed: the next step reads the whole table.
+            self._must_read_table = True
+        if page.changes:
+            self._notify_listeners()
 
     def _notify_listeners(self) -> None:
         self._changed.set()
--- a/primroserudder/process/tests/test_lease.py
+++ b/primroserudder/process/tests/test_lease.py
@@ -1,13 +1,14 @@
 """Tests of the acquisition, expiry and release of a lease."""
 
 import asyncio
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import pytest
 
 from ...standins.memory import MemoryPlatform
 from ..clock import LoopClock
 from ..lease import Lease
+from ..platform import Conflict, Row, Transaction
 
 pytestmark = pytest.mark.looptime
 LIFETIME_S = 2.0
@@ -157,3 +158,113 @@
     await asyncio.sleep(1.2)
     assert lease.is_held()
     assert not lease.is_held(for_s=1.0)
+
+
+@dataclass(slots=True)
+class _RestoredPlatform:
+    """A platform that comes back from a copy, as all candidates see it."""
+
+    memory: MemoryPlatform
+    era: int = 1
+    copied_rows: dict[str, Row] = field(default_factory=dict)
+    copied_writes: int = 0
+
+    def copy(self) -> None:
+        self.copied_rows = dict(self.memory.rows_by_key)
+        self.copied_writes = self.memory.usage.writes
+
+    def restore(self) -> None:
+        self.memory.rows_by_key.clear()
+        self.memory.rows_by_key.update(self.copied_rows)
+        self.memory.usage.writes = self.copied_writes
+        self.era += 1
+
+    def lease(self, holder: str) -> Lease:
+        return Lease(
+            self.memory,
+            LoopClock(),
+            'site',
+            holder,
+            LIFETIME_S,
+            order_lifetime_s=0,
+            platform_era=lambda: self.era,
+        )
+
+
+async def test_holder_whose_claim_was_lost_in_a_restore_is_waited_for() -> None:
+    # The copy names a holder that was replaced long ago.
+    platform = _RestoredPlatform(MemoryPlatform())
+    former, current, candidate = (platform.lease(name) for name in 'abc')
+    assert await former.renew()
+    platform.copy()
+    await former.release()
+    assert await current.renew()
+    held_until = current.held_until
+    platform.restore()
+    while not await candidate.renew():
+        await asyncio.sleep(0.1)
+    assert candidate.clock.monotonic() >= held_until
+    assert candidate.fencing > current.fencing
+
+
+async def test_lease_released_only_in_the_copy_is_not_free_at_once() -> None:
+    platform = _RestoredPlatform(MemoryPlatform())
+    former, current, candidate = (platform.lease(name) for name in 'abc')
+    assert await former.renew()
+    await former.release()
+    platform.copy()
+    assert await current.renew()
+    platform.restore()
+    assert not await candidate.renew()
+
+
+async def test_tenure_ends_with_the_era_and_its_holder_claims_again() -> None:
+    platform = _RestoredPlatform(MemoryPlatform())
+    holder = platform.lease('a')
+    assert await holder.renew()
+    platform.copy()
+    fencing = holder.fencing
+    platform.restore()
+    assert not holder.is_held()
+    assert await holder.renew()
+    assert holder.has_survived_restore
+    assert holder.fencing > fencing
+
+
+async def test_fencing_tokens_lost_in_a_restore_are_not_given_out_again() -> (
+    None
+):
+    platform = _RestoredPlatform(MemoryPlatform())
+    used = set()
+    first = platform.lease('first')
+    assert await first.renew()
+    platform.copy()
+    await first.release()
+    for number in range(20):
+        lease = platform.lease(f'lost-{number}')
+        assert await lease.renew()
+        used.add(lease.fencing)
+        await lease.release()
+    platform.restore()
+    successor = platform.lease('successor')
+    while not await successor.renew():
+        await asyncio.sleep(0.1)
+    assert successor.fencing not in used
+
+
+async def test_condition_of_a_lost_tenure_never_holds_again() -> None:
+    # The revision of the lost tenure's row is given out again.
+    platform = _RestoredPlatform(MemoryPlatform())
+    platform.copy()
+    lost, successor = (platform.lease(name) for name in 'ab')
+    assert await lost.renew()
+    condition = lost.tenure
+    assert condition is not None
+    platform.restore()
+    await successor.renew()
+    await asyncio.sleep(LIFETIME_S * 1.05)
+    assert await successor.renew()
+    assert successor.tenure is not None
+    assert successor.tenure.revision >= condition.revision
+    with pytest.raises(Conflict):
+        await platform.memory.commit(Transaction((condition,), ()))
--- a/primroserudder/process/tests/test_tables.py
+++ b/primroserudder/process/tests/test_tables.py
@@ -7,15 +7,16 @@
 
 from ..clock import LoopClock
 from ..decisions import DecisionLog
+from ..followedrows import RETURN_GRACE_S
 from ..platform import PlatformUnavailable, Row
-from ..tables import (
-    RETURN_GRACE_S,
+from ..tablepages import (
     Change,
     ChangePage,
     HistoryLost,
-    TableFollower,
+    StoreVersion,
     TablePage,
 )
+from ..tables import TableFollower
 
 pytestmark = pytest.mark.looptime
 WAIT_S = 1.5
@@ -54,11 +55,11 @@
     async def changes(
         self,
         table: str,
-        since: int,
+        since: StoreVersion,
         wait_s: float,
     ) -> ChangePage:
         self.changed.clear()
-        if since == self.revision:
+        if since.revision == self.revision:
             await self._wait(wait_s)
         if self.is_unreachable:
             raise PlatformUnavailable('away')
@@ -68,12 +69,12 @@
         changed = [
             Change(row.key, row)
             for row in self.rows_by_key.values()
-            if row.revision > since
+            if row.revision > since.revision
         ]
         removed = [
             Change(key, None)
             for key, at in self.removed_at_by_key.items()
-            if at > since and key not in self.rows_by_key
+            if at > since.revision and key not in self.rows_by_key
         ]
         return ChangePage(
             (*removed, *changed), self.revision, len(self.rows_by_key)
@@ -170,11 +171,11 @@
     follower = _follower(source)
     task = asyncio.ensure_future(follower.run())
     await asyncio.sleep(0.1)
-    revision = follower.revision
-    waiting = asyncio.ensure_future(follower.wait_for_change(revision, 5))
+    version = follower.rows.version
+    waiting = asyncio.ensure_future(follower.wait_for_change(version, 5))
     source.remove('things/a')
     await asyncio.sleep(0.1)
     assert waiting.done()
-    assert follower.removed_since(revision) == ['things/a']
-    assert not follower.removed_since(follower.revision)
+    assert follower.rows.removed_since(version.revision) == ['things/a']
+    assert not follower.rows.removed_since(follower.rows.version.revision)
     task.cancel()
--- a/primroserudder/standins/tablerows.py
+++ b/primroserudder/standins/tablerows.py
@@ -36,14 +36,42 @@
         }
 
 
+@dataclass(frozen=True, slots=True)
+class RowsCopy:
+    """A backup copy of all rows as of one revision."""
+
+    rows_by_id: Mapping[RowId, StoredRow]
+    revision: int
+
+    def without(self, table: str) -> 'RowsCopy':
+        """Return a copy from before a table's rows were written."""
+        rows_by_id = {
+            row_id: row
+            for row_id, row in self.rows_by_id.items()
+            if row_id[0] != table
+        }
+        return RowsCopy(rows_by_id, self.revision)
+
+    def keys_of(self, table: str) -> list[str]:
+        """Return the keys of a table's rows."""
+        return [key for row_table, key in self.rows_by_id if row_table == table]
+
+
 @dataclass(slots=True)
 class TableRows:
-    """All rows by table and key, and the history of their changes."""
+    """All rows by table and key, and the history of their changes.
+
+    Parameters
+    ==========
+    era : int
+        Rises by one each time that the rows come back from a copy.
+    """
 
     rows_by_id: dict[RowId, StoredRow] = field(default_factory=dict)
     history: list[StoredRow] = field(default_factory=list)
     revision: int = 0
     truncated_revision: int = 0
+    era: int = 0
     _changed: asyncio.Event = field(default_factory=asyncio.Event)
 
     def put(self, table: str, key: str, fields: Json) -> None:
@@ -60,6 +88,18 @@
         self.revision += 1
         self._store(table, key, None)
 
+    def copy(self) -> RowsCopy:
+        """Return a copy of all rows, to come back from later."""
+        return RowsCopy(dict(self.rows_by_id), self.revision)
+
+    def restore(self, rows_copy: RowsCopy) -> None:
+        """Come back from a copy; revisions after it are given out again."""
+        self.rows_by_id = dict(rows_copy.rows_by_id)
+        self.revision = rows_copy.revision
+        self.era += 1
+        self.truncate_history()
+        self._notify_waiters()
+
     def truncate_history(self) -> None:
         """Drop the history; readers of older changes must read all rows."""
         self.history.clear()
@@ -112,7 +152,8 @@
         return self._changes_since(table, since)
 
     async def _wait_for_change(self, table: str, since: int) -> None:
-        while not self._changes_since(table, since):
+        era = self.era
+        while era == self.era and not self._changes_since(table, since):
             await self._changed.wait()
 
     def _changes_since(self, table: str, since: int) -> list[StoredRow]:
@@ -129,6 +170,9 @@
         else:
             self.rows_by_id[table, key] = row
         self.history.append(row)
+        self._notify_waiters()
+
+    def _notify_waiters(self) -> None:
         self._changed.set()
         self._changed = asyncio.Event()
 
--- a/primroserudder/standins/tablestore.py
+++ b/primroserudder/standins/tablestore.py
@@ -43,6 +43,7 @@
     def app(self) -> web.Application:
         """Return the HTTP application."""
         app = web.Application()
+        app.on_response_prepare.append(self._add_era)
         app.router.add_post('/api/rows-tx', self._transact)
         app.router.add_get('/api/rows-get', self._read)
         app.router.add_get('/api/rows-feed', self._feed)
@@ -104,9 +105,12 @@
         wait_s = int(request.query['WaitMs']) / MS_PER_S
         if self.faults.is_down:
             return web.Response(status=HTTPStatus.SERVICE_UNAVAILABLE)
-        if since < self.rows.truncated_revision:
+        if not self.rows.truncated_revision <= since <= self.rows.revision:
             return web.Response(status=HTTPStatus.GONE)
+        era = self.rows.era
         rows = await self.rows.changes(request.query['Table'], since, wait_s)
+        if era != self.rows.era:
+            return _abort_connection(request)
         return _json(
             {
                 'Rows': [row.to_response() for row in rows],
@@ -128,6 +132,11 @@
             return web.Response(status=HTTPStatus.NOT_FOUND)
         return web.Response(body=body)
 
+    async def _add_era(
+        self, _request: web.Request, response: web.StreamResponse
+    ) -> None:
+        response.headers['Store-Era'] = str(self.rows.era)
+
     def _count_call(self) -> None:
         self.calls += 1
 
