Restore the claims of groups that a restore of the store lost

Worse, read in the code: the members of a group without a claim counted as free while its head was open (an engine in two groups), and claims that had ended came back and held engines of other groups. Cause: the store's rows were taken for the truth about who is in which group. Change: a tenure that begins after a restore takes over what this process had claimed until then, and complete groups that the engines report, and writes their claims again; it dissolves incomplete ones and claims whose head is in another group.

--- a/primroserudder/fleet/group_reconciler.py
+++ b/primroserudder/fleet/group_reconciler.py
@@ -41,6 +41,9 @@
     wake: asyncio.Event
     tenure: Tenure | None = None
     broken_groups: tuple[str, ...] = field(default=())
+    last_groups_by_name: Mapping[str, GroupProgress] = field(
+        default_factory=dict
+    )
 
     async def run(self) -> None:
         """Reconcile the groups until cancelled."""
@@ -66,8 +69,15 @@
     def _current_tenure(self) -> Tenure:
         fencing = self.lease.fencing
         if self.tenure is None or self.tenure.fencing != fencing:
-            self.tenure = self.make_tenure(fencing)
-            self.log.note('tenure_begun', fencing=fencing)
+            tenure = self.make_tenure(fencing, self.directory, self._group_size)
+            if self.lease.has_survived_restore:
+                tenure.inherited = self.last_groups_by_name
+            self.tenure = tenure
+            self.log.note(
+                'tenure_begun',
+                fencing=fencing,
+                after_restore=self.lease.is_after_restore,
+            )
         return self.tenure
 
     def _end_tenure(self, tenure: Tenure) -> None:
@@ -88,7 +98,8 @@
 
     async def _reconcile_groups(self, tenure: Tenure) -> None:
         self.inventory.note_growth()
-        tenure.dissolve_unclaimed(self.directory)
+        tenure.dissolve_unclaimed()
+        self.last_groups_by_name = tenure.groups_by_name
         released = self._send_due_orders(tenure)
         self._update_broken_groups(tenure)
         await self._replace(tenure, released)
@@ -234,6 +245,18 @@
             if self.inventory.try_begin_load(engine, spec, model):
                 self.sender.stage(engine, model.name)
 
+    def _group_size(self, model: str) -> int:
+        """Return the size of a model's groups, zero if it is unknown."""
+        configuration = self.configuration()
+        if configuration is None:
+            return 0
+        specs = [
+            service.engine.models_by_name.get(model)
+            for service in configuration.services_by_name.values()
+            if service.engine is not None
+        ]
+        return next((spec.group_size for spec in specs if spec), 0)
+
     def _spec(self, service: str) -> EngineSpec | None:
         configuration = self.configuration()
         if configuration is None:
--- a/primroserudder/fleet/tenure.py
+++ b/primroserudder/fleet/tenure.py
@@ -11,8 +11,9 @@
 from .actions import Release
 from .claims import decode_claim, encode_claim
 from .directory import Directory, group_name, model_of
-from .group_lifecycle import GroupProgress
-from .model import Engine, Formation, GroupState
+from .group_lifecycle import GroupProgress, is_member
+from .listedgroups import ListedGroup, listed_groups
+from .model import Engine, Formation
 
 GROUPS_PREFIX = 'groups/'
 # The epochs of a tenure are higher than all epochs of earlier tenures.
@@ -21,7 +22,16 @@
 
 @dataclass(slots=True)
 class Tenure:
-    """The groups of one tenure and their claims in the store."""
+    """The groups of one tenure and their claims in the store.
+
+    Parameters
+    ==========
+    inherited : Mapping or None
+        The groups of this process's last tenure, if it held the lease until
+        the store came back from a copy.
+    group_size : Callable
+        Returns the size of a model's groups, zero if the model is unknown.
+    """
 
     platform: PlatformClient
     lease: Lease
@@ -29,6 +39,9 @@
     log: DecisionLog
     metrics: Metrics
     fencing: int
+    directory: Directory
+    group_size: Callable[[str], int]
+    inherited: Mapping[str, GroupProgress] | None = None
     groups_by_name: dict[str, GroupProgress] = field(default_factory=dict)
     is_loaded: bool = False
     _epoch_count: int = 0
@@ -45,6 +58,8 @@
             for claim in claims
             if claim is not None
         }
+        if self.lease.is_after_restore:
+            await self._restore_claims()
         self.is_loaded = True
 
     def next_formation(
@@ -93,24 +108,64 @@
             self._note_claim(progress.formation)
         return True
 
-    def dissolve_unclaimed(self, directory: Directory) -> None:
+    def dissolve_unclaimed(self) -> None:
         """Start to dissolve open groups that have no claim any more."""
-        for engine in directory.engines_by_id.values():
-            if _heads_unclaimed_group(engine, self.groups_by_name):
-                self._dissolve_orphan(engine)
+        for listed in self._unclaimed():
+            if listed.takes_requests():
+                self._dissolve(listed)
+
+    async def _restore_claims(self) -> None:
+        """Make up for claims that a restore of the store lost or brought back.
 
-    def _dissolve_orphan(self, head: Engine) -> None:
-        membership = head.membership
-        if membership is None:
+        Explanation
+        ===========
+        Claims that this process has made, and complete groups that the engines
+        report, are written again. All other groups are dissolved: those that
+        are incomplete, and claims of groups that ended in the lost seconds.
+        """
+        stored = set(self.groups_by_name)
+        inherited = self.inherited or {}
+        now = self.clock.monotonic()
+        for name, progress in self.groups_by_name.items():
+            if name not in inherited and self._has_head_elsewhere(progress):
+                progress.dissolve('ended before', now, graceful=False)
+        self.groups_by_name.update(inherited)
+        for listed in self._unclaimed():
+            if listed.is_complete(self.group_size(model_of(listed.name))):
+                self.groups_by_name[listed.name] = GroupProgress(
+                    listed.formation(), listed.born_by_member(), now
+                )
+            else:
+                self._dissolve(listed)
+        await self._write_claims(self.groups_by_name.keys() - stored)
+
+    async def _write_claims(self, names: Collection[str]) -> None:
+        tenure_row = self.lease.tenure
+        if not names or tenure_row is None:
             return
-        name = membership.group
-        formation = Formation(
-            name, membership.epoch, model_of(name), (head.engine_id,)
-        )
+        claims = tuple(_claim(self.groups_by_name[name]) for name in names)
+        await self.platform.commit(Transaction((tenure_row,), claims))
+        self.log.note('claims_restored', groups=sorted(names))
+
+    def _has_head_elsewhere(self, progress: GroupProgress) -> bool:
+        head = self.directory.engines_by_id.get(progress.formation.head)
+        return head is not None and not is_member(head, progress.formation)
+
+    def _unclaimed(self) -> list[ListedGroup]:
+        """Return the listed groups that have no claim."""
+        return [
+            listed
+            for listed in listed_groups(self.directory.engines_by_id.values())
+            if listed.name not in self.groups_by_name
+        ]
+
+    def _dissolve(self, listed: ListedGroup) -> None:
         now = self.clock.monotonic()
-        progress = GroupProgress(formation, {}, now)
+        progress = GroupProgress(
+            listed.formation(), listed.born_by_member(), now
+        )
         progress.dissolve('unclaimed', now, graceful=False)
-        self.groups_by_name[name] = progress
+        self.groups_by_name[listed.name] = progress
 
     def _new_progress(
         self,
@@ -146,18 +201,7 @@
         )
 
 
-TenureFactory = Callable[[int], Tenure]
-
-
-def _heads_unclaimed_group(
-    engine: Engine,
-    claimed: Collection[str],
-) -> bool:
-    membership = engine.membership
-    if membership is None or membership.rank:
-        return False
-    takes_requests = membership.state in {GroupState.OPEN, GroupState.CLOSING}
-    return takes_requests and membership.group not in claimed
+TenureFactory = Callable[[int, Directory, Callable[[str], int]], Tenure]
 
 
 def _removal(progress: GroupProgress) -> Write:
