Let the soak restore its store and send contents that crash engines

Change: two kinds of fault, and the check of the rule itself: at most three more engines later than 3 s after the third crash. An engine of the soak that drained now ends and starts anew, as the platform's do, instead of becoming ready again in the same life.

--- a/primroserudder/faultsoak/engines.py
+++ b/primroserudder/faultsoak/engines.py
@@ -13,6 +13,8 @@
 
 # The platform removes an unreachable engine from its list after this time.
 LIST_EXPIRY_S = 0.8
+# An engine that a content crashed is back after this time.
+CONTENT_CRASH_S = 1.0
 JOIN_S = 0.3
 FORM_S = 0.3
 # Responses take long enough for faults to occur while they are sent.
@@ -49,6 +51,7 @@
         self.join_s = JOIN_S
         self.events = EVENTS
         self.event_s = EVENT_S
+        self.end_process = _crash_and_restart
         self.member = self._new_member(())
 
     def is_reachable(self) -> bool:
@@ -81,6 +84,11 @@
         self.link.is_refusing = False
         self.register()
 
+    def write_entry_again(self) -> None:
+        """Write the entry, or let it expire, after the store's restore."""
+        self.register()
+        self._schedule_expiry()
+
     def disconnect(self) -> None:
         """Cut off the engine in both directions."""
         self.link.hold(BOTH_WAYS)
@@ -131,3 +139,10 @@
             attempt_id = request.headers.get(ATTEMPT_ID, '')
             self.observer.record_run(self, attempt_id)
         return refusal
+
+
+def _crash_and_restart(engine: GroupEngine) -> None:
+    if isinstance(engine, SoakEngine):
+        engine.crash()
+        loop = asyncio.get_running_loop()
+        loop.call_later(CONTENT_CRASH_S, engine.restart)
--- a/primroserudder/faultsoak/faults.py
+++ b/primroserudder/faultsoak/faults.py
@@ -5,6 +5,7 @@
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 
+from .crashingcontents import CrashingContents
 from .linkfaults import LinkFaults
 from .plan import FaultInjector, FaultKind, PlannedFault
 from .routerfaults import RouterFaults
@@ -19,10 +20,12 @@
     site: SoakSite
     injected: Counter[FaultKind] = field(default_factory=Counter)
     links: LinkFaults = field(init=False)
+    crashing: CrashingContents = field(init=False)
 
     def __post_init__(self) -> None:
-        """Create the link faults, which record faults on callers' links."""
+        """Create the faults whose record the checks need."""
         self.links = LinkFaults(self.site)
+        self.crashing = CrashingContents(self.site)
 
     async def inject(self, plan: Sequence[PlannedFault]) -> None:
         """Inject all faults; return when the last one is over."""
@@ -41,4 +44,5 @@
             **self.links.by_kind(),
             **StoreFaults(self.site).by_kind(),
             **EngineFaults(self.site).by_kind(),
+            **self.crashing.by_kind(),
         }
--- a/primroserudder/faultsoak/plan.py
+++ b/primroserudder/faultsoak/plan.py
@@ -53,6 +53,8 @@
     ENGINE_DRAINS = 'engine drains'
     DOMAIN_DARK = 'fabric domain dark'
     CONFIGURATION_CHANGED = 'configuration changed'
+    STORE_RESTORED = 'store restored from a copy'
+    CONTENT_CRASHES = 'content crashes engines'
 
 
 @dataclass(frozen=True, slots=True)
--- a/primroserudder/faultsoak/site.py
+++ b/primroserudder/faultsoak/site.py
@@ -69,6 +69,10 @@
     def change_configuration(self) -> None:
         """Write a new configuration version, as an operator does."""
         self.version += 1
+        self.write_configuration()
+
+    def write_configuration(self) -> None:
+        """Write the current configuration version."""
         self.store.rows.put('op', 'config', configuration(self.version))
 
     def pick_engine(self, target: int) -> SoakEngine:
--- a/primroserudder/faultsoak/soak.py
+++ b/primroserudder/faultsoak/soak.py
@@ -212,6 +212,7 @@
         for incarnation, versions in self.versions_by_incarnation.items():
             for violation in check_versions(versions):
                 yield f'{incarnation}: {violation}'
+        yield from faults.crashing.violations()
         yield from site.group_checker.violations
         yield from self._tracebacks()
 
--- a/primroserudder/faultsoak/standinfaults.py
+++ b/primroserudder/faultsoak/standinfaults.py
@@ -13,6 +13,10 @@
 FAILED_STATUS = 500
 LATE_ORDERS_S = 1.0
 LATE_WRITES_S = 1.5
+# How long the store is away before it comes back from a copy.
+RESTORE_S = 0.3
+# Engines and operators have written again this long after a restore.
+WRITE_AGAIN_S = 0.6
 
 
 @dataclass(slots=True)
@@ -33,6 +37,7 @@
                 _set_for_duration, faults, 'late_by_s', LATE_WRITES_S
             ),
             FaultKind.STORE_FORGETS_HISTORY: self._forget_history,
+            FaultKind.STORE_RESTORED: self._restore,
         }
 
     async def _silence_store(self, fault: PlannedFault) -> None:
@@ -45,6 +50,24 @@
     async def _forget_history(self, _fault: PlannedFault) -> None:
         self.site.store.rows.truncate_history()
 
+    async def _restore(self, fault: PlannedFault) -> None:
+        """Lose the last seconds; living writers write again afterwards."""
+        rows_copy = self.site.store.rows.copy()
+        await asyncio.sleep(fault.duration_s)
+        self._refuse_calls(is_refusing=True)
+        await asyncio.sleep(RESTORE_S)
+        self.site.store.rows.restore(rows_copy)
+        self._refuse_calls(is_refusing=False)
+        await asyncio.sleep(WRITE_AGAIN_S)
+        self.site.write_configuration()
+        for engine in self.site.engines:
+            engine.write_entry_again()
+
+    def _refuse_calls(self, *, is_refusing: bool) -> None:
+        for link in self.site.store_links:
+            link.is_refusing = is_refusing
+            link.reset()
+
 
 @dataclass(slots=True)
 class EngineFaults:
@@ -107,8 +130,10 @@
         engine.is_draining = True
         engine.register()
         await asyncio.sleep(fault.duration_s)
+        # An engine that drained exits; it never serves again in that life.
+        engine.crash()
         engine.is_draining = False
-        engine.register()
+        engine.restart()
 
     async def _cut_events(self, fault: PlannedFault) -> None:
         faults = self._engine(fault).faults
--- a/primroserudder/fleet/tests/test_crashing_content.py
+++ b/primroserudder/fleet/tests/test_crashing_content.py
@@ -28,7 +28,7 @@
 
 def _crash_on_content(site: PlatformSite, *, silently: bool = False) -> None:
     for engine in site.engines_by_id.values():
-        engine.faults.crashing_body = CRASHING
+        engine.faults.crashing_bodies.add(CRASHING)
         engine.faults.crashes_silently = silently
 
 
@@ -149,11 +149,11 @@
         engines = _plain_engines(site)
         for engine in engines[:4]:
             assert await _send(site, '/lookups/1') == 200
-            engine.faults.crashing_body = CRASHING
+            engine.faults.crashing_bodies.add(CRASHING)
         for _ in range(SENDS):
             await _send(site, '/lookups/1')
         for engine in engines:
-            engine.faults.crashing_body = None
+            engine.faults.crashing_bodies.clear()
         await _wait_until_serving(site)
         assert await _send(site, '/lookups/1') == 200
 
--- a/primroserudder/standins/groupengine.py
+++ b/primroserudder/standins/groupengine.py
@@ -9,7 +9,7 @@
 """
 
 import asyncio
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from http import HTTPStatus
 
@@ -32,13 +32,19 @@
 
 @dataclass(frozen=True, slots=True)
 class ReceivedRequest:
-    """A request as an engine received it."""
+    """A request as an engine received it.
+
+    Explanation
+    ===========
+    ``received_at`` is a time of the event loop, in seconds.
+    """
 
     engine_id: str
     method: str
     path: str
     headers: Mapping[str, str]
     body: bytes
+    received_at: float
 
     @property
     def attempt_id(self) -> str:
@@ -59,8 +65,8 @@
     ignores_orders: bool = False
     late_orders_s: float = 0
     is_unresponsive: bool = False
-    # A request with this body ends the engine's process.
-    crashing_body: bytes | None = None
+    # Requests with these bodies end the engine's process.
+    crashing_bodies: set[bytes] = field(default_factory=set)
     crashes_silently: bool = False
 
 
@@ -78,6 +84,7 @@
     event_s: float = 0.01
     join_s: float = 0.02
     restart_s: float = 0.05
+    end_process: Callable[['GroupEngine'], None] = crash
     faults: EngineFaults = field(default_factory=EngineFaults)
     received_requests: list[ReceivedRequest] = field(default_factory=list)
     orders: list[Json] = field(default_factory=list)
@@ -183,10 +190,11 @@
                 request.raw_path,
                 dict(request.headers),
                 body,
+                asyncio.get_running_loop().time(),
             )
         )
-        if body == self.faults.crashing_body:
-            crash(self)
+        if body in self.faults.crashing_bodies:
+            self.end_process(self)
             if self.faults.crashes_silently:
                 await asyncio.sleep(HANG_S)
             return _abort(request)
