Free the members of a lost head whose members left by themselves

Cause, read while claims after a restore were written: a group whose head is not listed was released only after a member had acknowledged an order to leave. If all listed members had restarted or joined other groups, there was nobody to order, and its claim stayed for ever. Change: that no listed member reports the group counts from its first sight, and anew if one whose join was late comes back. A claim that this process had released before a restore is removed at once. Ruled out: release at once; a head that can't be seen waits for the stall time.

--- a/primroserudder/fleet/group_lifecycle.py
+++ b/primroserudder/fleet/group_lifecycle.py
@@ -48,6 +48,7 @@
     has_head_left: bool = False
     left_members: set[str] = field(default_factory=set)
     first_left_at: float | None = None
+    none_remains_since: float | None = None
     pending_members: set[str] = field(default_factory=set)
     reason: str = ''
 
@@ -60,6 +61,29 @@
         self.dissolving_since = now
         self.reason = reason
 
+    def note_remaining(
+        self,
+        listed: Collection[Engine],
+        remaining: Collection[Engine],
+        now: float,
+    ) -> None:
+        """Record whether any listed member still reports the group.
+
+        Explanation
+        ===========
+        Members that are restarted, or join another group, leave without an
+        order; one whose join was late may still come back.
+        """
+        if remaining or not listed:
+            self.none_remains_since = None
+        elif self.none_remains_since is None:
+            self.none_remains_since = now
+
+    def has_lacked_a_member_since(self, moment: float) -> bool:
+        """Return whether a member has been missing from before a moment."""
+        times = (self.first_left_at, self.none_remains_since)
+        return any(since is not None and since < moment for since in times)
+
     def note_left(self, engine_id: str, now: float) -> None:
         """Record that a member acknowledged its leave order."""
         self.left_members.add(engine_id)
@@ -194,17 +218,21 @@
 def _actions_without_head(
     progress: GroupProgress, snapshot: EngineSnapshot
 ) -> list[Action]:
-    left_at = progress.first_left_at
-    if left_at is not None:
-        if snapshot.now - left_at > snapshot.stall_s + STALL_MARGIN_S:
-            return [Release('the head has been stalled long enough')]
     formation = progress.formation
-    return [
-        Leave(engine)
+    listed = [
+        engine
         for engine_id in formation.members
         if (engine := snapshot.engine(engine_id)) is not None
-        and is_member(engine, formation)
-        and engine_id not in progress.left_members
+    ]
+    remaining = [engine for engine in listed if is_member(engine, formation)]
+    progress.note_remaining(listed, remaining, snapshot.now)
+    stalled_at = snapshot.now - snapshot.stall_s - STALL_MARGIN_S
+    if progress.has_lacked_a_member_since(stalled_at):
+        return [Release('the head has been stalled long enough')]
+    return [
+        Leave(engine)
+        for engine in remaining
+        if engine.engine_id not in progress.left_members
     ]
 
 
--- a/primroserudder/fleet/tenure.py
+++ b/primroserudder/fleet/tenure.py
@@ -123,13 +123,15 @@
         report, are written again. All other groups are dissolved: those that
         are incomplete, and claims of groups that ended in the lost seconds.
         """
-        stored = set(self.groups_by_name)
-        inherited = self.inherited or {}
+        stored = frozenset(self.groups_by_name)
         now = self.clock.monotonic()
-        for name, progress in self.groups_by_name.items():
-            if name not in inherited and self._has_head_elsewhere(progress):
-                progress.dissolve('ended before', now, graceful=False)
-        self.groups_by_name.update(inherited)
+        if self.inherited is None:
+            for progress in self.groups_by_name.values():
+                if self._has_head_elsewhere(progress):
+                    progress.dissolve('ended before', now, graceful=False)
+        else:
+            # What this process has released before was free by proof.
+            self.groups_by_name = dict(self.inherited)
         for listed in self._unclaimed():
             if listed.is_complete(self.group_size(model_of(listed.name))):
                 self.groups_by_name[listed.name] = GroupProgress(
@@ -137,15 +139,23 @@
                 )
             else:
                 self._dissolve(listed)
-        await self._write_claims(self.groups_by_name.keys() - stored)
+        await self._rewrite_claims(stored)
 
-    async def _write_claims(self, names: Collection[str]) -> None:
+    async def _rewrite_claims(self, stored: frozenset[str]) -> None:
+        """Write the claims that the store lacks, and remove ended ones."""
         tenure_row = self.lease.tenure
-        if not names or tenure_row is None:
+        lost = self.groups_by_name.keys() - stored
+        ended = stored - self.groups_by_name.keys()
+        if tenure_row is None or not (lost or ended):
             return
-        claims = tuple(_claim(self.groups_by_name[name]) for name in names)
-        await self.platform.commit(Transaction((tenure_row,), claims))
-        self.log.note('claims_restored', groups=sorted(names))
+        claims = [_claim(self.groups_by_name[name]) for name in lost]
+        removals = [Write(GROUPS_PREFIX + name, None) for name in ended]
+        await self.platform.commit(
+            Transaction((tenure_row,), (*removals, *claims))
+        )
+        self.log.note(
+            'claims_restored', written=sorted(lost), removed=sorted(ended)
+        )
 
     def _has_head_elsewhere(self, progress: GroupProgress) -> bool:
         head = self.directory.engines_by_id.get(progress.formation.head)
--- a/primroserudder/fleet/tests/test_group_lifecycle.py
+++ b/primroserudder/fleet/tests/test_group_lifecycle.py
@@ -162,3 +162,31 @@
     assert not next_actions(progress, engine_snapshot(engines, now=11))
     actions = next_actions(progress, engine_snapshot(engines, now=14))
     assert actions == [Close(engines['a'], at_once=True)]
+
+
+def test_members_that_all_left_by_themselves_free_the_lost_head() -> None:
+    # No member is left that could be ordered to leave.
+    engines = group(FORMATION)
+    engines.pop('a')
+    for member in 'bc':
+        engines[member] = engine(member, born_ms=2)
+    progress = group_progress(FORMATION)
+    assert not next_actions(progress, engine_snapshot(engines, now=10))
+    stalled = 10 + STALL_S + STALL_MARGIN_S
+    assert not next_actions(progress, engine_snapshot(engines, now=stalled))
+    actions = next_actions(progress, engine_snapshot(engines, now=stalled + 1))
+    assert isinstance(actions[0], Release)
+
+
+def test_member_whose_join_was_late_keeps_the_lost_head_claimed() -> None:
+    engines = group(FORMATION)
+    engines.pop('a')
+    joined = dict(engines)
+    for member in 'bc':
+        engines[member] = engine(member)
+    progress = group_progress(FORMATION)
+    next_actions(progress, engine_snapshot(engines, now=10))
+    assert next_actions(progress, engine_snapshot(joined, now=11))
+    later = 10 + STALL_S + STALL_MARGIN_S + 0.5
+    actions = next_actions(progress, engine_snapshot(engines, now=later))
+    assert not actions
