Cancel a task again that missed its cancellation, so that a stop ends

Cause: aiohttp 3.14.5 leaves its timer's context twice, and each time takes one cancellation back. A cancellation in the same pass of the event loop as the timer is lost: the call ends with TimeoutError and the task goes on. Evidence: the log has 'stopped', then store_lost with TimeoutError 12 ms later, then store_reached; a script that cancels a call 0 to 2 ms after its timeout was due lost 508 of 1,500 cancellations. Change: cancel_all cancels what has not ended every 0.5 s; the supervisor uses it instead of a copy of its own. Test: test_task_that_missed_its_cancellation_is_cancelled_again, red before. process and test_site: 157 passed.

--- a/primroserudder/fleet/supervision.py
+++ b/primroserudder/fleet/supervision.py
@@ -8,6 +8,7 @@
 from loguru import logger
 
 from ..process.decisions import DecisionLog
+from ..process.loops import cancel_all
 
 EXIT_CODE = 1
 
@@ -30,10 +31,7 @@
     async def close(self) -> None:
         """Cancel all tasks and wait until they end."""
         self.is_closing = True
-        for task in self.tasks:
-            task.cancel()
-        if self.tasks:
-            await asyncio.wait(self.tasks)
+        await cancel_all(self.tasks)
 
     def _on_end(self, task: asyncio.Task[None]) -> None:
         if self.is_closing or task.cancelled():
--- a/primroserudder/process/loops.py
+++ b/primroserudder/process/loops.py
@@ -10,6 +10,8 @@
 from ..errors import RudderError
 from .metrics import Metrics
 
+CANCEL_INTERVAL_S = 0.5
+
 
 async def repeat(
     step: Callable[[], Awaitable[object]],
@@ -48,12 +50,20 @@
 
 
 async def cancel_all(tasks: Collection[asyncio.Task[Any]]) -> None:
-    """Cancel the unfinished tasks and wait until they have ended."""
-    unfinished = [task for task in tasks if not task.done()]
-    for task in unfinished:
-        task.cancel()
-    if unfinished:
-        await asyncio.wait(unfinished)
+    """Cancel the unfinished tasks and wait until they have ended.
+
+    Explanation
+    ===========
+    A task may miss its cancellation: aiohttp turns one that comes at the
+    moment of a timeout into that timeout. It is cancelled again.
+    """
+    unfinished = {task for task in tasks if not task.done()}
+    while unfinished:
+        for task in unfinished:
+            task.cancel()
+        _, unfinished = await asyncio.wait(
+            unfinished, timeout=CANCEL_INTERVAL_S
+        )
 
 
 def _log_errors(tasks: Collection[asyncio.Task[Any]]) -> None:
--- a/primroserudder/process/tests/test_loops.py
+++ b/primroserudder/process/tests/test_loops.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from ..loops import cancel_on_exit
+from ..loops import cancel_all, cancel_on_exit
 
 
 async def _fail() -> None:
@@ -50,3 +50,25 @@
     async with cancel_on_exit(running):
         await asyncio.sleep(0)
     assert running.cancelled()
+
+
+async def _ignore_first_cancellation(began: asyncio.Event) -> None:
+    # An HTTP client may turn a cancellation at the moment of its own timeout
+    # into that timeout, after which the task goes on.
+    try:
+        began.set()
+        await asyncio.sleep(60)
+    except asyncio.CancelledError:
+        await asyncio.sleep(60)
+
+
+@pytest.mark.looptime
+async def test_task_that_missed_its_cancellation_is_cancelled_again() -> None:
+    began = asyncio.Event()
+    task = asyncio.ensure_future(_ignore_first_cancellation(began))
+    await began.wait()
+    loop = asyncio.get_running_loop()
+    cancelled_at = loop.time()
+    await cancel_all((task,))
+    assert task.cancelled()
+    assert loop.time() - cancelled_at < 2
