Never deliver a part of a response that exceeds the size limit

Cause: reading ended at the limit and went on as if at the end. Change: the response counts as broken, and is no sign of a crash. Test: test_response_over_the_size_limit_is_not_complete, red before (delivered).

--- a/primroserudder/fleet/attempt.py
+++ b/primroserudder/fleet/attempt.py
@@ -171,7 +171,12 @@
     ) -> AttemptResult:
         framing = Framing.of(response)
         body = await response.content.read(MAX_RESPONSE_BYTES)
-        while not response.content.at_eof() and len(body) < MAX_RESPONSE_BYTES:
+        while not response.content.at_eof():
+            if len(body) >= MAX_RESPONSE_BYTES:
+                return self._broken_result(
+                    f'response exceeds {MAX_RESPONSE_BYTES} bytes',
+                    may_have_crashed=False,
+                )
             body += await response.content.read(MAX_RESPONSE_BYTES)
         if not await framing.is_complete():
             return self._broken_result(
--- a/primroserudder/fleet/group_lifecycle.py
+++ b/primroserudder/fleet/group_lifecycle.py
@@ -23,7 +23,6 @@
 # A draining group may finish its streams within this time; after it the head
 # is closed at once and the streams move to other groups.
 MAX_GRACEFUL_CLOSE_S = 3.0
-JOIN_LIMIT_S = 6.0
 
 
 @dataclass(slots=True)
--- a/primroserudder/fleet/tests/test_attempt.py
+++ b/primroserudder/fleet/tests/test_attempt.py
@@ -12,6 +12,7 @@
 
 from ...platform import open_session
 from ...testing.fleetdata import call, route
+from .. import attempt as attempt_module
 from ..attempt import Attempt, AttemptResult, StreamSink
 from ..events import Event
 from ..model import RequestKind, Target
@@ -209,3 +210,18 @@
     result = await Attempt(session, request, target, sink).run()
     await session.close()
     assert result.ending is Ending.NOT_RUN
+
+
+async def test_response_over_the_size_limit_is_not_complete(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # The part within the limit must not pass for the whole response.
+    monkeypatch.setattr(attempt_module, 'MAX_RESPONSE_BYTES', 8)
+
+    def script(writer: asyncio.StreamWriter) -> None:
+        writer.write(HEAD)
+        writer.write(b'Content-Length: 12\r\n\r\ntwelve bytes')
+
+    result = await _attempt(script, is_stream=False)
+    assert result.ending is Ending.UNKNOWN
+    assert not result.may_have_crashed
