Restore the claims of groups once in a tenure

Cause, read in the diff before the landing: if a transaction failed later in a tenure that began after a restore, the claims were read again and replaced by those from before the restore: groups formed since would have lost their claims, and released ones would have got them back. Change: the claims are restored at the first reading only. Void strikes for notices are taken from the end without copying all. Test: test_claims_are_restored_only_once_in_a_tenure, red before.

--- a/primroserudder/fleet/strikes.py
+++ b/primroserudder/fleet/strikes.py
@@ -8,6 +8,7 @@
 is void for good once the content completed or the engine proved to be alive.
 """
 
+import itertools
 from collections import OrderedDict
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
@@ -192,7 +193,7 @@
 
     def shared_void(self) -> tuple[str, ...]:
         """Return the ids of the latest void strikes, for the other VMs."""
-        latest = list(self.void_since)[-MAX_SHARED_STRIKES:]
+        latest = itertools.islice(reversed(self.void_since), MAX_SHARED_STRIKES)
         return tuple(strike.strike_id for strike in latest)
 
     def drop_expired(self) -> None:
--- a/primroserudder/fleet/tenure.py
+++ b/primroserudder/fleet/tenure.py
@@ -45,6 +45,7 @@
     groups_by_name: dict[str, GroupProgress] = field(default_factory=dict)
     is_loaded: bool = False
     _epoch_count: int = 0
+    _are_claims_restored: bool = False
 
     async def load(self) -> None:
         """Read all claims and keep the progress recorded for them."""
@@ -58,8 +59,9 @@
             for claim in claims
             if claim is not None
         }
-        if self.lease.is_after_restore:
+        if self.lease.is_after_restore and not self._are_claims_restored:
             await self._restore_claims()
+            self._are_claims_restored = True
         self.is_loaded = True
 
     def next_formation(
--- a/primroserudder/fleet/tests/test_tenure.py
+++ b/primroserudder/fleet/tests/test_tenure.py
@@ -12,6 +12,7 @@
 from ...process.platform import Transaction, Write
 from ...standins.memory import MemoryPlatform
 from ...testing.fleetdata import engine, formation, group, group_progress
+from ..actions import Release
 from ..claims import encode_claim
 from ..directory import Directory
 from ..listedgroups import UNKNOWN_HEAD
@@ -110,6 +111,22 @@
     assert not await _stored(tenure)
 
 
+async def test_claims_are_restored_only_once_in_a_tenure() -> None:
+    # A transaction fails later, so that the claims are read again.
+    tenure = await _tenure(group(OLD))
+    tenure.inherited = {OLD.name: group_progress(OLD)}
+    await tenure.load()
+    released = tenure.groups_by_name[OLD.name]
+    engines_by_id = group(NEW)
+    tenure.directory.engines_by_id.clear()
+    tenure.directory.engines_by_id.update(engines_by_id)
+    assert await tenure.replace(
+        [(released, Release('left'))], [NEW], engines_by_id
+    )
+    await tenure.load()
+    assert set(tenure.groups_by_name) == {NEW.name}
+
+
 async def test_claims_are_not_touched_without_a_restore() -> None:
     tenure = await _tenure(group(NEW), claimed=(OLD,))
     tenure.lease.is_after_restore = False
