Name the store of strikes and a lost head's missing members plainly

Read as a newcomer: 'struck contents' said nothing of what the class does; it keeps strikes in the store. Names and comments only: StrikeStore, the module strikestore, no_member_listed_since, has_missed_a_member_since.

--- a/primroserudder/fleet/group_lifecycle.py
+++ b/primroserudder/fleet/group_lifecycle.py
@@ -33,7 +33,9 @@
     ===========
     A lease holder that takes over a formation from another one has no record
     of whether the head was ordered to open. ``is_open_ordered`` is therefore
-    true by default. Times are monotonic and in seconds.
+    true by default. Times are monotonic and in seconds: ``first_left_at`` is
+    that of the first acknowledged order to leave, and since
+    ``no_member_listed_since`` no listed member has reported the group.
     """
 
     formation: Formation
@@ -47,7 +49,7 @@
     has_head_left: bool = False
     left_members: set[str] = field(default_factory=set)
     first_left_at: float | None = None
-    none_remains_since: float | None = None
+    no_member_listed_since: float | None = None
     pending_members: set[str] = field(default_factory=set)
     reason: str = ''
 
@@ -74,13 +76,13 @@
         order; one whose join was late may still come back.
         """
         if remaining or not listed:
-            self.none_remains_since = None
-        elif self.none_remains_since is None:
-            self.none_remains_since = now
+            self.no_member_listed_since = None
+        elif self.no_member_listed_since is None:
+            self.no_member_listed_since = now
 
-    def has_lacked_a_member_since(self, moment: float) -> bool:
+    def has_missed_a_member_since(self, moment: float) -> bool:
         """Return whether a member has been missing from before a moment."""
-        times = (self.first_left_at, self.none_remains_since)
+        times = (self.first_left_at, self.no_member_listed_since)
         return any(since is not None and since < moment for since in times)
 
     def note_left(self, engine_id: str, now: float) -> None:
@@ -226,7 +228,7 @@
     remaining = [engine for engine in listed if is_member(engine, formation)]
     progress.note_remaining(listed, remaining, snapshot.now)
     stalled_at = snapshot.now - snapshot.stall_s - STALL_MARGIN_S
-    if progress.has_lacked_a_member_since(stalled_at):
+    if progress.has_missed_a_member_since(stalled_at):
         return [Release('the head has been stalled long enough')]
     return [
         Leave(engine)
--- a/primroserudder/fleet/quarantine.py
+++ b/primroserudder/fleet/quarantine.py
@@ -120,7 +120,7 @@
             # It leaves the list soon, whatever it runs.
             return
         strike = _strike(call, target)
-        reason = self._end_of_engine(strike)
+        reason = self._reason_of_end(strike)
         if reason:
             # A retry must not wait for the next round.
             self._strike(strike, reason)
@@ -158,7 +158,7 @@
         suspicions = tuple(self._suspicions)
         self._suspicions.clear()
         for suspicion in suspicions:
-            reason = self._end_of_engine(suspicion.strike)
+            reason = self._reason_of_end(suspicion.strike)
             if reason:
                 self._strike(suspicion.strike, reason)
             elif suspicion.noted_at > oldest:
@@ -179,8 +179,8 @@
                 self.strikes.void(strike)
                 self.log.note('strike_void', strike=strike.strike_id)
 
-    def _end_of_engine(self, strike: Strike) -> str:
-        """Return how an engine's end shows, empty if it seems to live."""
+    def _reason_of_end(self, strike: Strike) -> str:
+        """Return by what an engine is known to have ended, or ``''``."""
         if not self._is_listed(strike):
             return 'the engine ended without a response'
         if strike.engine_id in self.unreachable():
--- a/primroserudder/fleet/router.py
+++ b/primroserudder/fleet/router.py
@@ -30,7 +30,7 @@
 from .settings import RouterSettings
 from .silent_heads import SilentHeadDetector
 from .site_view import SiteView
-from .struckcontents import StruckContents
+from .strikestore import StrikeStore
 from .supervision import Supervisor
 from .tablerelay import TableRelay
 
@@ -68,7 +68,7 @@
     registry: NodeRegistry = field(init=False)
     control_plane: ControlPlane = field(init=False)
     pool_meter: PoolMeter = field(init=False)
-    struck_contents: StruckContents = field(init=False)
+    strike_store: StrikeStore = field(init=False)
     ports: Ports = field(init=False)
     silent_head_detector: SilentHeadDetector = field(init=False)
     supervisor: Supervisor = field(init=False)
@@ -87,7 +87,7 @@
             self.view.nodes.run(),
             self.view.strikes.run(),
             self.server.quarantine.run(),
-            self.struck_contents.run(),
+            self.strike_store.run(),
             self.exchange.run(),
             self.control_plane.election.run(),
             self.control_plane.reconciler.run(),
@@ -213,7 +213,7 @@
             self._broken_groups,
             self.control_plane.reconciler.reachability.unreachable,
         )
-        self.struck_contents = StruckContents(
+        self.strike_store = StrikeStore(
             store,
             self.view.strikes,
             self.server.quarantine.strikes,
--- a/primroserudder/fleet/site_view.py
+++ b/primroserudder/fleet/site_view.py
@@ -19,7 +19,7 @@
 from .active_configuration import ActiveConfiguration
 from .directory import Directory
 from .model import Configuration
-from .struckcontents import STRIKES_TABLE
+from .strikestore import STRIKES_TABLE
 
 # Long-poll time. A source that stops answering is detected after this time and
 # the call's slack; a configuration change must reach all VMs in two seconds.
--- a/primroserudder/fleet/struckcontents.py
+++ b/primroserudder/fleet/strikestore.py
@@ -1,12 +1,12 @@
-"""Keeps the strikes of suspected contents in the store.
+"""Keeps strikes in the store, for VMs that start or hear no notices.
 
 Explanation
 ===========
-VMs keep nothing when they end, and notices do not reach all of them. A strike
-of a content with at least two is therefore a row of the store as well, which
-all routers follow. A row is written by the VM that saw the crash, or else by
-another VM that knows of it; its key is the strike's id, so that writing it
-again is harmless. A strike that is void has no row.
+VMs keep nothing when they end, and notices do not reach all of them. The
+strikes of a content that has at least two are therefore rows of the store as
+well, which all routers follow. A row is written by the VM that saw the crash,
+or else by another VM that knows of it; its key is the strike's id, so that
+writing it again is harmless. A strike that is void has no row.
 """
 
 import asyncio
@@ -34,7 +34,7 @@
 
 
 @dataclass(slots=True)
-class StruckContents:
+class StrikeStore:
     """Writes the rows of strikes and merges those of other VMs.
 
     Parameters
--- a/primroserudder/process/followedrows.py
+++ b/primroserudder/process/followedrows.py
@@ -26,7 +26,6 @@
 # taken for the newest one.
 KEPT_ROW_REVISION = 1
 
-
 # Orders the contents of one row, for writers that number them in the row.
 RowAge = Callable[[Row], tuple[int, ...]]
 
@@ -144,6 +143,7 @@
         self._advance(page.version)
 
     def _restore(self, page: TablePage) -> None:
+        """Take over a copy, without believing what it shows as older."""
         now = self.clock.monotonic()
         self._grace_until = now + RETURN_GRACE_S
         self._withheld_until = now + WITHHOLDING_S
