Heed engines that announce their leaving or ask to be left alone

Cause: an engine that leaves says so in every response, before the list of engines does, and one that refuses may name a time in which it wants no requests. Neither field was read, so requests went on to both: a planned stop of an engine cut them off, and a full engine was asked again each 0.15 s. Ruled out: waiting for the list, which shows a leaving engine up to seconds later and as ready again after a restore. Change: platform/signals.py decodes the fields; fleet/engine_signals.py marks the incarnation as draining, or leaves it alone for the time named (at most 120 s, malformed times are logged and ignored). A request whose engines all want none for longer than it may wait is refused at once, with that time as Retry-After. The selection of targets moves to fleet/target_selector.py.

--- a/primroserudder/fleet/attempt.py
+++ b/primroserudder/fleet/attempt.py
@@ -9,6 +9,7 @@
 from yarl import URL
 
 from ..platform import headers as wire
+from ..platform.signals import EngineSignals, engine_signals
 from .call import Call
 from .events import Event, EventSplitter
 from .framing import Framing
@@ -99,6 +100,7 @@
     call: Call
     target: Target
     sink: StreamSink
+    on_signals: Callable[[Target, EngineSignals], None]
     activity: StreamActivity = field(default_factory=StreamActivity)
 
     async def run(self) -> AttemptResult:
@@ -149,6 +151,7 @@
         headers = response.headers
         if not wire.echoes_attempt_id(headers, self.call.metadata.attempt_id):
             return self._broken_result('response belongs to another request')
+        self._note_signals(response)
         if wire.confirms_not_run(response.status, headers):
             return AttemptResult(
                 Ending.NOT_RUN,
@@ -163,6 +166,13 @@
             return await self._relay_stream(response)
         return await self._collect(response, is_success=is_success)
 
+    def _note_signals(self, response: aiohttp.ClientResponse) -> None:
+        signals = engine_signals(
+            response.status, response.headers, self.target.engine_id
+        )
+        if signals:
+            self.on_signals(self.target, signals)
+
     async def _collect(
         self,
         response: aiohttp.ClientResponse,
--- a/primroserudder/fleet/attemptrunner.py
+++ b/primroserudder/fleet/attemptrunner.py
@@ -11,6 +11,7 @@
 from ..process.loops import cancel_on_exit
 from .attempt import Attempt, AttemptResult, StreamActivity, StreamSink
 from .call import Call
+from .engine_signals import EngineSignalHandler
 from .health import TargetHealth
 from .model import RequestKind, Target
 from .quarantine import Quarantine
@@ -30,6 +31,7 @@
     session: aiohttp.ClientSession
     health: TargetHealth
     quarantine: Quarantine
+    signals: EngineSignalHandler
     streams_by_head: defaultdict[str, dict[int, StreamActivity]] = field(
         default_factory=lambda: defaultdict(dict),
     )
@@ -41,7 +43,9 @@
         number = call.retry_state.tries + 1
         call.dispatch.open(number)
         with self._tracked_attempt(target) as activity:
-            attempt = Attempt(self.session, call, target, sink, activity)
+            attempt = Attempt(
+                self.session, call, target, sink, self.signals.note, activity
+            )
             with self._noted_if_abandoned(attempt):
                 outcome = await self._run_until_lost(attempt)
         if outcome.ending is Ending.NOT_RUN:
--- a/primroserudder/fleet/directory.py
+++ b/primroserudder/fleet/directory.py
@@ -113,6 +113,22 @@
         incarnation = (engine.engine_id, engine.born_ms)
         return self.last_model_by_id.get(incarnation, '')
 
+    def note_leaving(self, engine_id: str, born_ms: int) -> bool:
+        """Treat an engine's incarnation as draining from now on.
+
+        Explanation
+        ===========
+        Returns whether this is news. The list may show it as ready still.
+        """
+        if self.draining_born_by_id.get(engine_id) == born_ms:
+            return False
+        self.draining_born_by_id[engine_id] = born_ms
+        engine = self.engines_by_id.get(engine_id)
+        if engine is not None:
+            self.engines_by_id[engine_id] = self._keep_draining(engine)
+            self._targets = self._make_targets()
+        return True
+
     def targets(self, service: Service, model: str) -> Sequence[Target]:
         """Return the targets that accept requests for a service's model."""
         wanted = model if service.engine else ''
--- /dev/null
+++ b/primroserudder/fleet/engine_signals.py
@@ -0,0 +1,63 @@
+"""Acts on what engines say of themselves in responses.
+
+Explanation
+===========
+An engine that leaves says so in every response, often before the list of
+engines does. An engine that refuses a request may name a time in which it
+wants no further ones. Both hold for one incarnation of the engine: one that
+the list shows with another start time is a new engine.
+"""
+
+from dataclasses import dataclass
+
+from ..platform.signals import EngineSignals
+from ..process.decisions import DecisionLog
+from .directory import Directory
+from .health import TargetHealth
+from .model import Target
+
+# A longer time is not credible for an engine that is still listed.
+MAX_BACK_OFF_S = 120.0
+
+
+@dataclass(slots=True)
+class EngineSignalHandler:
+    """Excludes engines that leave or back off from new requests."""
+
+    directory: Directory
+    health: TargetHealth
+    log: DecisionLog
+
+    def note(self, target: Target, signals: EngineSignals) -> None:
+        """Record the signals in the header fields of a target's response."""
+        if signals.is_leaving:
+            self._note_leaving(target)
+        if signals.retry_after:
+            self._note_back_off(target, signals)
+
+    def _note_leaving(self, target: Target) -> None:
+        if self.directory.note_leaving(target.engine_id, target.born_ms):
+            self.log.note(
+                'engine_leaving',
+                engine=target.engine_id,
+                born=target.born_ms,
+                group=target.group,
+            )
+
+    def _note_back_off(self, target: Target, signals: EngineSignals) -> None:
+        seconds = signals.retry_after_s
+        if seconds is None:
+            self.log.note(
+                'retry_after_malformed',
+                engine=target.engine_id,
+                text=signals.retry_after,
+            )
+            return
+        back_off_s = min(seconds, MAX_BACK_OFF_S)
+        self.health.note_back_off(target, back_off_s)
+        self.log.note(
+            'engine_backs_off',
+            engine=target.engine_id,
+            seconds=back_off_s,
+            asked_s=seconds,
+        )
--- a/primroserudder/fleet/health.py
+++ b/primroserudder/fleet/health.py
@@ -38,6 +38,9 @@
         default_factory=OrderedDict,
     )
     silent_heads: set[str] = field(default_factory=set)
+    backing_off_until: dict[tuple[str, int], float] = field(
+        default_factory=dict
+    )
     unreachable_at_by_domain: dict[str, dict[str, float]] = field(
         default_factory=dict,
     )
@@ -70,6 +73,28 @@
         if failures >= FAILURES_TO_AVOID:
             self.avoided_until[engine_id] = now + AVOID_UNREACHABLE_S
 
+    def note_back_off(self, target: Target, seconds: float) -> None:
+        """Send no request to a target's incarnation for some seconds."""
+        now = self.clock.monotonic()
+        incarnation = target.engine_id, target.born_ms
+        known_until = self.backing_off_until.get(incarnation, 0)
+        still_current = {
+            other: until
+            for other, until in self.backing_off_until.items()
+            if until > now
+        }
+        self.backing_off_until = {
+            **still_current,
+            incarnation: max(now + seconds, known_until),
+        }
+
+    def back_off_s(self, target: Target) -> float:
+        """Return for how many seconds a target wants no request."""
+        until = self.backing_off_until.get(
+            (target.engine_id, target.born_ms), 0
+        )
+        return max(0, until - self.clock.monotonic())
+
     def is_domain_avoided(self, failure_domain: str) -> bool:
         """Return whether several engines of a domain are unreachable."""
         now = self.clock.monotonic()
--- a/primroserudder/fleet/serverassembly.py
+++ b/primroserudder/fleet/serverassembly.py
@@ -6,6 +6,7 @@
 from ..process.tables import TableFollower
 from .attemptrunner import AttemptRunner
 from .control_plane import RouterContext
+from .engine_signals import EngineSignalHandler
 from .health import TargetHealth
 from .in_flight import InFlightCounts
 from .peeraddresses import PeerAddresses
@@ -13,6 +14,7 @@
 from .retries import RetryBudgets
 from .serving import Server
 from .site_view import SiteView
+from .target_selector import TargetSelector
 
 ENGINE_SESSION_TIMEOUT_S = 60.0
 
@@ -39,10 +41,20 @@
     health = TargetHealth(context.clock)
     session = open_session(ENGINE_SESSION_TIMEOUT_S, reuses_connections=False)
     return Server(
-        context.settings.failure_domain,
-        AttemptRunner(session, health, quarantine),
+        TargetSelector(
+            context.settings.failure_domain,
+            view.directory,
+            in_flight_counts,
+            health,
+            broken_groups,
+        ),
+        AttemptRunner(
+            session,
+            health,
+            quarantine,
+            EngineSignalHandler(view.directory, health, context.log),
+        ),
         context.clock,
-        view.directory,
         in_flight_counts,
         health,
         quarantine,
@@ -52,7 +64,6 @@
             retry_settings.ratio, retry_settings.extra, retry_settings.window_s
         ),
         peers.count,
-        broken_groups,
     )
 
 
--- a/primroserudder/fleet/serving.py
+++ b/primroserudder/fleet/serving.py
@@ -1,8 +1,7 @@
 """Serves a caller's request: slots, attempts and the final result."""
 
 import asyncio
-import random
-from collections.abc import Callable, Collection, Iterator
+from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, field
 
@@ -12,14 +11,13 @@
 from ..process.metrics import Metrics
 from .attempt import AttemptResult, StreamSink
 from .attemptrunner import AttemptRunner
-from .balancing import choose_target
 from .call import Call
-from .directory import Directory
 from .health import TargetHealth
 from .in_flight import InFlightCounts
 from .model import Target
 from .quarantine import Quarantine, Quarantined
 from .retries import Ending, RetryBudgets, Step
+from .target_selector import TargetSelector
 from .waitqueue import RETRY_AFTER_NO_GROUP_S, NoFreeSlot, WaitQueue, max_wait_s
 
 # A pause before each retry, so that a momentary fault of an engine or a
@@ -58,10 +56,9 @@
 class Server:
     """Assigns requests to engines, sends them and retries failed attempts."""
 
-    failure_domain: str
+    selector: TargetSelector
     runner: AttemptRunner
     clock: Clock
-    directory: Directory
     in_flight_counts: InFlightCounts
     health: TargetHealth
     quarantine: Quarantine
@@ -69,8 +66,6 @@
     metrics: Metrics
     budgets: RetryBudgets
     count_vms: Callable[[], int]
-    broken_groups: Callable[[], Collection[str]]
-    rng: random.Random = field(default_factory=random.Random)
     queues_by_pool: dict[str, WaitQueue] = field(default_factory=dict)
 
     async def serve(self, call: Call, sink: StreamSink) -> AttemptResult:
@@ -141,46 +136,21 @@
         if has_run:
             # A request that may have run is retried up to its deadline.
             wait_s = call.remaining_s
-        if not has_run and not self._targets(call):
+        if not has_run and not self.selector.targets(call):
             raise NoFreeSlot(
                 'no group serves the model',
                 retry_after=RETRY_AFTER_NO_GROUP_S,
             )
+        back_off_s = self.selector.back_off_s(call)
+        if back_off_s > wait_s:
+            raise NoFreeSlot(
+                'all engines of the pool want no requests now',
+                retry_after=back_off_s,
+            )
         rank = (0 if has_run else 1, float(call.destination.priority))
         return await queue.acquire(
-            lambda: self._find_target(call), rank, wait_s
-        )
-
-    def _targets(self, call: Call) -> list[Target]:
-        service = call.destination.service
-        broken = self.broken_groups()
-        intact = [
-            target
-            for target in self.directory.targets(service, call.metadata.model)
-            if target.group not in broken or not target.group
-        ]
-        reachable = [
-            target
-            for target in intact
-            if not self.health.is_domain_avoided(target.failure_domain)
-        ]
-        return reachable or intact
-
-    def _find_target(self, call: Call) -> Target | None:
-        targets = self._targets(call)
-        avoided = self.health.avoided() | call.tried_engines
-        chosen = choose_target(
-            targets, self.in_flight_counts.running, self.failure_domain, avoided
+            lambda: self.selector.find(call), rank, wait_s
         )
-        if chosen is None and call.tried_engines:
-            avoided = self.health.avoided()
-            chosen = choose_target(
-                targets,
-                self.in_flight_counts.running,
-                self.failure_domain,
-                avoided,
-            )
-        return chosen
 
     async def _attempt(
         self,
--- a/primroserudder/fleet/tests/test_attempt.py
+++ b/primroserudder/fleet/tests/test_attempt.py
@@ -81,7 +81,9 @@
         session = open_session(5, reuses_connections=False)
         target = Target('i-1', address, 'fd-1', 4)
         sink = StreamSink(start, send_event)
-        result = await Attempt(session, request, target, sink).run()
+        result = await Attempt(
+            session, request, target, sink, lambda *_: None
+        ).run()
         await session.close()
         return result, record
 
@@ -207,7 +209,9 @@
     session = open_session(5, reuses_connections=False)
     target = Target('i-1', '127.0.0.1:1', 'fd-1', 4)
     sink = StreamSink(ignore, ignore)
-    result = await Attempt(session, request, target, sink).run()
+    result = await Attempt(
+        session, request, target, sink, lambda *_: None
+    ).run()
     await session.close()
     assert result.ending is Ending.NOT_RUN
 
--- a/primroserudder/standins/groupengine.py
+++ b/primroserudder/standins/groupengine.py
@@ -25,6 +25,7 @@
 ATTEMPT_ID = 'X-Primroserudder-Attempt-Id'
 SEAL = 'X-Primroserudder-Response-Seal'
 NOT_EXECUTED = 'X-Primroserudder-Not-Executed'
+LEAVING = 'Server-Leaving'
 SERVICE = 'model'
 # Longer than any caller's timeout.
 HANG_S = 60
@@ -59,6 +60,10 @@
     cuts_after_events: int | None = None
     cuts_within_event: bool = False
     refuses: bool = False
+    # Value of the Retry-After field of refusals, none if empty.
+    retry_after: str = ''
+    # Whether responses say that the engine leaves; its entry doesn't.
+    announces_leaving: bool = False
     never_answers: bool = False
     omits_seal: bool = False
     fails_with: int = 0
@@ -92,6 +97,7 @@
     born: int = 1
     running: int = 0
     cancelled: int = 0
+    refused: int = 0
     crashes: int = 0
     is_down: bool = False
     member: GroupMember = field(init=False)
@@ -182,6 +188,7 @@
             return _abort(request)
         refusal = self._refusal(request)
         if refusal is not None:
+            self.refused += 1
             return refusal
         self.received_requests.append(
             ReceivedRequest(
@@ -212,16 +219,21 @@
         if expected not in {None, self.engine_id}:
             return web.Response(status=HTTPStatus.MISDIRECTED_REQUEST)
         if self.faults.refuses or not (self.is_plain or self.is_open()):
+            headers = {NOT_EXECUTED: '1', **_leaving_field(self.faults)}
+            if self.faults.retry_after:
+                headers['Retry-After'] = self.faults.retry_after
             return web.Response(
-                status=HTTPStatus.SERVICE_UNAVAILABLE,
-                headers={NOT_EXECUTED: '1'},
+                status=HTTPStatus.SERVICE_UNAVAILABLE, headers=headers
             )
         return None
 
     async def _answer(self, request: web.Request) -> web.StreamResponse:
         if self.faults.never_answers:
             await asyncio.sleep(HANG_S)
-        headers = {ATTEMPT_ID: request.headers.get(ATTEMPT_ID, '')}
+        headers = {
+            ATTEMPT_ID: request.headers.get(ATTEMPT_ID, ''),
+            **_leaving_field(self.faults),
+        }
         if not self.faults.omits_seal:
             headers[SEAL] = f'seal of {self.engine_id}'
         if self.faults.fails_with:
@@ -266,6 +278,10 @@
         return response
 
 
+def _leaving_field(faults: EngineFaults) -> Mapping[str, str]:
+    return {LEAVING: '1'} if faults.announces_leaving else {}
+
+
 def _abort(request: web.Request) -> web.Response:
     """Reset the connection without a response."""
     if request.transport is not None:
