Place groups by the slots that a model's work occupies

Cause: before traffic the groups of each model were counted by engines: half of the work got half of the engines. All groups have the same slots, so that of models with groups of 16 and of 4 the first got 19 groups and the second 77 on 875 engines, while the first needs two thirds of the slots. Ruled out: correcting it by demand alone; spare engines of a fabric domain seldom suffice for another group of 16. Change: groups follow work x pace (pace is decoded from the configuration); 85 instead of 70 in 100 engines serve at the start, the rest are spares.

--- a/primroserudder/fleet/demand.py
+++ b/primroserudder/fleet/demand.py
@@ -15,7 +15,7 @@
 from .model import EngineSpec, ModelSpec
 
 # Fraction of the engines in the initial groups; the others are spares.
-INITIAL_ENGINE_SHARE = 0.7
+INITIAL_ENGINE_SHARE = 0.85
 # Average fraction of slots in use; the rest is left free for bursts.
 TARGET_SLOT_USE = 0.6
 # Time constant of the exponential decay of a load peak.
@@ -28,28 +28,30 @@
 def initial_groups(spec: EngineSpec, engines: int) -> Mapping[str, float]:
     """Return the wanted number of groups by model before any traffic.
 
+    Explanation
+    ===========
+    All groups have the same number of slots, so that their number follows
+    the slots that a model's work occupies, and not the size of its groups.
+
     Examples
     ========
-    >>> large = ModelSpec('large', 6, 0.67, 16, 1.6)
-    >>> small = ModelSpec('small', 3, 0.33, 12, 1.1)
+    >>> large = ModelSpec('large', 6, 0.67, 16, 1.6, pace=1)
+    >>> small = ModelSpec('small', 3, 0.33, 12, 1.1, pace=0.6)
     >>> models = {model.name: model for model in (large, small)}
     >>> initial_groups(EngineSpec(13, models, 0, 5, 8), 66)
-    {'large': 5, 'small': 5}
+    {'large': 8, 'small': 2}
     """
     models = spec.models_by_name.values()
-    total = sum(model.work_share for model in models) or 1
+    work_by_model = {
+        model.name: model.work_share * model.pace for model in models
+    }
+    engines_per_work = sum(
+        work_by_model[model.name] * model.group_size for model in models
+    )
+    groups_per_work = INITIAL_ENGINE_SHARE * engines / (engines_per_work or 1)
     return {
-        model.name: max(
-            1,
-            round(
-                INITIAL_ENGINE_SHARE
-                * engines
-                * model.work_share
-                / total
-                / model.group_size
-            ),
-        )
-        for model in models
+        name: max(1, round(groups_per_work * work))
+        for name, work in work_by_model.items()
     }
 
 
--- a/primroserudder/fleet/model.py
+++ b/primroserudder/fleet/model.py
@@ -60,7 +60,9 @@
     ===========
     ``load_s`` is the time to load the weights from the weight store;
     ``warm_s`` is what a join takes on top of it, or in all if the weights
-    are on the engine's host.
+    are on the engine's host. ``pace`` is a factor of all times of a group:
+    of two models with equal work, the one with the higher pace needs more
+    slots.
     """
 
     name: str
@@ -68,6 +70,7 @@
     work_share: float
     load_s: float
     warm_s: float
+    pace: float = 1
 
 
 @dataclass(frozen=True, slots=True)
--- a/primroserudder/platform/configuration.py
+++ b/primroserudder/platform/configuration.py
@@ -81,6 +81,8 @@
     share: float = Field(alias='Share', default=1)
     load_s: float = Field(alias='LoadS', default=0)
     warm_s: float = Field(alias='WarmS', default=0)
+    # Factor of all times of the model's groups.
+    pace: float = Field(default=1, gt=0)
 
 
 class _Engine(_Wire):
@@ -208,6 +210,7 @@
                     model.share,
                     model.load_s,
                     model.warm_s,
+                    model.pace,
                 )
                 for model in engine.models
             },
