--- a/primroserudder/fleet/group_reconciler.py
+++ b/primroserudder/fleet/group_reconciler.py
@@ -12,6 +12,7 @@
 from .directory import Directory
 from .engine_inventory import EngineInventory
 from .group_lifecycle import EngineSnapshot, GroupProgress, next_actions
+from .membership import short_key
 from .model import Configuration, EngineSpec, Formation
 from .order_sender import OrderSender
 from .placement import FreeEngine, plan_groups, plan_staging
@@ -55,13 +56,14 @@
             self.wake.clear()
             await _wait_at_most(self.wake, ROUND_INTERVAL_S)
 
-    def probe_groups_of(self, heads: Collection[str]) -> None:
-        """Probe the members of the groups of these silent heads."""
-        if self.tenure is None or not self.lease.is_held():
+    def probe_groups_of(self, head_keys: Collection[int]) -> None:
+        """Probe the members of the groups of silent heads, given by key."""
+        if not head_keys or self.tenure is None or not self.lease.is_held():
             return
         for progress in self.tenure.groups_by_name.values():
             formation = progress.formation
-            if formation.head in heads and not progress.is_dissolving:
+            is_silent = short_key(formation.head) in head_keys
+            if is_silent and not progress.is_dissolving:
                 self.reachability.probe(
                     f'group {formation.name}', formation.members
                 )
--- a/primroserudder/fleet/health.py
+++ b/primroserudder/fleet/health.py
@@ -14,6 +14,7 @@
 
 from ..process.clock import Clock
 from .attempt import NO_CONNECTION, AttemptResult
+from .membership import short_key
 from .model import Target
 from .retries import Ending
 
@@ -34,7 +35,7 @@
     clock: Clock
     avoided_until: dict[str, float] = field(default_factory=dict)
     failures_by_engine: dict[str, int] = field(default_factory=dict)
-    lost_event_by_group: OrderedDict[str, asyncio.Event] = field(
+    lost_event_by_group: OrderedDict[int, asyncio.Event] = field(
         default_factory=OrderedDict,
     )
     silent_heads: set[str] = field(default_factory=set)
@@ -48,15 +49,21 @@
         default_factory=dict
     )
 
-    def avoided(self) -> set[str]:
-        """Return the ids of the engines that get no new requests now."""
-        now = self.clock.monotonic()
-        timed = {
-            engine_id
-            for engine_id, until in self.avoided_until.items()
-            if until > now
+    def is_usable(self, target: Target) -> bool:
+        """Return whether a target may get new requests now."""
+        return not (
+            target.engine_id in self.silent_heads
+            or self._is_avoided(target.engine_id)
+            or self.back_off_s(target)
+        )
+
+    def cut_off_domains(self) -> set[str]:
+        """Return the domains of which several engines are unreachable."""
+        return {
+            domain
+            for domain in self.unreachable_at_by_domain
+            if self.is_domain_avoided(domain)
         }
-        return timed | self.silent_heads
 
     def note(self, target: Target, outcome: AttemptResult, now: float) -> None:
         """Record the result of an attempt at a target."""
@@ -90,6 +97,8 @@
 
     def back_off_s(self, target: Target) -> float:
         """Return for how many seconds a target wants no request."""
+        if not self.backing_off_until:
+            return 0
         until = self.backing_off_until.get(
             (target.engine_id, target.born_ms), 0
         )
@@ -127,20 +136,23 @@
 
     def lost_event(self, group: str) -> asyncio.Event:
         """Return an event that is set once a group is reported broken."""
-        event = self.lost_event_by_group.get(group)
+        return self._lost_event(short_key(group))
+
+    def mark_groups_lost(self, group_keys: Iterable[int]) -> None:
+        """Set the lost events of broken groups, which ends their streams."""
+        for group_key in group_keys:
+            self._lost_event(group_key).set()
+
+    def _lost_event(self, group_key: int) -> asyncio.Event:
+        event = self.lost_event_by_group.get(group_key)
         if event is None:
             event = asyncio.Event()
-            self.lost_event_by_group[group] = event
-        self.lost_event_by_group.move_to_end(group)
+            self.lost_event_by_group[group_key] = event
+        self.lost_event_by_group.move_to_end(group_key)
         while len(self.lost_event_by_group) > MAX_LOST_GROUPS:
             self.lost_event_by_group.popitem(last=False)
         return event
 
-    def mark_groups_lost(self, groups: Iterable[str]) -> None:
-        """Set the lost events of broken groups, which ends their streams."""
-        for group in groups:
-            self.lost_event(group).set()
-
     def _note_not_run(
         self,
         target: Target,
@@ -156,3 +168,7 @@
         else:
             avoid_s = AVOID_REFUSING_S
         self.avoided_until[target.engine_id] = now + avoid_s
+
+    def _is_avoided(self, engine_id: str) -> bool:
+        until = self.avoided_until.get(engine_id)
+        return until is not None and until > self.clock.monotonic()
--- a/primroserudder/fleet/membership/in_flight.py
+++ b/primroserudder/fleet/membership/in_flight.py
@@ -1,63 +1,124 @@
-"""Counts in-flight requests per engine over all VMs of the site."""
+"""Counts in-flight requests per engine over all VMs of the site.
+
+Explanation
+===========
+The sums over the other VMs are kept as their notices arrive, so that a choice
+among targets costs the same however many VMs there are.
+"""
 
 from collections import Counter
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
-from ..process.clock import Clock
-
-# A peer's last report counts for this long.
-PEER_LIFETIME_S = 1.0
-
+from .keys import short_key
 
-@dataclass(frozen=True, slots=True)
-class PeerLoad:
-    """In-flight and waiting requests that another VM reported."""
-
-    running_by_engine: Mapping[str, int]
-    waiting_by_pool: Mapping[str, int]
-    received_at: float
+Counts = Mapping[int, int]
 
 
 @dataclass(slots=True)
 class InFlightCounts:
-    """In-flight requests of this VM and those last reported by its peers."""
+    """In-flight requests of this VM, and the sums over the other VMs.
+
+    Parameters
+    ==========
+    running_by_engine : Counter
+        This VM's in-flight requests by engine id.
+    waiting_by_pool : Counter
+        This VM's waiting requests by pool.
+    others_running : dict
+        In-flight requests of the other VMs by the key of the engine.
+    others_waiting : dict
+        Waiting requests of the other VMs by the key of the pool.
+    changes : int
+        Rises with each change of a count.
+    """
 
-    clock: Clock
     running_by_engine: Counter[str] = field(default_factory=Counter)
     waiting_by_pool: Counter[str] = field(default_factory=Counter)
-    loads_by_peer: dict[str, PeerLoad] = field(default_factory=dict)
+    others_running: dict[int, int] = field(default_factory=dict)
+    others_waiting: dict[int, int] = field(default_factory=dict)
+    changes: int = 0
 
     def begin(self, engine_id: str) -> None:
         """Count a request that starts at an engine."""
         self.running_by_engine[engine_id] += 1
+        self.changes += 1
 
     def end(self, engine_id: str) -> None:
         """Count a request that ended at an engine."""
         self.running_by_engine[engine_id] -= 1
         if not self.running_by_engine[engine_id]:
             self.running_by_engine.pop(engine_id)
+        self.changes += 1
+
+    def begin_wait(self, pool: str) -> None:
+        """Count a request that starts to wait for a slot of a pool."""
+        self.waiting_by_pool[pool] += 1
+        self.changes += 1
+
+    def end_wait(self, pool: str) -> None:
+        """Count a request that stops waiting."""
+        self.waiting_by_pool[pool] -= 1
+        self.changes += 1
 
     def running(self, engine_id: str) -> int:
         """Return the in-flight requests at an engine, as last reported."""
-        now = self.clock.monotonic()
-        return self.running_by_engine[engine_id] + sum(
-            load.running_by_engine.get(engine_id, 0)
-            for load in self.loads_by_peer.values()
-            if now - load.received_at < PEER_LIFETIME_S
+        return self.running_by_engine[engine_id] + self.others_running.get(
+            short_key(engine_id), 0
         )
 
-    def waiting_now(self) -> Mapping[str, int]:
-        """Return the number of waiting requests on this VM by pool."""
-        return {
-            pool: count for pool, count in self.waiting_by_pool.items() if count
-        }
-
     def waiting(self, pool: str) -> int:
         """Return the number of requests that wait for a pool on all VMs."""
-        now = self.clock.monotonic()
-        return self.waiting_by_pool[pool] + sum(
-            load.waiting_by_pool.get(pool, 0)
-            for load in self.loads_by_peer.values()
-            if now - load.received_at < PEER_LIFETIME_S
+        return self.waiting_by_pool[pool] + self.others_waiting.get(
+            short_key(pool), 0
         )
+
+    def own_running(self) -> dict[int, int]:
+        """Return this VM's in-flight requests by the key of the engine."""
+        return {
+            short_key(engine_id): count
+            for engine_id, count in self.running_by_engine.items()
+        }
+
+    def own_waiting(self) -> dict[int, int]:
+        """Return this VM's waiting requests by the key of the pool."""
+        return {
+            short_key(pool): count
+            for pool, count in self.waiting_by_pool.items()
+            if count
+        }
+
+    def replace_running(self, before: Counts, now: Counts) -> None:
+        """Replace what some other VMs reported as running."""
+        self._replace(self.others_running, before, now)
+
+    def replace_waiting(self, before: Counts, now: Counts) -> None:
+        """Replace what some other VMs reported as waiting."""
+        self._replace(self.others_waiting, before, now)
+
+    def _replace(
+        self, sums: dict[int, int], before: Counts, now: Counts
+    ) -> None:
+        if before == now:
+            return
+        self.changes += 1
+        add_counts(sums, before, -1)
+        add_counts(sums, now)
+
+
+def add_counts(sums: dict[int, int], added: Counts, sign: int = 1) -> None:
+    """Add counts to sums, and drop the sums that become zero.
+
+    Examples
+    ========
+    >>> sums = {1: 2, 2: 1}
+    >>> add_counts(sums, {2: 1, 3: 4}, -1)
+    >>> sums
+    {1: 2, 3: -4}
+    """
+    for key, count in added.items():
+        total = sums.get(key, 0) + sign * count
+        if total:
+            sums[key] = total
+        else:
+            sums.pop(key, None)
--- /dev/null
+++ b/primroserudder/fleet/membership/link.py
@@ -0,0 +1,180 @@
+"""What a neighbour sent last, and what was sent to it."""
+
+import itertools
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import dataclass, field
+
+from .in_flight import Counts, InFlightCounts
+from .notice import Facts, LoadPart, Notice, Strikes
+
+UNCHANGED_RESEND_INTERVAL_S = 0.3
+# A lease claim that is fresher by this much is sent on before that.
+CLAIM_FRESHNESS_MS = 120
+MS_PER_S = 1000
+KEYS_PER_PART = 100
+MAX_STRIKES = 6
+
+
+@dataclass(slots=True)
+class Outbox:
+    """What was sent to a neighbour last, and when."""
+
+    sent_at: float = float('-inf')
+    _loads_sent_at: float = float('-inf')
+    _facts: Facts | None = None
+    _loads_by_part: dict[int, LoadPart] = field(default_factory=dict)
+    _strikes: set[str] = field(default_factory=set)
+    _turns: 'itertools.count[int]' = field(default_factory=itertools.count)
+
+    def due_parts(
+        self, parts: Sequence[LoadPart], facts: Facts, now: float
+    ) -> Sequence[LoadPart]:
+        """Return the parts to send now: the changed ones, or all in turn."""
+        changed = [
+            part
+            for part in parts
+            if self._loads_by_part.get(part.number) != part
+        ]
+        if changed:
+            return changed
+        if now - self._loads_sent_at >= UNCHANGED_RESEND_INTERVAL_S:
+            return parts
+        return parts[:1] if self._has_news(facts, now) else ()
+
+    def next_strikes(self, known: Strikes) -> Strikes:
+        """Return some strikes for the next notice, unsent ones first."""
+        return Strikes(self._pick(known.struck), self._pick(known.void))
+
+    def has_unsent(self, known: Strikes) -> bool:
+        """Return whether there are strikes that were never sent."""
+        ids = itertools.chain(known.struck, known.void)
+        return any(strike not in self._strikes for strike in ids)
+
+    def is_overdue(self, now: float) -> bool:
+        """Return whether the neighbour must hear of this VM again."""
+        return now - self.sent_at >= UNCHANGED_RESEND_INTERVAL_S
+
+    def record_sent(
+        self, facts: Facts, load: LoadPart | None, strikes: Strikes, now: float
+    ) -> None:
+        """Record that a notice was sent."""
+        self.sent_at = now
+        self._facts = facts
+        self._strikes.update(strikes.struck, strikes.void)
+        if load is not None:
+            self._loads_sent_at = now
+            self._loads_by_part[load.number] = load
+
+    def _has_news(self, facts: Facts, now: float) -> bool:
+        sent = self._facts
+        if sent is None or not facts.equals_except_age(sent):
+            return True
+        if not facts.lease_claim:
+            return False
+        age_ms = sent.claim_age_ms + (now - self.sent_at) * MS_PER_S
+        return facts.claim_age_ms < age_ms - CLAIM_FRESHNESS_MS
+
+    def _pick(self, ids: Sequence[str]) -> tuple[str, ...]:
+        unsent = [strike for strike in ids if strike not in self._strikes]
+        if unsent or len(ids) <= MAX_STRIKES:
+            return tuple((unsent or ids)[:MAX_STRIKES])
+        first = next(self._turns) * MAX_STRIKES
+        places = range(first, first + MAX_STRIKES)
+        return tuple(ids[place % len(ids)] for place in places)
+
+
+@dataclass(slots=True)
+class Link:
+    """The state of one neighbour of this VM in the tree of routers."""
+
+    address: str
+    counts: InFlightCounts
+    facts: Facts = Facts()
+    received_at: float = 0
+    outbox: Outbox = field(default_factory=Outbox)
+    _last: tuple[int, int] = (0, 0)
+    _running_by_part: dict[int, Counts] = field(default_factory=dict)
+    _parts: int = 1
+    _waiting: Counts = field(default_factory=dict)
+
+    def receive(self, notice: Notice, now: float) -> bool:
+        """Take over a notice; return whether it is newer than the last."""
+        stamp = notice.incarnation, notice.sequence
+        if stamp <= self._last:
+            return False
+        self._last = stamp
+        self.received_at = now
+        self.facts = notice.facts
+        if notice.load is not None:
+            self._receive_load(notice.load)
+        return True
+
+    def aged_facts(self, now: float) -> Facts:
+        """Return the facts with the lease claim's age as of now."""
+        if not self.facts.lease_claim:
+            return self.facts
+        facts = self.facts
+        elapsed_ms = int((now - self.received_at) * MS_PER_S)
+        return Facts(
+            facts.lease_claim,
+            facts.claim_age_ms + elapsed_ms,
+            facts.lease_given_up,
+            facts.reaches_store,
+            facts.has_traffic,
+            facts.store_era,
+            facts.versions,
+            facts.silent_heads,
+            facts.broken_groups,
+        )
+
+    def running(self) -> Iterable[Counts]:
+        """Return the neighbour's counts of running requests, by part."""
+        return self._running_by_part.values()
+
+    def waiting(self) -> Counts:
+        """Return the neighbour's counts of waiting requests."""
+        return self._waiting
+
+    def drop(self) -> None:
+        """Take what the neighbour reported out of the sums."""
+        for running in self._running_by_part.values():
+            self.counts.replace_running(running, {})
+        self.counts.replace_waiting(self._waiting, {})
+        self._running_by_part = {}
+        self._waiting = {}
+
+    def _receive_load(self, load: LoadPart) -> None:
+        if load.total != self._parts:
+            self.drop()
+            self._parts = load.total
+        before = self._running_by_part.get(load.number, {})
+        self.counts.replace_running(before, load.running)
+        self._running_by_part[load.number] = load.running
+        if not load.number:
+            self.counts.replace_waiting(self._waiting, load.waiting)
+            self._waiting = load.waiting
+
+
+def load_parts(
+    running: Mapping[int, int], waiting: Mapping[int, int]
+) -> list[LoadPart]:
+    """Return counts in parts that each fit a notice.
+
+    Examples
+    ========
+    >>> [part.total for part in load_parts({1: 2}, {})]
+    [1]
+    >>> parts = load_parts(dict.fromkeys(range(150), 1), {})
+    >>> [(part.number, len(part.running)) for part in parts]
+    [(0, 75), (1, 75)]
+    """
+    total = 1
+    while total * KEYS_PER_PART < len(running):
+        total *= 2
+    running_by_part: list[dict[int, int]] = [{} for _ in range(total)]
+    for key, count in running.items():
+        running_by_part[key % total][key] = count
+    return [
+        LoadPart(number, total, part, {} if number else dict(waiting))
+        for number, part in enumerate(running_by_part)
+    ]
--- a/primroserudder/fleet/membership/nodes.py
+++ b/primroserudder/fleet/membership/nodes.py
@@ -3,11 +3,11 @@
 import asyncio
 from dataclasses import dataclass
 
-from ..errors import RudderError
-from ..process.decisions import DecisionLog
-from ..process.platform import PlatformClient, Transaction, Write
-from ..process.tables import TableFollower
-from .peeraddresses import PeerAddresses
+from ...errors import RudderError
+from ...process.decisions import DecisionLog
+from ...process.platform import PlatformClient, Row, Transaction, Write
+from ...process.tables import TableFollower
+from .peeraddresses import Peer, PeerAddresses
 
 NODES_PREFIX = 'nodes/'
 RETRY_INTERVAL_S = 1.0
@@ -19,7 +19,7 @@
 
     Explanation
     ===========
-    An outdated address costs only one datagram a second, because liveness
+    An outdated address costs only a few datagrams a second, because liveness
     is derived from notices alone.
     """
 
@@ -42,7 +42,12 @@
         """
         key = NODES_PREFIX + self.peers.own_address
         own = Write(
-            key, {'node': self.node, 'domain': self.peers.failure_domain}
+            key,
+            {
+                'node': self.node,
+                'domain': self.peers.failure_domain,
+                'speed': self.peers.own_speed,
+            },
         )
         while True:
             if not self.nodes.rows.is_stored(key):
@@ -56,9 +61,17 @@
             self.log.note('node_not_written', reason=str(error))
 
     def _update_peers(self) -> None:
-        self.peers.add_addresses(
+        self.peers.add(
             {
-                key.removeprefix(NODES_PREFIX): str(row.fields.get('domain'))
+                key.removeprefix(NODES_PREFIX): _peer(row)
                 for key, row in self.nodes.rows_by_key.items()
             }
         )
+
+
+def _peer(row: Row) -> Peer:
+    speed = row.fields.get('speed')
+    return Peer(
+        str(row.fields.get('domain')),
+        float(speed) if isinstance(speed, int | float) else 0,
+    )
--- a/primroserudder/fleet/membership/notice.py
+++ b/primroserudder/fleet/membership/notice.py
@@ -1,120 +1,201 @@
-"""Notices: state that routers send to each other several times a second."""
+"""Notices: state that neighbours in the tree of routers send to each other."""
 
 import enum
-from collections import Counter
+import itertools
 from collections.abc import Iterable, Mapping
 
-from pydantic import BaseModel, ConfigDict
+import msgspec
 
+# Fits a datagram into one packet on every usual network.
+MAX_DATAGRAM_BYTES = 1200
+# Lists longer than this are cut; a notice has room for each of them.
+MAX_LISTED = 50
 
-class Scope(enum.StrEnum):
-    """Whose state a notice contains."""
 
-    VM = 'vm'
-    FAILURE_DOMAIN = 'domain'
+class Direction(enum.IntEnum):
+    """Which way a notice goes in the tree."""
 
+    TO_PARENT = 0
+    TO_CHILD = 1
+    # Between the representatives of two failure domains.
+    TO_DOMAIN = 2
+    # To a VM that may become the sender's parent, and its answer.
+    QUESTION = 3
+    ANSWER = 4
 
-class Notice(BaseModel):
-    """The state of one VM, or of all VMs of a failure domain.
+
+class Facts(msgspec.Struct, frozen=True, array_like=True):
+    """What all VMs on the sender's side of a link know together.
 
     Parameters
     ==========
-    running : Mapping
-        Number of in-flight requests by engine.
-    waiting : Mapping
-        Number of queued requests by pool.
-    silent_heads : tuple of str
-        Group heads whose streams have all stalled.
-    broken_groups : tuple of str
-        Groups that the lease holder found broken.
     lease_claim : str
-        Token of the lease holder's last renewal; empty if it is stale.
+        Token of the lease holder's last renewal; empty if unknown.
+    claim_age_ms : int
+        How long ago the holder stated that claim, in milliseconds.
     lease_given_up : str
-        Token of a lease that the sender held and released.
+        Token of a lease that a VM held and released.
     reaches_store : bool
-        Whether the sender's copies of the store's tables are up to date.
-    struck : tuple of str
-        Ids of the strikes that the sender knows, see ``strikes``.
-    void_strikes : tuple of str
-        Ids of the strikes that the sender found void last.
+        Whether a VM's copies of the store's tables are up to date.
     has_traffic : bool
-        Whether the site has received requests since the sender started.
-    versions : Mapping
-        Revision of the newest row that the sender has, by table of the store.
+        Whether the site has received requests.
     store_era : int
         How often the store had come back from a copy at these revisions.
+    versions : dict
+        Revision of the newest row that a VM has, by table of the store.
+    silent_heads : tuple of int
+        Keys of the group heads whose streams have all stalled.
+    broken_groups : tuple of int
+        Keys of the groups that the lease holder found broken.
     """
 
-    model_config = ConfigDict(frozen=True, extra='ignore')
-
-    scope: Scope = Scope.VM
-    node: str
-    failure_domain: str = ''
-    address: str
-    sequence: int
-    running: Mapping[str, int] = {}
-    waiting: Mapping[str, int] = {}
-    silent_heads: tuple[str, ...] = ()
-    broken_groups: tuple[str, ...] = ()
     lease_claim: str = ''
+    claim_age_ms: int = 0
     lease_given_up: str = ''
     reaches_store: bool = False
-    struck: tuple[str, ...] = ()
-    void_strikes: tuple[str, ...] = ()
     has_traffic: bool = False
-    versions: Mapping[str, int] = {}
     store_era: int = 0
+    versions: dict[str, int] = {}
+    silent_heads: tuple[int, ...] = ()
+    broken_groups: tuple[int, ...] = ()
 
-    def equals_except_sequence(self, other: 'Notice | None') -> bool:
-        """Return whether two notices differ at most in their sequence."""
+    def equals_except_age(self, other: 'Facts | None') -> bool:
+        """Return whether two facts differ at most in the claim's age."""
         if other is None:
             return False
-        return self.model_copy(update={'sequence': other.sequence}) == other
+        return other == msgspec.structs.replace(
+            self, claim_age_ms=other.claim_age_ms
+        )
+
+
+class Strikes(msgspec.Struct, frozen=True, array_like=True):
+    """Ids of some strikes that the sender knows, and of some void ones."""
+
+    struck: tuple[str, ...] = ()
+    void: tuple[str, ...] = ()
+
+
+class LoadPart(msgspec.Struct, frozen=True, array_like=True):
+    """Part ``number`` of ``total`` of the requests on a side of a link.
+
+    Explanation
+    ===========
+    ``running`` is the number of in-flight requests by the key of the engine,
+    ``waiting`` of queued requests by the key of the pool. Keys without
+    requests are left out. An engine is in the part given by its key modulo
+    ``total``; waiting requests are in the first part.
+    """
+
+    number: int = 0
+    total: int = 1
+    running: dict[int, int] = {}
+    waiting: dict[int, int] = {}
+
+
+class Notice(msgspec.Struct, frozen=True, array_like=True):
+    """A datagram from one router to another.
+
+    Parameters
+    ==========
+    incarnation : int
+        Start time of the sender's process in nanoseconds.
+    sequence : int
+        Rises with each notice of an incarnation.
+    speed : float
+        Processor speed of the sender's VM, which orders the tree.
+    load : LoadPart or None
+        ``None`` in questions and answers.
+    rank : int
+        The receiver's rank in its failure domain, for a child.
+    ancestors : tuple of str
+        Addresses of the sender's parent, next ancestor and root.
+    backup : str
+        Address of the root's first child, which reads the store itself while
+        the root can't.
+    redirect : str
+        Address of the VM that the receiver should have as its parent.
+    is_leaving : bool
+        Whether the sender is no child of the receiver any more.
+    origin : str
+        Address of the representative that sent it, for other domains.
+    """
+
+    direction: Direction
+    incarnation: int
+    sequence: int
+    failure_domain: str
+    speed: float = 0
+    facts: Facts = Facts()
+    strikes: Strikes = Strikes()
+    load: LoadPart | None = None
+    rank: int = 0
+    ancestors: tuple[str, ...] = ()
+    backup: str = ''
+    redirect: str = ''
+    is_leaving: bool = False
+    origin: str = ''
+
+
+class UnreadableNotice(ValueError):
+    """A datagram is not a notice of this version."""
+
+
+_DECODER = msgspec.msgpack.Decoder(Notice)
+_ENCODER = msgspec.msgpack.Encoder()
+
+
+def encode_notice(notice: Notice) -> bytes:
+    """Return the datagram of a notice."""
+    return _ENCODER.encode(notice)
+
+
+def decode_notice(packet: bytes) -> Notice:
+    """Return the notice in a datagram.
+
+    Raises
+    ======
+    UnreadableNotice
+        The bytes are no notice of this version.
+    """
+    try:
+        return _DECODER.decode(packet)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise UnreadableNotice(str(error)) from error
 
 
-def summarize(own: Notice, peers: Iterable[Notice]) -> Notice:
-    """Return one notice that summarizes all VMs of a failure domain.
+def merge_facts(facts: Iterable[Facts]) -> Facts:
+    """Return what several sides know together.
 
     Examples
     ========
-    >>> first = Notice(node='a', address='x', sequence=1, running={'e': 1})
-    >>> second = Notice(node='b', address='y', sequence=7, running={'e': 2})
-    >>> summarize(first, [second]).running
-    {'e': 3}
+    >>> old = Facts(lease_claim='a/1', claim_age_ms=400)
+    >>> new = Facts(lease_claim='a/2', claim_age_ms=90, has_traffic=True)
+    >>> merged = merge_facts([old, new])
+    >>> merged.lease_claim, merged.claim_age_ms, merged.has_traffic
+    ('a/2', 90, True)
     """
-    notices = (own, *peers)
-    era = max(notice.store_era for notice in notices)
-    return Notice(
-        scope=Scope.FAILURE_DOMAIN,
-        node=own.node,
-        failure_domain=own.failure_domain,
-        address=own.address,
-        sequence=own.sequence,
-        running=_sum(notice.running for notice in notices),
-        waiting=_sum(notice.waiting for notice in notices),
-        silent_heads=_union(notice.silent_heads for notice in notices),
-        broken_groups=_union(notice.broken_groups for notice in notices),
-        lease_claim=max(notice.lease_claim for notice in notices),
-        lease_given_up=max(notice.lease_given_up for notice in notices),
-        reaches_store=any(notice.reaches_store for notice in notices),
-        struck=_union(notice.struck for notice in notices),
-        void_strikes=_union(notice.void_strikes for notice in notices),
-        has_traffic=any(notice.has_traffic for notice in notices),
-        versions=_newest(
-            notice.versions for notice in notices if notice.store_era == era
-        ),
-        store_era=era,
+    known = tuple(facts)
+    claims = [each for each in known if each.lease_claim]
+    claim = min(claims, key=_claim_age, default=Facts())
+    era = max((each.store_era for each in known), default=0)
+    return Facts(
+        claim.lease_claim,
+        claim.claim_age_ms,
+        max((each.lease_given_up for each in known), default=''),
+        any(each.reaches_store for each in known),
+        any(each.has_traffic for each in known),
+        era,
+        _newest(each.versions for each in known if each.store_era == era),
+        _union(each.silent_heads for each in known),
+        _union(each.broken_groups for each in known),
     )
 
 
-def _sum(counts: Iterable[Mapping[str, int]]) -> Mapping[str, int]:
-    total = Counter[str]()
-    for part in counts:
-        total.update(part)
-    return dict(total)
+def _claim_age(facts: Facts) -> int:
+    return facts.claim_age_ms
 
 
-def _newest(parts: Iterable[Mapping[str, int]]) -> Mapping[str, int]:
+def _newest(parts: Iterable[Mapping[str, int]]) -> dict[str, int]:
     newest: dict[str, int] = {}
     for part in parts:
         for table, version in part.items():
@@ -122,5 +203,6 @@
     return newest
 
 
-def _union(parts: Iterable[tuple[str, ...]]) -> tuple[str, ...]:
-    return tuple(sorted({name for part in parts for name in part}))
+def _union(parts: Iterable[tuple[int, ...]]) -> tuple[int, ...]:
+    keys = sorted(set(itertools.chain.from_iterable(parts)))
+    return tuple(keys[:MAX_LISTED])
--- a/primroserudder/fleet/membership/peeraddresses.py
+++ b/primroserudder/fleet/membership/peeraddresses.py
@@ -1,94 +1,88 @@
-"""Addresses of the other routers, and the choice of notice recipients."""
+"""Addresses of the other routers, and their order within a domain."""
 
-import itertools
 from collections import defaultdict
-from collections.abc import Iterator, Mapping, Sequence
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 
-REPRESENTATIVE_TIMEOUT_S = 1.0
+OrderKey = tuple[float, str]
+
+
+@dataclass(frozen=True, slots=True)
+class Peer:
+    """A router as its row in the store describes it.
+
+    Explanation
+    ===========
+    ``speed`` is the processor speed of its VM, in cores.
+    """
+
+    failure_domain: str
+    speed: float = 0
 
 
 @dataclass(slots=True)
 class PeerAddresses:
-    """Addresses of the other routers by failure domain.
+    """The other routers by address, faster VMs before slower ones.
 
     Explanation
     ===========
-    Within a failure domain every VM sends notices to every other VM. Only
-    the domain's representative sends to other domains: to each domain's
-    current representative and, round robin, to one more VM there, so that
-    a new representative also receives notices.
+    All VMs order the routers of a domain in the same way, also while they
+    know different ones: the order of two depends on these two alone.
     """
 
     own_address: str
     failure_domain: str
-    _domains_by_address: dict[str, str] = field(default_factory=dict)
-    _representative_seen_at_by_domain: defaultdict[str, dict[str, float]] = (
-        field(
-            default_factory=lambda: defaultdict(dict),
-        )
-    )
-    _round_robin: Iterator[int] = field(default_factory=itertools.count)
-
-    def add_addresses(self, domains_by_address: Mapping[str, str]) -> None:
-        """Add addresses that were read from the store."""
-        self._domains_by_address.update(domains_by_address)
-        self._domains_by_address.pop(self.own_address, None)
-
-    def note_representative(
-        self, address: str, domain: str, now: float
-    ) -> None:
-        """Record the representative of another failure domain."""
-        self._representative_seen_at_by_domain[domain][address] = now
-        self._domains_by_address.setdefault(address, domain)
+    own_speed: float = 0
+    _peers_by_address: dict[str, Peer] = field(default_factory=dict)
+    _earlier: Sequence[str] | None = None
+
+    def add(self, peers_by_address: Mapping[str, Peer]) -> None:
+        """Add routers that were read from the store or sent a notice."""
+        before = len(self._peers_by_address)
+        self._peers_by_address.update(peers_by_address)
+        self._peers_by_address.pop(self.own_address, None)
+        if len(self._peers_by_address) != before:
+            self._earlier = None
+
+    def knows(self, address: str) -> bool:
+        """Return whether a router is known."""
+        return address in self._peers_by_address
 
     def count(self) -> int:
         """Return the number of known VMs, including this one."""
-        return len(self._domains_by_address) + 1
+        return len(self._peers_by_address) + 1
+
+    def order_key(self, address: str) -> OrderKey:
+        """Return what orders the routers, lower first."""
+        if address == self.own_address:
+            return -self.own_speed, address
+        peer = self._peers_by_address.get(address)
+        return (0 if peer is None else -peer.speed), address
+
+    def is_earlier(self, address: str) -> bool:
+        """Return whether a router comes before this one in the order."""
+        return self.order_key(address) < self.order_key(self.own_address)
+
+    def earlier_neighbours(self) -> Sequence[str]:
+        """Return the domain's routers before this one, the first first."""
+        if self._earlier is None:
+            earlier = filter(self.is_earlier, self.neighbours())
+            self._earlier = sorted(earlier, key=self.order_key)
+        return self._earlier
 
     def neighbours(self) -> Sequence[str]:
         """Return the addresses of the other VMs in this failure domain."""
         return [
             address
-            for address, domain in self._domains_by_address.items()
-            if domain == self.failure_domain
+            for address, peer in self._peers_by_address.items()
+            if peer.failure_domain == self.failure_domain
         ]
 
-    def remote_recipients(self, now: float) -> Sequence[str]:
-        """Return the addresses to notify in the other failure domains."""
-        turn = next(self._round_robin)
-        recipients: list[str] = []
-        for domain, addresses in self._remote_addresses_by_domain().items():
-            next_address = addresses[turn % len(addresses)]
-            representative = self._representative(domain, now) or next_address
-            recipients.extend({representative, next_address})
-        return recipients
-
-    def is_in_own_domain(self, address: str) -> bool:
-        """Return whether an address is in this VM's failure domain."""
-        return self._domains_by_address.get(address) == self.failure_domain
-
-    def _representative(self, domain: str, now: float) -> str:
-        """Return a domain's recent representative with the lowest address.
-
-        Explanation
-        ===========
-        A domain can have several representatives for a moment, because each
-        VM acts as one after its start until it receives its neighbours'
-        notices. Returns an empty string if there was none recently.
-        """
-        recent = (
-            address
-            for address, at in self._representative_seen_at_by_domain[
-                domain
-            ].items()
-            if now - at < REPRESENTATIVE_TIMEOUT_S
-        )
-        return min(recent, default='')
-
-    def _remote_addresses_by_domain(self) -> Mapping[str, Sequence[str]]:
+    def remote_addresses_by_domain(self) -> Mapping[str, Sequence[str]]:
+        """Return the routers of the other failure domains, in order."""
         addresses_by_domain: defaultdict[str, list[str]] = defaultdict(list)
-        for address, domain in sorted(self._domains_by_address.items()):
+        for address in sorted(self._peers_by_address, key=self.order_key):
+            domain = self._peers_by_address[address].failure_domain
             if domain != self.failure_domain:
                 addresses_by_domain[domain].append(address)
         return addresses_by_domain
--- a/primroserudder/fleet/membership/tests/test_exchange.py
+++ b/primroserudder/fleet/membership/tests/test_exchange.py
@@ -1,161 +1,205 @@
 """Notices reach every VM; a VM's traffic does not grow with the site."""
 
-from collections import Counter
-from dataclasses import dataclass, field
+import itertools
 
 import pytest
 
-from ...testing.fleetdata import ManualClock
-from ..exchange import NOTICE_TIMEOUT_S, Exchange
-from ..in_flight import InFlightCounts
-from ..notice import Notice
-from ..peeraddresses import PeerAddresses
-
-TICK_S = 0.04
-
-
-@dataclass(slots=True)
-class _Socket:
-    """Passes datagrams to the simulated network."""
-
-    sender: str
-    network: '_Network'
-
-    def sendto(self, packet: bytes, target: tuple[str, int]) -> None:
-        host, port = target
-        self.network.deliver(self.sender, f'{host}:{port}', packet)
-
-    def close(self) -> None:
-        """Do nothing."""
-
-
-@dataclass(slots=True)
-class _Network:
-    """Delivers datagrams at once, except from and to silenced VMs."""
-
-    clock: ManualClock = field(default_factory=ManualClock)
-    exchanges_by_address: dict[str, Exchange] = field(default_factory=dict)
-    silenced: set[str] = field(default_factory=set)
-    sent: Counter[str] = field(default_factory=Counter)
-    sent_to_other_domains: Counter[str] = field(default_factory=Counter)
-
-    def add(self, address: str, domain: str) -> InFlightCounts:
-        host, _, port = address.rpartition(':')
-        counts = InFlightCounts(self.clock)
-
-        def make_notice(sequence: int) -> Notice:
-            return Notice(
-                node=address,
-                failure_domain=domain,
-                address=address,
-                sequence=sequence,
-                running=dict(counts.running_by_engine),
-                lease_claim='claim/1' if address.endswith('1:7') else '',
-            )
-
-        peers = PeerAddresses(address, domain)
-        exchange = Exchange(
-            (host, int(port)), peers, self.clock, counts, make_notice
-        )
-        exchange._transport = _Socket(address, self)  # type: ignore[assignment]
-        self.exchanges_by_address[address] = exchange
-        return counts
-
-    def deliver(self, sender: str, target: str, packet: bytes) -> None:
-        self.sent[sender] += 1
-        is_same_domain = self.exchanges_by_address[
-            sender
-        ].peers.is_in_own_domain(target)
-        self.sent_to_other_domains[sender] += not is_same_domain
-        if sender in self.silenced or target in self.silenced:
-            return
-        host, _, port = sender.rpartition(':')
-        self.exchanges_by_address[target].datagram_received(
-            packet, (host, int(port))
-        )
-
-    def tick(self, ticks: int = 1) -> None:
-        for _ in range(ticks):
-            for address, exchange in self.exchanges_by_address.items():
-                if address not in self.silenced:
-                    exchange._send_due_notices()
-            self.clock.advance(TICK_S)
-
-
-def _network(
-    domains: int, vms: int
-) -> tuple[_Network, dict[str, InFlightCounts]]:
-    network = _Network()
-    domains_by_address = {
-        f'10.{domain}.0.{vm}:7': f'fd-{domain}'
-        for domain in range(domains)
-        for vm in range(1, vms + 1)
-    }
-    counts_by_address = {
-        address: network.add(address, domain)
-        for address, domain in domains_by_address.items()
+from ....testing.noticenetwork import (
+    LINK_MBPS,
+    TICK_S,
+    NoticeNetwork,
+    notice_network,
+)
+from ..bytebudget import LINK_SHARE
+from ..notice import MAX_DATAGRAM_BYTES, Strikes
+from ..children import FANOUT
+from ..tree import PARENT_TIMEOUT_S, SETTLING_S
+
+BYTES_PER_S = LINK_SHARE * LINK_MBPS * 1_000_000 / 8
+# Engines that all VMs of a large site send requests to.
+ENGINES = 110
+# A lost root is noticed, its successor found, and its load passed on.
+TAKEOVER_TICKS = int((2 * PARENT_TIMEOUT_S + SETTLING_S + 1) / TICK_S)
+
+
+def _running(network: NoticeNetwork) -> set[int]:
+    return {
+        counts.running('engine')
+        for address, counts in network.counts.items()
+        if address not in network.silenced
     }
-    for exchange in network.exchanges_by_address.values():
-        exchange.peers.add_addresses(domains_by_address)
-    return network, counts_by_address
 
 
-def test_every_vm_receives_the_load_of_all_vms() -> None:
-    network, counts_by_address = _network(3, 3)
-    for counts in counts_by_address.values():
+@pytest.mark.parametrize(('domains', 'vms'), [(1, 1), (3, 3), (5, 40)])
+def test_every_vm_receives_the_load_of_all_vms(domains: int, vms: int) -> None:
+    network = notice_network(domains, vms)
+    for counts in network.counts.values():
         counts.begin('engine')
-    network.tick(10)
-    assert {
-        counts.running('engine') for counts in counts_by_address.values()
-    } == {9}
+    network.tick(12)
+    assert _running(network) == {domains * vms}
 
 
 def test_ended_load_is_removed_on_every_vm() -> None:
-    network, counts_by_address = _network(3, 2)
-    first_counts = next(iter(counts_by_address.values()))
+    network = notice_network(3, 12)
+    first_counts = next(iter(network.counts.values()))
     first_counts.begin('engine')
     network.tick(10)
+    assert _running(network) == {1}
     first_counts.end('engine')
     network.tick(10)
-    assert {
-        counts.running('engine') for counts in counts_by_address.values()
-    } == {0}
+    assert _running(network) == {0}
 
 
-def test_another_vm_takes_over_for_a_silent_representative() -> None:
-    network, counts_by_address = _network(3, 3)
-    network.tick(10)
+def test_load_is_right_again_soon_after_many_datagrams_are_lost() -> None:
+    network = notice_network(3, 20, loss=0.1)
+    for counts in network.counts.values():
+        counts.begin('engine')
+    network.tick(20)
+    network.loss = 0
+    network.tick(20)
+    assert _running(network) == {60}
+
+
+@pytest.mark.parametrize('lost', ['10.0.0.1:7', '10.0.0.2:7', '10.0.0.30:7'])
+def test_lost_vm_is_replaced_in_the_tree(lost: str) -> None:
+    network = notice_network(3, 30)
+    network.silenced.add(lost)
+    network.tick(TAKEOVER_TICKS)
+    for counts in network.counts.values():
+        counts.begin('engine')
+    network.tick(20)
+    assert _running(network) == {89}
+
+
+def test_half_of_all_vms_may_be_lost_at_once() -> None:
+    network = notice_network(2, 40)
+    lost = itertools.islice(network.exchanges, 0, None, 2)
+    network.silenced.update(lost)
+    network.tick(TAKEOVER_TICKS)
+    for counts in network.counts.values():
+        counts.begin('engine')
+    network.tick(20)
+    assert _running(network) == {40}
+
+
+def test_domains_count_on_alone_while_they_are_cut_off() -> None:
+    network = notice_network(2, 10)
+    cut_off = {
+        address for address in network.exchanges if address.startswith('10.1.')
+    }
+    network.silenced |= cut_off
+    network.tick(TAKEOVER_TICKS)
+    for counts in network.counts.values():
+        counts.begin('engine')
+    network.tick(20)
+    assert _running(network) == {10}
+    network.silenced -= cut_off
+    network.tick(TAKEOVER_TICKS)
+    assert _running(network) == {20}
+
+
+def test_each_domain_has_one_root_its_fastest_vm() -> None:
+    network = notice_network(3, 40)
+    assert network.roots() == {
+        f'fd-{domain}': [f'10.{domain}.0.1:7'] for domain in range(3)
+    }
+
+
+def test_restarted_root_gets_its_place_back_with_the_whole_tree() -> None:
+    network = notice_network(1, 30)
     network.silenced.add('10.0.0.1:7')
-    network.tick(int(NOTICE_TIMEOUT_S / TICK_S) + 20)
-    counts_by_address['10.0.0.2:7'].begin('engine')
+    network.tick(TAKEOVER_TICKS)
+    network.silenced.clear()
+    network.restart('10.0.0.1:7')
+    network.introduce()
+    network.tick(TAKEOVER_TICKS)
+    assert network.roots() == {'fd-0': ['10.0.0.1:7']}
+    for counts in network.counts.values():
+        counts.begin('engine')
     network.tick(20)
-    assert counts_by_address['10.2.0.3:7'].running('engine') == 1
+    assert _running(network) == {30}
 
 
-def test_lease_claim_of_a_silent_holder_is_not_forwarded() -> None:
-    network, _ = _network(2, 3)
-    network.tick(10)
-    remote = network.exchanges_by_address['10.1.0.2:7']
-    assert any(notice.lease_claim for notice in remote.living())
-    network.silenced |= {'10.0.0.1:7', '10.1.0.1:7'}
-    network.tick(int(3 * NOTICE_TIMEOUT_S / TICK_S))
-    assert not any(notice.lease_claim for notice in remote.living())
+def test_vm_that_the_store_turns_away_is_found_by_its_neighbours() -> None:
+    network = notice_network(1, 12)
+    network.restart('10.0.0.9:7')
+    network.tick(200)
+    assert network.exchanges['10.0.0.9:7'].tree.parent
 
 
-@pytest.mark.parametrize('domains', [3, 14])
-def test_datagrams_of_a_vm_do_not_grow_with_the_site(
-    domains: int,
-) -> None:
-    network, counts_by_address = _network(domains, 6)
+def test_load_of_a_lost_parent_is_unknown_and_not_zero() -> None:
+    network = notice_network(1, 3)
+    for counts in network.counts.values():
+        counts.begin('engine')
+    network.tick(10)
+    network.silenced |= {'10.0.0.1:7', '10.0.0.2:7'}
+    network.tick(int((PARENT_TIMEOUT_S + 0.2) / TICK_S))
+    assert network.counts['10.0.0.3:7'].running('engine') == 3
+    network.tick(100)
+    assert network.counts['10.0.0.3:7'].running('engine') == 1
+
+
+def test_lease_claim_reaches_all_and_ages_where_its_holder_is_silent() -> None:
+    network = notice_network(2, 30)
+    holder = '10.0.0.20:7'
+    network.claims[holder] = 'claim/1'
+    network.tick(40)
+    remote = network.exchanges['10.1.0.29:7'].links
+    ages_ms = [
+        facts.claim_age_ms
+        for facts in remote.facts_of_others()
+        if facts.lease_claim
+    ]
+    assert ages_ms
+    assert max(ages_ms) < 900
+    network.silenced.add(holder)
+    network.tick(100)
+    assert not any(facts.lease_claim for facts in remote.facts_of_others())
+
+
+def test_strikes_reach_every_vm_of_the_site() -> None:
+    network = notice_network(2, 30)
+    ids = tuple(f'c0ffee{number}=i-{number}@12' for number in range(20))
+    network.strikes['10.0.0.25:7'] = Strikes(ids)
+    heard: set[str] = set()
+    root = network.exchanges['10.0.0.25:7'].tree.parent
+    network.exchanges[root].listeners.append(
+        lambda _source, _facts, strikes: heard.update(strikes.struck)
+    )
     network.tick(10)
-    network.sent.clear()
-    network.sent_to_other_domains.clear()
-    for number in range(25):
-        for counts in counts_by_address.values():
-            counts.running_by_engine['engine'] = number + 1
+    assert heard == set(ids)
+
+
+def _worst_load(network: NoticeNetwork, ticks: int) -> None:
+    """Let every VM start and end requests between any two notices."""
+    engines = itertools.cycle(f'engine-{number}' for number in range(ENGINES))
+    for _ in range(ticks):
+        for counts in network.counts.values():
+            counts.begin(next(engines))
         network.tick()
-    vm = '10.1.0.3:7'
-    assert network.sent_to_other_domains[vm] == 0
-    # One datagram to each of five neighbours at each tick; only the
-    # representative forwards the summaries of other domains.
-    assert network.sent[vm] <= 25 * 5
+
+
+@pytest.mark.parametrize(('domains', 'vms'), [(3, 8), (3, 40), (14, 34)])
+def test_traffic_of_a_vm_is_flat_in_the_number_of_vms(
+    domains: int, vms: int
+) -> None:
+    network = notice_network(domains, vms)
+    network.forget_traffic()
+    seconds = 2
+    _worst_load(network, int(seconds / TICK_S))
+    assert max(network.sent_bytes.values()) <= BYTES_PER_S * (seconds + 1)
+    # A parent, twice the children while they are redirected, other roots.
+    neighbours = 2 * FANOUT + 1 + 4
+    assert max(network.sent.values()) <= seconds / TICK_S * neighbours
+    assert network.largest <= MAX_DATAGRAM_BYTES
+
+
+def test_children_are_bounded_in_a_settled_domain() -> None:
+    network = notice_network(1, 150)
+    network.tick(100)
+    children = [
+        len(exchange.tree.children.heard_at)
+        for exchange in network.exchanges.values()
+    ]
+    assert max(children) <= FANOUT
+    assert sum(children) == 149
--- a/primroserudder/fleet/poolmeter.py
+++ b/primroserudder/fleet/poolmeter.py
@@ -8,7 +8,7 @@
 from ..process.decisions import DecisionLog
 from .demand import DemandMeter
 from .directory import Directory
-from .in_flight import InFlightCounts
+from .membership import InFlightCounts
 
 MEASURE_INTERVAL_S = 0.5
 
--- a/primroserudder/fleet/relayedtables.py
+++ b/primroserudder/fleet/relayedtables.py
@@ -36,7 +36,7 @@
 # A failed relay is queried again after this time.
 RELAY_RETRY_S = 2.0
 # This many relays are queried before the store itself.
-MAX_RELAYS = 2
+MAX_RELAYS = 3
 # A router with relays before it retries a failed store at this interval.
 STORE_RETRY_INTERVAL_S = 1.0
 # A relay that does not return a version known to peers within this time is
@@ -50,6 +50,10 @@
 _Page = TypeVar('_Page', TablePage, ChangePage)
 
 
+def _always() -> bool:
+    return True
+
+
 @dataclass(frozen=True, slots=True)
 class _PeerVersion:
     """A version that peers have, and when this VM first received it."""
@@ -84,6 +88,9 @@
     relays : Callable
         Returns the addresses of live relays in order of preference; empty
         if the store is to be queried.
+    is_settled : Callable
+        Returns whether ``relays`` is final; until then reads wait, so that a
+        domain does not turn to the store while it chooses its next relay.
     source_changed_at : float
         Monotonic time in seconds of the last switch to another source.
     """
@@ -93,6 +100,7 @@
     clock: Clock
     log: DecisionLog
     relays: Callable[[], Sequence[str]]
+    is_settled: Callable[[], bool] = _always
     source_changed_at: float = field(init=False)
     relayed_reads: int = 0
     _failed_at_by_relay: dict[str, float] = field(default_factory=dict)
@@ -181,6 +189,7 @@
         self, table_query: _TableQuery
     ) -> TableMessage | None:
         """Return the answer of the first relay that is up to date, if any."""
+        await self._wait_until_settled()
         for relay in self._usable_relays():
             answer = await self._query_relay(relay, table_query)
             if isinstance(answer, TableMessage):
@@ -188,6 +197,11 @@
             self._mark_failed(relay, answer)
         return None
 
+    async def _wait_until_settled(self) -> None:
+        # The first table to be read is that of the routers' addresses.
+        while self._newest_by_table and not self.is_settled():
+            await asyncio.sleep(CHECK_INTERVAL_S / 2)
+
     def _usable_relays(self) -> list[str]:
         now = self.clock.monotonic()
         usable = (
--- a/primroserudder/fleet/router.py
+++ b/primroserudder/fleet/router.py
@@ -1,7 +1,7 @@
 """Assembles, starts and stops the components of a router process."""
 
 import asyncio
-from collections.abc import Mapping, Sequence
+from collections.abc import Collection, Mapping, Sequence
 from dataclasses import dataclass, field
 
 from ..errors import RudderError
@@ -17,11 +17,16 @@
     build_control_plane,
     build_lease,
 )
-from .exchange import Exchange
-from .in_flight import InFlightCounts
-from .nodes import NodeRegistry
-from .notice import Notice
-from .peeraddresses import PeerAddresses
+from .membership import (
+    Exchange,
+    Facts,
+    InFlightCounts,
+    NodeRegistry,
+    PeerAddresses,
+    Strikes,
+    build_exchange,
+    short_key,
+)
 from .poolmeter import PoolMeter
 from .ports import Ports
 from .relayedtables import RelayedTableSource
@@ -143,7 +148,7 @@
             'unreadable_notices': self.exchange.unreadable_datagrams,
             'places': self.pool_meter.dump(),
             'running': dict(self.in_flight_counts.running_by_engine),
-            'peers': sorted(self.exchange.received_by_source),
+            'peers': sorted(self.exchange.links.by_address),
             'store_reachable': self.view.engines.is_reachable,
             'store_era': self.view.store_era(),
             'strikes': self.server.quarantine.strikes.shared(),
@@ -165,9 +170,14 @@
         self.lease = build_lease(
             context, lambda: store.server_time_s, lambda: store.era
         )
-        self.in_flight_counts = InFlightCounts(self.clock)
+        self.in_flight_counts = InFlightCounts()
         self.tables = RelayedTableSource(
-            store, open_session(), self.clock, self.log, self._relay_candidates
+            store,
+            open_session(),
+            self.clock,
+            self.log,
+            self._relay_candidates,
+            lambda: self.lease.is_held() or self.exchange.is_settled(),
         )
         self.view = SiteView(
             self.tables,
@@ -177,16 +187,18 @@
             self._on_view_change,
         )
         peers = PeerAddresses(
-            settings.exchange_endpoint, settings.failure_domain
+            settings.exchange_endpoint, settings.failure_domain, settings.speed
         )
-        self.exchange = Exchange(
+        self.exchange = build_exchange(
             settings.exchange_address,
             peers,
             self.clock,
             self.in_flight_counts,
-            self._build_notice,
+            settings.link_mbps,
+            self._own_facts,
+            self._own_strikes,
         )
-        self.exchange.listeners.append(self._on_notice)
+        self.exchange.listeners.append(self._on_facts)
         self.registry = NodeRegistry(
             store, peers, self.view.nodes, self.log, settings.node
         )
@@ -219,7 +231,7 @@
             self.server.quarantine.strikes,
             self.clock,
             self.log,
-            lambda: len(self.exchange.neighbours_before()),
+            self.exchange.rank,
             lambda: store.server_time_s,
         )
         self.silent_head_detector = SilentHeadDetector(
@@ -260,7 +272,7 @@
         """Return the routers to read tables from, none for the holder."""
         if self.lease.is_held():
             return ()
-        return self.exchange.neighbours_before()
+        return self.exchange.tree.relays()
 
     def _feed_pause_s(self) -> float:
         return (
@@ -269,45 +281,38 @@
             else FOLLOWER_FEED_PAUSE_S
         )
 
-    def _broken_groups(self) -> set[str]:
-        broken = set(self.control_plane.reconciler.broken_groups)
-        for notice in self.exchange.living():
-            broken.update(notice.broken_groups)
-        return broken
+    def _broken_groups(self) -> Collection[int]:
+        own = map(short_key, self.control_plane.reconciler.broken_groups)
+        return {*self.exchange.broken_groups(), *own}
 
-    def _build_notice(self, sequence: int) -> Notice:
-        self.server.health.mark_groups_lost(
-            self.control_plane.reconciler.broken_groups
-        )
-        return Notice(
-            node=self.lease.holder,
-            failure_domain=self.settings.failure_domain,
-            address=self.settings.exchange_endpoint,
-            sequence=sequence,
-            running=dict(self.in_flight_counts.running_by_engine),
-            waiting=self.in_flight_counts.waiting_now(),
-            silent_heads=tuple(sorted(self.server.health.silent_heads)),
-            broken_groups=self.control_plane.reconciler.broken_groups,
+    def _own_facts(self) -> Facts:
+        broken = self.control_plane.reconciler.broken_groups
+        health = self.server.health
+        facts = Facts(
             lease_claim=self.lease.claim,
             lease_given_up=self.lease.given_up,
             reaches_store=self.view.engines.is_reachable,
-            struck=self.server.quarantine.strikes.shared(),
-            void_strikes=self.server.quarantine.strikes.shared_void(),
             has_traffic=self._traffic_seen.is_set(),
-            versions=self.view.versions(),
             store_era=self.view.store_era(),
+            versions=dict(self.view.versions()),
+            silent_heads=tuple(sorted(map(short_key, health.silent_heads))),
+            broken_groups=tuple(sorted(map(short_key, broken))),
         )
+        health.mark_groups_lost(facts.broken_groups)
+        return facts
+
+    def _own_strikes(self) -> Strikes:
+        strikes = self.server.quarantine.strikes
+        return Strikes(strikes.shared(), strikes.shared_void())
 
-    def _on_notice(self, notice: Notice) -> None:
-        if notice.has_traffic:
+    def _on_facts(self, source: str, facts: Facts, strikes: Strikes) -> None:
+        if facts.has_traffic:
             self._traffic_seen.set()
-        self.server.quarantine.merge(
-            notice.node, notice.struck, notice.void_strikes
-        )
-        self.server.health.mark_groups_lost(notice.broken_groups)
-        self.tables.note_peer_versions(notice.versions, notice.store_era)
-        self.control_plane.election.on_notice(notice)
-        self.control_plane.reconciler.probe_groups_of(notice.silent_heads)
+        self.server.quarantine.merge(source, strikes.struck, strikes.void)
+        self.server.health.mark_groups_lost(facts.broken_groups)
+        self.tables.note_peer_versions(facts.versions, facts.store_era)
+        self.control_plane.election.on_facts(facts)
+        self.control_plane.reconciler.probe_groups_of(facts.silent_heads)
 
     async def _release_lease(self) -> None:
         try:
--- a/primroserudder/fleet/serverassembly.py
+++ b/primroserudder/fleet/serverassembly.py
@@ -5,11 +5,11 @@
 from ..platform import open_session
 from ..process.tables import TableFollower
 from .attemptrunner import AttemptRunner
+from .balancing import Balancer
 from .control_plane import RouterContext
 from .engine_signals import EngineSignalHandler
 from .health import TargetHealth
-from .in_flight import InFlightCounts
-from .peeraddresses import PeerAddresses
+from .membership import InFlightCounts, PeerAddresses
 from .quarantine import Quarantine
 from .retries import RetryBudgets
 from .serving import Server
@@ -24,7 +24,7 @@
     view: SiteView,
     in_flight_counts: InFlightCounts,
     peers: PeerAddresses,
-    broken_groups: Callable[[], Collection[str]],
+    broken_groups: Callable[[], Collection[int]],
     unreachable: Callable[[], Collection[str]],
 ) -> Server:
     """Return the server that assigns requests to engines and sends them."""
@@ -44,7 +44,7 @@
         TargetSelector(
             context.settings.failure_domain,
             view.directory,
-            in_flight_counts,
+            Balancer(in_flight_counts.running),
             health,
             broken_groups,
         ),
--- a/primroserudder/fleet/serving.py
+++ b/primroserudder/fleet/serving.py
@@ -13,7 +13,7 @@
 from .attemptrunner import AttemptRunner
 from .call import Call
 from .health import TargetHealth
-from .in_flight import InFlightCounts
+from .membership import InFlightCounts
 from .model import Target
 from .quarantine import Quarantine, Quarantined
 from .retries import Ending, RetryBudgets, Step
@@ -136,7 +136,7 @@
         if has_run:
             # A request that may have run is retried up to its deadline.
             wait_s = call.remaining_s
-        if not has_run and not self.selector.targets(call):
+        if not has_run and not self.selector.has_targets(call):
             raise NoFreeSlot(
                 'no group serves the model',
                 retry_after=RETRY_AFTER_NO_GROUP_S,
--- a/primroserudder/fleet/settings.py
+++ b/primroserudder/fleet/settings.py
@@ -16,6 +16,7 @@
 LIST_LAG_S = 1.4
 DEFAULT_RETRY_RATIO = 0.2
 DEFAULT_EXTRA_RETRIES = 20.0
+DEFAULT_LINK_MBPS = 1000.0
 
 
 class _FrozenSettings(BaseModel):
@@ -43,6 +44,13 @@
         Interval of the engines' heartbeats, in milliseconds.
     grace_s : float
         Time from SIGTERM until the process is killed, in seconds.
+    cpu_share : float
+        Share of a core that the VM has.
+    core_speed : float
+        Speed of that core; two such VMs with shares of 1 and 0.5 compare as
+        the products do.
+    link_mbps : float
+        Rate of the VM's link, in megabits per second.
     """
 
     node: str = Field(min_length=1)
@@ -57,6 +65,9 @@
     heartbeat_ms: float = Field(default=DEFAULT_HEARTBEAT_MS, gt=0)
     grace_s: float = Field(default=8, gt=1)
     repeats: RetrySettings = RetrySettings()
+    cpu_share: float = Field(default=1, gt=0)
+    core_speed: float = Field(default=1, gt=0)
+    link_mbps: float = Field(default=DEFAULT_LINK_MBPS, gt=0)
     metrics_port: int = Field(default=METRICS_PORT, gt=0, le=MAX_PORT)
     log_level: str = Field(
         default='INFO', pattern='^(DEBUG|INFO|WARNING|ERROR)$'
@@ -73,6 +84,11 @@
         heartbeat_s = self.heartbeat_ms / MILLISECONDS_PER_SECOND
         return HEARTBEATS_TO_EXPIRY * heartbeat_s + LIST_LAG_S
 
+    @property
+    def speed(self) -> float:
+        """Return the processor speed of the VM, in usual cores."""
+        return self.cpu_share * self.core_speed
+
     @property
     def exchange_address(self) -> tuple[str, int]:
         """Return the address for datagrams and requests of other routers."""
--- a/primroserudder/fleet/silent_heads.py
+++ b/primroserudder/fleet/silent_heads.py
@@ -14,6 +14,7 @@
 
 from .attempt import StreamActivity
 from .health import TargetHealth
+from .membership import short_key
 from .reachability import ReachabilityTracker
 
 # About three times the interval between events of a group with a full batch.
@@ -32,7 +33,7 @@
 
     activities_by_head: ActivitiesByHead
     health: TargetHealth
-    probe_groups_of: Callable[[Collection[str]], None]
+    probe_groups_of: Callable[[Collection[int]], None]
     reachability: ReachabilityTracker
 
     async def run(self) -> None:
@@ -42,7 +43,7 @@
             await asyncio.sleep(CHECK_INTERVAL_S)
             heads = silent_heads(self.activities_by_head, loop.time())
             self.health.silent_heads = set(heads)
-            self.probe_groups_of(heads)
+            self.probe_groups_of(tuple(map(short_key, heads)))
             for head in heads:
                 self.reachability.probe(f'head {head}', (head,))
             self._cut_unreachable_heads(heads)
--- a/primroserudder/fleet/target_selector.py
+++ b/primroserudder/fleet/target_selector.py
@@ -1,16 +1,35 @@
 """Selects the target of a request among those that may take it now."""
 
-from collections.abc import Callable, Collection
-from dataclasses import dataclass
+from collections.abc import Callable, Collection, Sequence
+from dataclasses import dataclass, field
 
-from .balancing import choose_target
+from .balancing import Balancer, TargetPool, split_pool
 from .call import Call
 from .directory import Directory
 from .health import TargetHealth
-from .in_flight import InFlightCounts
+from .membership import short_key
 from .model import Target
 
 
+@dataclass(frozen=True, slots=True)
+class _UsableTargets:
+    """Tells which targets may get a request now."""
+
+    health: TargetHealth
+    broken: Collection[int]
+    cut_off: Collection[str]
+    tried: Collection[str] = ()
+
+    def __call__(self, target: Target) -> bool:
+        """Return whether a target may get the request."""
+        return (
+            target.engine_id not in self.tried
+            and _is_intact(target, self.broken)
+            and target.failure_domain not in self.cut_off
+            and self.health.is_usable(target)
+        )
+
+
 @dataclass(slots=True)
 class TargetSelector:
     """Selects targets by their load and by what is known of their health.
@@ -18,51 +37,80 @@
     Parameters
     ==========
     broken_groups : Callable
-        Returns the groups that the lease holder found broken.
+        Returns the keys of the groups that the lease holder found broken.
     """
 
     failure_domain: str
     directory: Directory
-    in_flight_counts: InFlightCounts
+    balancer: Balancer
     health: TargetHealth
-    broken_groups: Callable[[], Collection[str]]
+    broken_groups: Callable[[], Collection[int]]
+    _pools: dict[str, TargetPool] = field(default_factory=dict)
 
-    def targets(self, call: Call) -> list[Target]:
-        """Return the intact targets of a request, reachable ones if any."""
-        service = call.destination.service
+    def has_targets(self, call: Call) -> bool:
+        """Return whether an intact target serves a request's model."""
         broken = self.broken_groups()
-        intact = [
-            target
-            for target in self.directory.targets(service, call.metadata.model)
-            if target.group not in broken or not target.group
-        ]
-        reachable = [
-            target
-            for target in intact
-            if not self.health.is_domain_avoided(target.failure_domain)
-        ]
-        return reachable or intact
+        targets = self._pool(call).targets
+        return any(_is_intact(target, broken) for target in targets)
 
     def find(self, call: Call) -> Target | None:
-        """Return a target with a free slot, ``None`` if there is none."""
-        targets = [
-            target
-            for target in self.targets(call)
-            if not self.health.back_off_s(target)
-        ]
-        avoided = self.health.avoided()
-        chosen = self._choose(targets, avoided | call.tried_engines)
-        if chosen is None and call.tried_engines:
-            chosen = self._choose(targets, avoided)
+        """Return a target with a free slot, ``None`` if there is none.
+
+        Explanation
+        ===========
+        Engines that the request has tried are used again only if no other one
+        has a free slot, those of an unreachable domain only if there are no
+        others.
+        """
+        pool = self._pool(call)
+        broken = self.broken_groups()
+        cut_off = self._cut_off_domains(pool, broken)
+        tried = call.tried_engines
+        untried = _UsableTargets(self.health, broken, cut_off, tried)
+        chosen = self.balancer.choose(pool, untried)
+        if chosen is None and tried:
+            any_usable = _UsableTargets(self.health, broken, cut_off)
+            chosen = self.balancer.choose(pool, any_usable)
         return chosen
 
     def back_off_s(self, call: Call) -> float:
         """Return for how long no target wants a request, in seconds."""
-        return min(map(self.health.back_off_s, self.targets(call)), default=0)
+        if not self.health.backing_off_until:
+            return 0
+        broken = self.broken_groups()
+        return min(
+            (
+                self.health.back_off_s(target)
+                for target in self._pool(call).targets
+                if _is_intact(target, broken)
+            ),
+            default=0,
+        )
 
-    def _choose(
-        self, targets: Collection[Target], avoided: Collection[str]
-    ) -> Target | None:
-        return choose_target(
-            targets, self.in_flight_counts.running, self.failure_domain, avoided
+    def _pool(self, call: Call) -> TargetPool:
+        """Return the pool of a request, split once for each list of targets."""
+        targets: Sequence[Target] = self.directory.targets(
+            call.destination.service, call.metadata.model
         )
+        pool = self._pools.get(call.pool)
+        if pool is None or pool.targets is not targets:
+            pool = split_pool(targets, self.failure_domain)
+            self._pools[call.pool] = pool
+        return pool
+
+    def _cut_off_domains(
+        self, pool: TargetPool, broken: Collection[int]
+    ) -> Collection[str]:
+        """Return the unreachable domains, none if no target is elsewhere."""
+        cut_off = self.health.cut_off_domains()
+        if not cut_off:
+            return ()
+        is_any_elsewhere = any(
+            target.failure_domain not in cut_off and _is_intact(target, broken)
+            for target in pool.targets
+        )
+        return cut_off if is_any_elsewhere else ()
+
+
+def _is_intact(target: Target, broken: Collection[int]) -> bool:
+    return not (broken and target.group and short_key(target.group) in broken)
--- a/primroserudder/fleet/tests/test_crashing_content.py
+++ b/primroserudder/fleet/tests/test_crashing_content.py
@@ -130,7 +130,7 @@
         counts = router.in_flight_counts
         await site.until(lambda: counts.running(engine.engine_id) == SLOTS)
         waiting = asyncio.ensure_future(_send(site, '/refunds/1'))
-        await site.until(lambda: bool(counts.waiting_now()))
+        await site.until(lambda: bool(counts.own_waiting()))
         quarantine = router.server.quarantine
         quarantine.merge('vm-9', [f'{_digest()}={name}@1' for name in 'abc'])
         for filler in fillers:
@@ -147,8 +147,8 @@
     async with platform_site(plain=5) as site:
         await _wait_until_serving(site)
         engines = _plain_engines(site)
+        assert await _send(site, '/lookups/1') == 200
         for engine in engines[:4]:
-            assert await _send(site, '/lookups/1') == 200
             engine.faults.crashing_bodies.add(CRASHING)
         for _ in range(SENDS):
             await _send(site, '/lookups/1')
--- a/primroserudder/fleet/tests/test_site.py
+++ b/primroserudder/fleet/tests/test_site.py
@@ -284,8 +284,8 @@
     async with platform_site(routers=2) as site:
         await _wait_until_serving(site)
         first, second = site.routers
-        await site.until(lambda: bool(first.exchange.neighbours()))
-        await site.until(lambda: bool(second.exchange.neighbours()))
+        await site.until(lambda: bool(first.exchange.links.by_address))
+        await site.until(lambda: bool(second.exchange.links.by_address))
         for engine in site.engines_by_id.values():
             engine.event_s = 0.1
         async with site.request('/notes/1') as response:
--- a/primroserudder/fleet/tests/test_store_restore.py
+++ b/primroserudder/fleet/tests/test_store_restore.py
@@ -5,7 +5,7 @@
 
 from ...standins.groupengine import GroupEngine
 from ...testing.platformsite import PlatformSite, configuration, platform_site
-from ..nodes import NODES_PREFIX
+from ..membership.nodes import NODES_PREFIX
 from ..router import Router
 
 # Both routers of a site follow four tables, and one of them the lease.
--- a/primroserudder/fleet/tests/test_waitqueue.py
+++ b/primroserudder/fleet/tests/test_waitqueue.py
@@ -6,7 +6,7 @@
 
 from ...process.clock import LoopClock
 from ...testing.fleetdata import target
-from ..in_flight import InFlightCounts, PeerLoad
+from ..membership import InFlightCounts, short_key
 from ..model import Target
 from ..waitqueue import FindTarget, NoFreeSlot, WaitQueue, max_wait_s
 
@@ -15,7 +15,7 @@
 
 
 def _queue() -> WaitQueue:
-    return WaitQueue('model/small', InFlightCounts(LoopClock()), LoopClock())
+    return WaitQueue('model/small', InFlightCounts(), LoopClock())
 
 
 def _finder(queue: WaitQueue, *, slots: int = 1) -> FindTarget:
@@ -92,10 +92,7 @@
 
 async def test_requests_of_other_vms_occupy_slots() -> None:
     queue = _queue()
-    now = queue.clock.monotonic()
-    queue.in_flight_counts.loads_by_peer['other'] = PeerLoad(
-        {'head': 1}, {}, now
-    )
+    queue.in_flight_counts.replace_running({}, {short_key('head'): 1})
     with pytest.raises(NoFreeSlot):
         await queue.acquire(_finder(queue), (0,), 0)
 
--- a/primroserudder/fleet/waitqueue.py
+++ b/primroserudder/fleet/waitqueue.py
@@ -16,7 +16,7 @@
 
 from ..errors import Ran, RudderError
 from ..process.clock import Clock
-from .in_flight import InFlightCounts
+from .membership import InFlightCounts
 from .model import Target
 
 # Share of the latency objective that a request may wait for a slot.
@@ -123,7 +123,7 @@
         )
         waiter = Waiter(rank, find, granted)
         heapq.heappush(self._heap, (rank, next(self._arrivals), waiter))
-        self.in_flight_counts.waiting_by_pool[self.pool] += 1
+        self.in_flight_counts.begin_wait(self.pool)
         self._ensure_polling()
         try:
             # Unlike wait_for, this never suppresses a cancellation.
@@ -142,7 +142,7 @@
                 self.in_flight_counts.end(granted.result().engine_id)
             raise
         finally:
-            self.in_flight_counts.waiting_by_pool[self.pool] -= 1
+            self.in_flight_counts.end_wait(self.pool)
             granted.cancel()
 
     def _ensure_polling(self) -> None:
--- a/primroserudder/loadreplay/arrivals.py
+++ b/primroserudder/loadreplay/arrivals.py
@@ -23,6 +23,8 @@
     losses : tuple of float
         Times in seconds at which one group stops; it serves again after
         ``repair_s`` seconds.
+    sharing_s : float
+        Interval at which a VM learns of the others' requests, in seconds.
     """
 
     name: str
@@ -35,6 +37,8 @@
     losses: tuple[float, ...] = ()
     repair_s: float = 2.0
     vms: int = 7
+    failure_domains: int = 3
+    sharing_s: float = 0.04
     slots: int = 13
     objective_s: float = 0.25
     prompt_tokens: int = 900
--- a/primroserudder/loadreplay/cost.py
+++ b/primroserudder/loadreplay/cost.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
-from ..fleet.balancing import choose_target
+from ..fleet.balancing import Balancer, split_pool
 from ..fleet.group_lifecycle import EngineSnapshot, GroupProgress, next_actions
 from ..fleet.model import (
     Engine,
@@ -54,14 +54,14 @@
         Target(formation.head, '127.0.0.1:1', 'fd-1', SLOTS, formation.name)
         for formation in formations
     ]
+    pool = split_pool(targets, 'fd-1')
     running = Counter({target.engine_id: SLOTS // 2 for target in targets})
+    balancer = Balancer(running.__getitem__)
     seen_engines = {**engines_by_id, **_members(formations)}
     snapshot = EngineSnapshot(seen_engines, frozenset(), 4, 10)
     return DecisionCost(
         engines,
-        _min_time_us(
-            lambda: choose_target(targets, running.__getitem__, 'fd-1')
-        ),
+        _min_time_us(lambda: balancer.choose(pool, bool)),
         _min_time_us(
             lambda: [
                 next_actions(progress, snapshot) for progress in progresses
--- a/primroserudder/loadreplay/patterns.py
+++ b/primroserudder/loadreplay/patterns.py
@@ -15,7 +15,7 @@
 
     Examples
     ========
-    >>> sorted(read_patterns())
+    >>> sorted(read_patterns())[-4:]
     ['burst', 'calm', 'losses', 'over capacity']
     """
     adapter = TypeAdapter(tuple[LoadPattern, ...])
--- a/primroserudder/loadreplay/replay.py
+++ b/primroserudder/loadreplay/replay.py
@@ -2,23 +2,23 @@
 
 import asyncio
 import contextlib
+from collections import Counter
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 from functools import partial
 
-from ..fleet.balancing import choose_target
-from ..fleet.in_flight import InFlightCounts, PeerLoad
+from ..fleet.balancing import split_pool
+from ..fleet.membership import InFlightCounts, short_key
 from ..fleet.model import Target
 from ..fleet.waitqueue import NoFreeSlot, WaitQueue
 from ..process.clock import LoopClock
 from .arrivals import Arrival, LoadPattern
 from .batching import BatchingGroup, Run
+from .choosers import CHOOSERS, Chooser, MakeChooser
 from .outcome import EndedRequest, Ending, Outcome
 from .policies import CALLER_IDLE_TIMEOUT_S, WaitingPolicy
 
-LOAD_SHARING_INTERVAL_S = 0.04
 DEADLINE_S = 6.0
-FAILURE_DOMAINS = 3
 # Time for running requests to end after the last arrival.
 SETTLING_S = 8.0
 POOL = 'model'
@@ -31,6 +31,7 @@
     failure_domain: str
     in_flight: InFlightCounts
     wait_queue: WaitQueue
+    chooser: Chooser
 
 
 @dataclass(slots=True)
@@ -39,6 +40,7 @@
 
     pattern: LoadPattern
     policy: WaitingPolicy
+    make_chooser: MakeChooser = CHOOSERS['router']
     vms: list[ReplayedVm] = field(default_factory=list)
     groups: dict[str, BatchingGroup] = field(default_factory=dict)
     targets: list[Target] = field(default_factory=list)
@@ -77,10 +79,15 @@
     def _build(self) -> None:
         clock = LoopClock()
         for number in range(self.pattern.vms):
-            in_flight = InFlightCounts(clock)
+            in_flight = InFlightCounts()
             wait_queue = WaitQueue(POOL, in_flight, clock)
             self.vms.append(
-                ReplayedVm(_failure_domain(number), in_flight, wait_queue)
+                ReplayedVm(
+                    self._failure_domain(number),
+                    in_flight,
+                    wait_queue,
+                    self.make_chooser(in_flight.running, f'vm-{number}'),
+                )
             )
         for number in range(self.pattern.groups):
             name = f'group-{number}'
@@ -88,7 +95,11 @@
             self.groups[name] = BatchingGroup(slots)
             self.targets.append(
                 Target(
-                    name, '127.0.0.1:1', _failure_domain(number), slots, name
+                    name,
+                    '127.0.0.1:1',
+                    self._failure_domain(number),
+                    slots,
+                    name,
                 )
             )
 
@@ -100,25 +111,18 @@
         ]
 
     async def _share_loads(self) -> None:
-        """Share each VM's load with the other VMs at an interval."""
-        clock = LoopClock()
+        """Let all VMs know the sums of all loads, at an interval."""
         while True:
-            now = clock.monotonic()
-            loads = [
-                PeerLoad(
-                    dict(vm.in_flight.running_by_engine),
-                    vm.in_flight.waiting_now(),
-                    now,
-                )
-                for vm in self.vms
-            ]
-            for position, vm in enumerate(self.vms):
-                vm.in_flight.loads_by_peer = {
-                    str(other): load
-                    for other, load in enumerate(loads)
-                    if other != position
+            totals: Counter[str] = Counter()
+            for sharing in self.vms:
+                totals.update(sharing.in_flight.running_by_engine)
+            for vm in self.vms:
+                own = vm.in_flight.running_by_engine
+                vm.in_flight.others_running = {
+                    short_key(engine_id): count - own[engine_id]
+                    for engine_id, count in totals.items()
                 }
-            await asyncio.sleep(LOAD_SHARING_INTERVAL_S)
+            await asyncio.sleep(self.pattern.sharing_s)
 
     async def _stop_group(self, loss: tuple[str, float]) -> None:
         name, at_s = loss
@@ -166,13 +170,9 @@
             return await self._serve(arrival, target, first_sent_at), 0
 
     def _find_target(self, vm: ReplayedVm) -> Target | None:
-        open_targets = [
-            target
-            for target in self.targets
-            if self.groups[target.engine_id].is_open
-        ]
-        return choose_target(
-            open_targets, vm.in_flight.running, vm.failure_domain
+        pool = split_pool(self.targets, vm.failure_domain)
+        return vm.chooser.choose(
+            pool, lambda target: self.groups[target.engine_id].is_open
         )
 
     async def _serve(
@@ -198,14 +198,13 @@
         is_late = first_event_s > self.pattern.objective_s
         return Ending.LATE if is_late else Ending.IN_TIME
 
+    def _failure_domain(self, number: int) -> str:
+        domain = number % self.pattern.failure_domains
+        return f'fd-{domain}'
+
     async def _wait_for_event(self, run: Run) -> None:
         run.progressed.clear()
         if run.is_over():
             return
         async with asyncio.timeout(CALLER_IDLE_TIMEOUT_S):
             await run.progressed.wait()
-
-
-def _failure_domain(number: int) -> str:
-    domain = number % FAILURE_DOMAINS
-    return f'fd-{domain}'
--- a/primroserudder/loadreplay/run.py
+++ b/primroserudder/loadreplay/run.py
@@ -7,6 +7,7 @@
 from ..testing.virtualtime import run_virtually
 from .arrivals import LoadPattern, draw_arrivals
 from .bound import max_served_share
+from .choosers import CHOOSERS
 from .cost import SIZES, measure
 from .outcome import Ending, Outcome
 from .patterns import read_patterns
@@ -18,9 +19,14 @@
 CELL_WIDTH = 10
 
 
-def play(pattern: LoadPattern, policy: str, seed: int) -> Outcome:
-    """Replay one load pattern with one policy."""
-    replay = Replay(pattern, POLICIES[policy])
+def play(
+    pattern: LoadPattern,
+    policy: str,
+    seed: int,
+    chooser: str = 'router',
+) -> Outcome:
+    """Replay one load pattern with one policy and one way to choose."""
+    replay = Replay(pattern, POLICIES[policy], CHOOSERS[chooser])
     return run_virtually(replay.play(draw_arrivals(pattern, seed)))
 
 
@@ -32,7 +38,9 @@
         return 0
     for pattern in read_patterns().values():
         if arguments.load in {'all', pattern.name}:
-            _print_pattern(pattern, range(arguments.seeds))
+            _print_pattern(
+                pattern, range(arguments.seeds), by_chooser=arguments.choosers
+            )
     return 0
 
 
@@ -44,21 +52,34 @@
     names = tuple(read_patterns())
     parser.add_argument('--load', choices=['all', *names], default='all')
     parser.add_argument('--seeds', type=int, default=3, help='how many seeds')
+    parser.add_argument(
+        '--choosers',
+        action='store_true',
+        help='compare ways to choose a target instead of ways to wait',
+    )
     parser.add_argument(
         '--costs', action='store_true', help='print what decisions cost instead'
     )
     return parser
 
 
-def _print_pattern(pattern: LoadPattern, seeds: Sequence[int]) -> None:
+def _print_pattern(
+    pattern: LoadPattern, seeds: Sequence[int], *, by_chooser: bool
+) -> None:
     bounds = [
         max_served_share(pattern, draw_arrivals(pattern, seed))
         for seed in seeds
     ]
     mean_bound = _mean(bounds)
     _print_row(f'{pattern.name}, bound {mean_bound:.3f}', COLUMNS)
-    for policy in POLICIES:
-        outcomes = [play(pattern, policy, seed) for seed in seeds]
+    names = CHOOSERS if by_chooser else POLICIES
+    for name in names:
+        outcomes = [
+            play(pattern, 'router', seed, name)
+            if by_chooser
+            else play(pattern, name, seed)
+            for seed in seeds
+        ]
         shares = [
             _mean([outcome.share(ending) for outcome in outcomes])
             for ending in Ending
@@ -66,7 +87,7 @@
         waited_s = max(outcome.longest_refused_wait_s() for outcome in outcomes)
         largest = _mean([outcome.in_time_by_size()[-1] for outcome in outcomes])
         columns = [f'{number:.3f}' for number in (*shares, waited_s, largest)]
-        _print_row(policy, columns)
+        _print_row(name, columns)
 
 
 def _print_costs() -> None:
--- a/primroserudder/loadreplay/tests/test_replay.py
+++ b/primroserudder/loadreplay/tests/test_replay.py
@@ -3,6 +3,7 @@
 import functools
 import itertools
 from collections.abc import Sequence
+from dataclasses import replace
 
 import pytest
 
@@ -45,6 +46,19 @@
     assert _in_time_share(pattern) > _in_time_share(pattern, 'whole objective')
 
 
+@pytest.mark.parametrize(
+    'chooser', ['least of all', 'one of the least', 'least of a subset']
+)
+@pytest.mark.parametrize('pattern', ['86 VMs', '195 VMs'])
+def test_choice_serves_more_in_time_than_others_where_many_vms_choose(
+    pattern: str, chooser: str
+) -> None:
+    # A short part of the load shows it.
+    short = replace(PATTERNS[pattern], seconds=2)
+    own = play(short, 'router', SEED).share(Ending.IN_TIME)
+    assert own > play(short, 'router', SEED, chooser).share(Ending.IN_TIME)
+
+
 def test_calm_load_is_never_refused() -> None:
     assert _replayed('calm').share(Ending.REFUSED) == 0
 
