--- a/primroserudder/fleet/call.py
+++ b/primroserudder/fleet/call.py
@@ -8,7 +8,7 @@
 
 from ..platform.headers import RequestMetadata
 from ..request.dispatch import DispatchRecord
-from .directory import pool_name
+from .directorynames import pool_name
 from .retries import RetryState
 from .routes import Destination
 
--- a/primroserudder/fleet/demand.py
+++ b/primroserudder/fleet/demand.py
@@ -11,7 +11,7 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
-from .directory import pool_name
+from .directorynames import pool_name
 from .model import EngineSpec, ModelSpec
 
 # Fraction of the engines in the initial groups; the others are spares.
--- a/primroserudder/fleet/engine_inventory.py
+++ b/primroserudder/fleet/engine_inventory.py
@@ -7,7 +7,8 @@
 from ..process.clock import Clock
 from ..process.decisions import DecisionLog
 from .demand import DemandMeter
-from .directory import Directory, model_being_joined, model_joined
+from .directory import Directory
+from .directorynames import model_being_joined, model_joined
 from .group_lifecycle import GroupProgress
 from .load_limiter import LoadLimiter
 from .model import Engine, EngineSpec, Formation, ModelSpec
--- a/primroserudder/fleet/listedgroups.py
+++ b/primroserudder/fleet/listedgroups.py
@@ -11,7 +11,7 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
-from .directory import STANDBY_SUFFIX, model_of
+from .directorynames import STANDBY_SUFFIX, model_of
 from .model import Engine, Formation, GroupState
 
 # Stands for a head that is not listed; no engine has this id.
--- a/primroserudder/fleet/tenure.py
+++ b/primroserudder/fleet/tenure.py
@@ -10,7 +10,8 @@
 from ..process.platform import PlatformClient, Transaction, Write
 from .actions import Release
 from .claims import decode_claim, encode_claim
-from .directory import Directory, group_name, model_of
+from .directory import Directory
+from .directorynames import group_name, model_of
 from .group_lifecycle import GroupProgress, is_member
 from .listedgroups import ListedGroup, listed_groups
 from .model import Engine, Formation
--- a/primroserudder/process/followedrows.py
+++ b/primroserudder/process/followedrows.py
@@ -46,6 +46,8 @@
     by_key: dict[str, Row] = field(default_factory=dict)
     version: StoreVersion = StoreVersion(0, 0)
     is_loaded: bool = False
+    _newest: int | None = None
+    _newest_removal: int = 0
     _removed_at_by_key: dict[str, int] = field(default_factory=dict)
     _grace_until: float = 0
     _lapsed_keys: set[str] = field(default_factory=set)
@@ -58,7 +60,11 @@
 
     def newest(self) -> int:
         """Return the revision of the newest row, zero if there is none."""
-        return max((row.revision for row in self.by_key.values()), default=0)
+        if self._newest is None:
+            self._newest = max(
+                (row.revision for row in self.by_key.values()), default=0
+            )
+        return self._newest
 
     def removed_since(self, revision: int) -> list[str]:
         """Return the keys of rows that were removed after a revision."""
@@ -74,9 +80,8 @@
             return False
         if since.revision >= self.version.revision:
             return True
-        return not self.removed_since(since.revision) and not any(
-            row.revision > since.revision for row in self.by_key.values()
-        )
+        newest_change = max(self.newest(), self._newest_removal)
+        return newest_change <= since.revision
 
     def begin_grace(self) -> None:
         """Keep the rows that lapsed in an outage until they may be back."""
@@ -85,6 +90,7 @@
     def replace(self, page: TablePage) -> bool:
         """Take over a whole table; return whether a row changed."""
         before = dict(self.by_key)
+        self._newest = None
         if self.is_loaded and page.era != self.version.era:
             self._restore(page)
         else:
@@ -95,6 +101,8 @@
 
     def apply(self, page: ChangePage) -> bool:
         """Apply changes; return whether no change was missed."""
+        if page.changes:
+            self._newest = None
         for change in page.changes:
             self._withheld_by_key.pop(change.key, None)
             if change.row is None:
@@ -118,6 +126,7 @@
         """Drop lapsed rows and show withheld ones; return whether any."""
         now = self.clock.monotonic()
         has_changed = False
+        self._newest = None
         if self._lapsed_keys and now >= self._grace_until:
             self._drop_lapsed()
             has_changed = True
@@ -149,6 +158,7 @@
         self._withheld_until = now + WITHHOLDING_S
         removed = set(self._removed_at_by_key) - set(self.by_key)
         self._removed_at_by_key.clear()
+        self._newest_removal = 0
         self.version = page.version
         kept = {
             key: Row(key, KEPT_ROW_REVISION, row.fields)
@@ -181,7 +191,8 @@
             self._note_removed(key)
 
     def _note_removed(self, key: str) -> None:
-        self._removed_at_by_key[key] = self.version.revision + 1
+        self._newest_removal = self.version.revision + 1
+        self._removed_at_by_key[key] = self._newest_removal
 
 
 def _newer(age: RowAge | None, known: Row, restored: Row) -> Row:
