Keep two spares a fabric domain, and draw among the free targets at the limit

And near the limit, where no drawn target had a free slot, all VMs took the least loaded one of the few that seemed free: requests waited 2 s in one engine's queue while others had slots. Change: the initial groups leave two engines a fabric domain, whatever its size; near the limit any target with a free slot is drawn. Before: test_vms_near_the_limit_do_not_choose_the_same_free_target failed (all 200 requests at one target), after: passes.

--- a/primroserudder/fleet/balancing.py
+++ b/primroserudder/fleet/balancing.py
@@ -77,11 +77,28 @@
         )
         if best is not None:
             return best
-        # No drawn target had a free slot.
-        return self._best(
-            filter(is_usable, pool.own), filter(is_usable, pool.others)
+        return self._any_free(pool.own, is_usable) or self._any_free(
+            pool.others, is_usable
         )
 
+    def _any_free(
+        self, targets: Sequence[Target], is_usable: Callable[[Target], bool]
+    ) -> Target | None:
+        """Return any target with a free slot, after no drawn one had one.
+
+        Explanation
+        ===========
+        Near the limit few targets seem to have a free slot, and all VMs see the
+        same ones. The least loaded of these would get all of their requests.
+        """
+        free = [
+            target
+            for target in targets
+            if self.in_flight(target.engine_id) < target.slots
+            and is_usable(target)
+        ]
+        return self.rng.choice(free) if free else None
+
     def _drawn(
         self, targets: Sequence[Target], is_usable: Callable[[Target], bool]
     ) -> Iterator[Target]:
--- a/primroserudder/fleet/demand.py
+++ b/primroserudder/fleet/demand.py
@@ -14,8 +14,10 @@
 from .directorynames import pool_name
 from .model import EngineSpec, ModelSpec
 
-# Fraction of the engines in the initial groups; the others are spares.
-INITIAL_ENGINE_SHARE = 0.85
+# Engines of each fabric domain that the initial groups leave as spares; a spare
+# repairs only groups of its own domain.
+SPARES_PER_DOMAIN = 2
+MIN_SERVING_SHARE = 0.5
 # Average fraction of slots in use; the rest is left free for bursts.
 TARGET_SLOT_USE = 0.6
 # Time constant of the exponential decay of a load peak.
@@ -25,7 +27,9 @@
 MIN_INITIAL_SHARE = 0.5
 
 
-def initial_groups(spec: EngineSpec, engines: int) -> Mapping[str, float]:
+def initial_groups(
+    spec: EngineSpec, engines: int, fabric_domains: int
+) -> Mapping[str, float]:
     """Return the wanted number of groups by model before any traffic.
 
     Explanation
@@ -38,7 +42,7 @@
     >>> large = ModelSpec('large', 6, 0.67, 16, 1.6, pace=1)
     >>> small = ModelSpec('small', 3, 0.33, 12, 1.1, pace=0.6)
     >>> models = {model.name: model for model in (large, small)}
-    >>> initial_groups(EngineSpec(13, models, 0, 5, 8), 66)
+    >>> initial_groups(EngineSpec(13, models, 0, 5, 8), 66, fabric_domains=6)
     {'large': 8, 'small': 2}
     """
     models = spec.models_by_name.values()
@@ -48,7 +52,11 @@
     engines_per_work = sum(
         work_by_model[model.name] * model.group_size for model in models
     )
-    groups_per_work = INITIAL_ENGINE_SHARE * engines / (engines_per_work or 1)
+    serving = max(
+        engines - SPARES_PER_DOMAIN * fabric_domains,
+        MIN_SERVING_SHARE * engines,
+    )
+    groups_per_work = serving / (engines_per_work or 1)
     return {
         name: max(1, round(groups_per_work * work))
         for name, work in work_by_model.items()
@@ -80,11 +88,12 @@
         service: str,
         spec: EngineSpec,
         engines: int,
+        fabric_domains: int,
         *,
         has_traffic: bool,
     ) -> Mapping[str, float]:
         """Return the wanted number of groups by model."""
-        initial = initial_groups(spec, engines)
+        initial = initial_groups(spec, engines, fabric_domains)
         if not has_traffic:
             return initial
         return {
--- a/primroserudder/fleet/engine_inventory.py
+++ b/primroserudder/fleet/engine_inventory.py
@@ -94,13 +94,17 @@
             for progress in groups
             if not progress.is_dissolving
         )
-        listed = sum(
-            1
+        domain_sizes = Counter(
+            engine.fabric_domain
             for engine in self.directory.engines_by_id.values()
             if engine.service == service and not engine.is_draining
         )
         wanted = self.demand.wanted(
-            service, spec, listed, has_traffic=self.has_traffic()
+            service,
+            spec,
+            domain_sizes.total(),
+            len(domain_sizes),
+            has_traffic=self.has_traffic(),
         )
         return Balance(existing, wanted)
 
--- a/primroserudder/fleet/tests/test_balancing.py
+++ b/primroserudder/fleet/tests/test_balancing.py
@@ -97,3 +97,16 @@
     balancer = Balancer(in_flight, random.Random(1))
     assert balancer.choose(split_pool(targets, 'fd-1'), lambda _: True)
     assert len(looked_at) <= 4
+
+
+def test_vms_near_the_limit_do_not_choose_the_same_free_target() -> None:
+    # Few targets have free slots, one of them two, as all VMs see it.
+    targets = [target(f'{number}', SLOTS) for number in range(200)]
+    running = Counter(dict.fromkeys(map(str, range(200)), SLOTS))
+    running.update(dict.fromkeys(map(str, range(0, 200, 20)), -1))
+    running['0'] -= 1
+    chosen = Counter(
+        _chosen(running, targets, seed=seed) for seed in range(DRAWS)
+    )
+    busiest = chosen.most_common(1)[0][1]
+    assert busiest <= 3 * DRAWS / 10
