Reject notices with fields that can't be used, and spread redirected children

Cause: a notice with an origin, ancestor or redirect that is no address raised in the exchange's tick, and the supervisor ends a process whose task fails: one malformed datagram took a VM down. Counts, keys and speeds were unchecked as well. Second: children beyond eight were redirected by their place, which shifts as others leave. In a domain of 150 VMs all went to one child, and the tree became 16 levels deep. Change: types of the notice's fields state what is valid, so that decoding rejects and counts the rest. A child is redirected by the key of its address.

--- a/primroserudder/fleet/membership/children.py
+++ b/primroserudder/fleet/membership/children.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 
+from .keys import short_key
 from .peeraddresses import PeerAddresses
 
 FANOUT = 8
@@ -38,8 +39,10 @@
     def redirect_for(self, child: str) -> str:
         """Return the VM that a child should join instead, or ``''``."""
         ordered = self.ordered()
-        place = ordered.index(child)
-        return '' if place < FANOUT else ordered[place % FANOUT]
+        if ordered.index(child) < FANOUT:
+            return ''
+        # Spreads the others evenly, in whatever order they leave.
+        return ordered[short_key(child) % FANOUT]
 
     def rank_of(self, child: str, own_rank: int) -> int:
         """Return the rank of a child, different for all VMs of a domain."""
--- a/primroserudder/fleet/membership/notice.py
+++ b/primroserudder/fleet/membership/notice.py
@@ -3,11 +3,23 @@
 import enum
 import itertools
 from collections.abc import Iterable, Mapping
+from typing import Annotated
 
 import msgspec
 
 # Fits a datagram into one packet on every usual network.
 MAX_DATAGRAM_BYTES = 1200
+# An address that can be sent to, or none.
+_PORT = r'(6553[0-5]|655[0-2]\d|65[0-4]\d\d|6[0-4]\d{3}|[1-5]\d{4}|\d{1,4})'
+Address = Annotated[
+    str, msgspec.Meta(pattern=rf'^((\d{{1,3}}\.){{3}}\d{{1,3}}:{_PORT})?$')
+]
+MAX_COUNT = 1_000_000
+KEYS = 4_294_967_296
+Rank = Annotated[int, msgspec.Meta(ge=0)]
+Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
+Key = Annotated[int, msgspec.Meta(ge=0, lt=KEYS)]
+Speed = Annotated[float, msgspec.Meta(ge=0, le=MAX_COUNT)]
 # Lists longer than this are cut; a notice has room for each of them.
 MAX_LISTED = 50
 
@@ -50,14 +62,14 @@
     """
 
     lease_claim: str = ''
-    claim_age_ms: int = 0
+    claim_age_ms: Count = 0
     lease_given_up: str = ''
     reaches_store: bool = False
     has_traffic: bool = False
     store_era: int = 0
     versions: dict[str, int] = {}
-    silent_heads: tuple[int, ...] = ()
-    broken_groups: tuple[int, ...] = ()
+    silent_heads: tuple[Key, ...] = ()
+    broken_groups: tuple[Key, ...] = ()
 
     def equals_except_age(self, other: 'Facts | None') -> bool:
         """Return whether two facts differ at most in the claim's age."""
@@ -86,10 +98,10 @@
     ``total``; waiting requests are in the first part.
     """
 
-    number: int = 0
-    total: int = 1
-    running: dict[int, int] = {}
-    waiting: dict[int, int] = {}
+    number: Count = 0
+    total: Annotated[int, msgspec.Meta(ge=1)] = 1
+    running: dict[Key, Count] = {}
+    waiting: dict[Key, Count] = {}
 
 
 class Notice(msgspec.Struct, frozen=True, array_like=True):
@@ -124,20 +136,20 @@
     incarnation: int
     sequence: int
     failure_domain: str
-    speed: float = 0
+    speed: Speed = 0
     facts: Facts = Facts()
     strikes: Strikes = Strikes()
     load: LoadPart | None = None
-    rank: int = 0
-    ancestors: tuple[str, ...] = ()
-    backup: str = ''
-    redirect: str = ''
+    rank: Rank = 0
+    ancestors: tuple[Address, ...] = ()
+    backup: Address = ''
+    redirect: Address = ''
     is_leaving: bool = False
-    origin: str = ''
+    origin: Address = ''
 
 
 class UnreadableNotice(ValueError):
-    """A datagram is not a notice of this version."""
+    """A datagram is not a valid notice of this version."""
 
 
 _DECODER = msgspec.msgpack.Decoder(Notice)
--- a/primroserudder/fleet/membership/tests/test_exchange.py
+++ b/primroserudder/fleet/membership/tests/test_exchange.py
@@ -11,7 +11,14 @@
     notice_network,
 )
 from ..bytebudget import LINK_SHARE
-from ..notice import MAX_DATAGRAM_BYTES, Strikes
+from ..notice import (
+    MAX_DATAGRAM_BYTES,
+    Direction,
+    LoadPart,
+    Notice,
+    Strikes,
+    encode_notice,
+)
 from ..children import FANOUT
 from ..tree import PARENT_TIMEOUT_S, SETTLING_S
 
@@ -203,3 +210,51 @@
     ]
     assert max(children) <= FANOUT
     assert sum(children) == 149
+    # 1 + 8 + 64 + 512 VMs fit in a root and three full levels; the levels are
+    # not full.
+    assert max(map(network.depth, network.exchanges)) <= 5
+
+
+@pytest.mark.parametrize(
+    'fields',
+    [
+        {'origin': 'nowhere', 'direction': Direction.TO_DOMAIN},
+        {'origin': '10.9.0.1:port', 'direction': Direction.TO_DOMAIN},
+        {'origin': '10.9.0.1:99999', 'direction': Direction.TO_DOMAIN},
+        {'redirect': 'nowhere', 'direction': Direction.TO_CHILD},
+        {'ancestors': ('nowhere', ''), 'direction': Direction.TO_CHILD},
+        {'ancestors': ('nowhere',), 'direction': Direction.ANSWER},
+        {'speed': float('nan'), 'direction': Direction.TO_PARENT},
+        {'load': LoadPart(7, 0, {-1: -5}), 'direction': Direction.TO_PARENT},
+    ],
+)
+def test_notice_with_invalid_fields_stops_nothing(
+    fields: dict[str, object],
+) -> None:
+    network = notice_network(2, 3)
+    notice = Notice(
+        **{  # type: ignore[arg-type]
+            'incarnation': 2**62,
+            'sequence': 1,
+            'failure_domain': 'fd-0',
+            **fields,
+        }
+    )
+    for sender in ('10.0.0.1:7', '10.0.0.3:7', '10.7.0.1:7'):
+        network.deliver(sender, '10.0.0.2:7', encode_notice(notice))
+        network.tick(40)
+    network.silenced.add('10.0.0.1:7')
+    network.tick(TAKEOVER_TICKS)
+    for counts in network.counts.values():
+        counts.begin('engine')
+    network.tick(20)
+    assert network.counts['10.0.0.3:7'].running('engine') == 5
+
+
+@pytest.mark.parametrize(
+    'packet', [b'', b'\x00', b'{"node": "a"}', b'\xc1' * 40, b'\xdd\xff']
+)
+def test_bytes_that_are_no_notice_are_counted(packet: bytes) -> None:
+    network = notice_network(1, 2)
+    network.deliver('10.0.0.1:7', '10.0.0.2:7', packet)
+    assert network.exchanges['10.0.0.2:7'].unreadable_datagrams == 1
--- a/primroserudder/testing/noticenetwork.py
+++ b/primroserudder/testing/noticenetwork.py
@@ -102,6 +102,8 @@
         self.sent_bytes[sender] += len(packet)
         self.largest = max(self.largest, len(packet))
         is_lost = self.rng.random() < self.loss
+        if target not in self.exchanges:
+            return
         if is_lost or sender in self.silenced or target in self.silenced:
             return
         self.received[target] += 1
@@ -122,6 +124,11 @@
         self.sent_bytes.clear()
         self.received.clear()
 
+    def depth(self, address: str) -> int:
+        """Return the number of a VM's ancestors."""
+        parent = self.exchanges[address].tree.parent
+        return 1 + self.depth(parent) if parent else 0
+
     def roots(self) -> Mapping[str, list[str]]:
         """Return the live roots by failure domain."""
         roots: dict[str, list[str]] = {}
