Start with five groups a model, and let small groups leave room for large ones

And small groups took the domains with most spares first, so that none had room for another group of 16. Change: 0.7 of the engines serve at the start as before; each model gets five groups at least; of equal candidates the one that keeps room for a group of the largest model comes first.

--- a/primroserudder/fleet/demand.py
+++ b/primroserudder/fleet/demand.py
@@ -8,16 +8,16 @@
 """
 
 import math
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 
 from .directorynames import pool_name
 from .model import EngineSpec, ModelSpec
 
-# Engines of each fabric domain that the initial groups leave as spares; a spare
-# repairs only groups of its own domain.
-SPARES_PER_DOMAIN = 2
-MIN_SERVING_SHARE = 0.5
+# Fraction of the engines in the initial groups; the others are spares.
+INITIAL_ENGINE_SHARE = 0.7
+# The loss of one of so many groups takes a fifth of a model's slots.
+MIN_GROUPS = 5
 # Average fraction of slots in use; the rest is left free for bursts.
 TARGET_SLOT_USE = 0.6
 # Time constant of the exponential decay of a load peak.
@@ -28,7 +28,7 @@
 
 
 def initial_groups(
-    spec: EngineSpec, engines: int, fabric_domains: int
+    spec: EngineSpec, domain_sizes: Sequence[int]
 ) -> Mapping[str, float]:
     """Return the wanted number of groups by model before any traffic.
 
@@ -36,31 +36,51 @@
     ===========
     All groups have the same number of slots, so that their number follows
     the slots that a model's work occupies, and not the size of its groups.
+    Each model gets a few groups at least, so that the loss of one takes no
+    large part of its slots, and no more than the fabric domains have room for.
+
+    Parameters
+    ==========
+    domain_sizes : Sequence
+        The number of engines of each fabric domain.
 
     Examples
     ========
     >>> large = ModelSpec('large', 6, 0.67, 16, 1.6, pace=1)
     >>> small = ModelSpec('small', 3, 0.33, 12, 1.1, pace=0.6)
     >>> models = {model.name: model for model in (large, small)}
-    >>> initial_groups(EngineSpec(13, models, 0, 5, 8), 66, fabric_domains=6)
-    {'large': 8, 'small': 2}
+    >>> initial_groups(EngineSpec(13, models, 0, 5, 8), [11] * 6)
+    {'small': 5, 'large': 5}
+    >>> initial_groups(EngineSpec(13, models, 0, 5, 8), [33] * 20)
+    {'small': 20, 'large': 67}
     """
-    models = spec.models_by_name.values()
-    work_by_model = {
-        model.name: model.work_share * model.pace for model in models
-    }
-    engines_per_work = sum(
-        work_by_model[model.name] * model.group_size for model in models
-    )
-    serving = max(
-        engines - SPARES_PER_DOMAIN * fabric_domains,
-        MIN_SERVING_SHARE * engines,
-    )
-    groups_per_work = serving / (engines_per_work or 1)
-    return {
-        name: max(1, round(groups_per_work * work))
-        for name, work in work_by_model.items()
-    }
+    serving = INITIAL_ENGINE_SHARE * sum(domain_sizes)
+    groups: dict[str, float] = {}
+    models = sorted(spec.models_by_name.values(), key=_group_size)
+    for number, model in enumerate(models):
+        room = sum(size // model.group_size for size in domain_sizes)
+        count = _count_by_work(models[number:], serving)
+        groups[model.name] = max(1, min(count, room))
+        serving -= groups[model.name] * model.group_size
+    return groups
+
+
+def _count_by_work(models: Sequence[ModelSpec], engines: float) -> int:
+    """Return the groups of the first of some models that share engines."""
+    model = models[0]
+    needed = sum(map(_engines_for_work, models)) or 1
+    by_work = engines / needed * model.work_share * model.pace
+    affordable = int(engines / 2 // model.group_size)
+    return max(round(by_work), min(MIN_GROUPS, affordable))
+
+
+def _group_size(model: ModelSpec) -> int:
+    return model.group_size
+
+
+def _engines_for_work(model: ModelSpec) -> float:
+    """Return the engines that a unit of all work needs for a model's share."""
+    return model.work_share * model.pace * model.group_size
 
 
 @dataclass(slots=True)
@@ -87,13 +107,12 @@
         self,
         service: str,
         spec: EngineSpec,
-        engines: int,
-        fabric_domains: int,
+        domain_sizes: Sequence[int],
         *,
         has_traffic: bool,
     ) -> Mapping[str, float]:
         """Return the wanted number of groups by model."""
-        initial = initial_groups(spec, engines, fabric_domains)
+        initial = initial_groups(spec, domain_sizes)
         if not has_traffic:
             return initial
         return {
--- a/primroserudder/fleet/engine_inventory.py
+++ b/primroserudder/fleet/engine_inventory.py
@@ -102,8 +102,7 @@
         wanted = self.demand.wanted(
             service,
             spec,
-            domain_sizes.total(),
-            len(domain_sizes),
+            tuple(domain_sizes.values()),
             has_traffic=self.has_traffic(),
         )
         return Balance(existing, wanted)
--- a/primroserudder/fleet/placement.py
+++ b/primroserudder/fleet/placement.py
@@ -88,6 +88,7 @@
     members: tuple[FreeEngine, ...]
     domain: str
     cost: float
+    rooms_lost: int
     spares: int
 
 
@@ -103,10 +104,11 @@
     ===========
     Groups are chosen in the order of their cost, which grows with the
     model's saturation and with the time until the group is ready. Among
-    groups of equal cost the domain with the most spare engines is first.
-    Engines beyond the wanted groups stay spares. No group is formed of
-    engines that would have to load weights first, because they would be
-    occupied without serving.
+    groups of equal cost, one that leaves its domain room for as many groups
+    of the largest model as before comes first, and then the domain with the
+    most spare engines. Engines beyond the wanted groups stay spares. No group
+    is formed of engines that would have to load weights first, because they
+    would be occupied without serving.
 
     Parameters
     ==========
@@ -134,8 +136,8 @@
         planned.append(PlannedGroup(best.model, members))
 
 
-def _priority(candidate: _Candidate) -> tuple[float, int]:
-    return candidate.cost, -candidate.spares
+def _priority(candidate: _Candidate) -> tuple[float, int, int]:
+    return candidate.cost, candidate.rooms_lost, -candidate.spares
 
 
 def _candidates(
@@ -144,12 +146,13 @@
     balance: Balance,
     is_settled: Callable[[str], bool],
 ) -> Iterator[_Candidate]:
+    largest = max(model.group_size for model in specs)
     scarcest = min(specs, key=balance.saturation)
     short = [model for model in specs if balance.is_short(model)]
     for domain, remaining in free_by_domain.items():
         models = short if is_settled(domain) else [scarcest]
         for model in models:
-            candidate = _candidate(domain, remaining, model, balance)
+            candidate = _candidate(domain, remaining, model, balance, largest)
             if candidate is not None and model in short:
                 yield candidate
 
@@ -159,15 +162,18 @@
     remaining: Sequence[FreeEngine],
     model: ModelSpec,
     balance: Balance,
+    largest: int,
 ) -> _Candidate | None:
     members = _fastest(remaining, model)
     if len(members) < model.group_size:
         return None
     ready_in_s = max(member.join_s(model) for member in members)
     cost = balance.saturation(model) + SATURATION_PER_S * ready_in_s
-    return _Candidate(
-        model, members, domain, cost, len(remaining) - len(members)
-    )
+    spares = len(remaining) - len(members)
+    rooms_lost = len(remaining) // largest - spares // largest
+    if model.group_size == largest:
+        rooms_lost -= 1
+    return _Candidate(model, members, domain, cost, rooms_lost, spares)
 
 
 def _fastest(
--- a/primroserudder/fleet/tests/test_load_decisions.py
+++ b/primroserudder/fleet/tests/test_load_decisions.py
@@ -1,5 +1,6 @@
 """Tests target choice, demand, silent heads and target health."""
 
+import itertools
 from dataclasses import replace
 
 import pytest
@@ -23,6 +24,8 @@
 from ..retries import Ending
 from ..silent_heads import SILENT_START_S, SILENT_STREAM_S, silent_heads
 
+DOMAINS = tuple(itertools.repeat(11, 6))
+LARGE_DOMAINS = tuple(itertools.repeat(35, 25))
 FORMATION = formation('small.7', ('a', 'b'))
 
 
@@ -80,16 +83,16 @@
 def test_load_peak_raises_wanted_groups_and_decays() -> None:
     meter = DemandMeter()
     meter.record({'model/small': 60}, 0)
-    wanted = meter.wanted('model', SPEC, 66, 6, has_traffic=True)
+    wanted = meter.wanted('model', SPEC, DOMAINS, has_traffic=True)
     assert wanted['small'] == pytest.approx(8)
     meter.record({'model/small': 10}, 60)
-    decayed = meter.wanted('model', SPEC, 66, 6, has_traffic=True)
+    decayed = meter.wanted('model', SPEC, DOMAINS, has_traffic=True)
     assert decayed['small'] < wanted['small']
 
 
 def test_before_traffic_configured_shares_set_wanted_groups() -> None:
-    wanted = DemandMeter().wanted('model', SPEC, 66, 6, has_traffic=False)
-    assert wanted == initial_groups(SPEC, 66, 6)
+    wanted = DemandMeter().wanted('model', SPEC, DOMAINS, has_traffic=False)
+    assert wanted == initial_groups(SPEC, DOMAINS)
 
 
 def test_before_traffic_slots_follow_the_work_and_not_the_engines() -> None:
@@ -100,11 +103,22 @@
         ModelSpec('fast', 4, 0.5, 12, 1.1, pace=0.6),
     )
     spec = EngineSpec(7, {model.name: model for model in models}, 0, 73, 109)
-    groups = initial_groups(spec, 875, fabric_domains=25)
+    groups = initial_groups(spec, LARGE_DOMAINS)
     assert groups['fast'] / groups['slow'] == pytest.approx(0.6, rel=0.05)
     assert 16 * groups['slow'] + 4 * groups['fast'] <= 875 - 2 * 25 + 16
 
 
+def test_loss_of_one_group_takes_a_fifth_of_a_models_slots_at_most() -> None:
+    assert min(initial_groups(SPEC, DOMAINS).values()) >= 5
+
+
+def test_wanted_groups_have_room_in_the_fabric_domains() -> None:
+    # Domains of 11 have room for one group of six, however many there are.
+    heavy = replace(SPEC.models_by_name['large'], work_share=50)
+    spec = replace(SPEC, models_by_name={**SPEC.models_by_name, 'large': heavy})
+    assert initial_groups(spec, DOMAINS)['large'] <= len(DOMAINS)
+
+
 def test_one_moving_stream_keeps_its_head_from_being_silent() -> None:
     still = StreamActivity(0, 3)
     moving = StreamActivity(SILENT_STREAM_S, 3)
--- a/primroserudder/fleet/tests/test_placement.py
+++ b/primroserudder/fleet/tests/test_placement.py
@@ -156,3 +156,14 @@
     spec = EngineSpec(4, {'small': SMALL}, 0, 1, 1)
     specs = tuple(spec.models_by_name.values())
     assert not plan_staging([free('x', 'small')], specs)
+
+
+def test_small_groups_leave_room_for_large_ones() -> None:
+    # d0 has room for a large group, d1 never had.
+    free_engines = [
+        *_engines_with('small', 7, 'd0'),
+        *_engines_with('small', 4, 'd1'),
+    ]
+    planned = plan_groups(free_engines, SPECS, _balance(large=1), _all_settled)
+    assert [group.model.name for group in planned] == ['small']
+    assert {member.fabric_domain for member in planned[0].members} == {'d1'}
