Let a VM have as many children as its link carries

Cause: with eight children a VM, slow VMs became inner nodes of the tree on the large site. At 10 Mbit/s the budget of 25 KB/s carries one or two neighbours at 20 notices a second, so that counts passed them some 150 ms late, and those of a domain came to others 0.4 s old: three requests more at each target of seven slots. Change: three to sixteen children by the budget, so that VMs with fast links carry the tree. Redirected children are spread by a key that differs at each level; with one key all of a branch went to the same child again. Tests: depth with 150 VMs at most 9 at 10 Mbit/s (21 before the second change) and 4 at 100 Mbit/s; with 40 VMs 2.

--- a/primroserudder/fleet/membership/children.py
+++ b/primroserudder/fleet/membership/children.py
@@ -5,15 +5,27 @@
 from .keys import short_key
 from .peeraddresses import PeerAddresses
 
-FANOUT = 8
+MIN_CHILDREN = 3
+MAX_CHILDREN = 16
+# What a neighbour takes of the budget for notices while all counts change.
+NEIGHBOUR_BYTES_PER_S = 14_000
+# Keeps the rank in a notice's field, however deep the tree is for a moment.
+MAX_RANK = 1_000_000_000
 CHILD_TIMEOUT_S = 1.0
 
 
 @dataclass(slots=True)
 class Children:
-    """The VMs that have this one as their parent, and when they were heard."""
+    """The VMs that have this one as their parent, and when they were heard.
+
+    Parameters
+    ==========
+    limit : int
+        Number of children beyond which further ones are redirected.
+    """
 
     peers: PeerAddresses
+    limit: int = MAX_CHILDREN
     heard_at: dict[str, float] = field(default_factory=dict)
 
     def note(self, child: str, now: float) -> None:
@@ -39,11 +51,25 @@
     def redirect_for(self, child: str) -> str:
         """Return the VM that a child should join instead, or ``''``."""
         ordered = self.ordered()
-        if ordered.index(child) < FANOUT:
+        if ordered.index(child) < self.limit:
             return ''
-        # Spreads the others evenly, in whatever order they leave.
-        return ordered[short_key(child) % FANOUT]
+        # Spreads the others evenly, in another way at each level.
+        key = short_key(f'{self.peers.own_address} {child}')
+        return ordered[key % self.limit]
 
     def rank_of(self, child: str, own_rank: int) -> int:
         """Return the rank of a child, different for all VMs of a domain."""
-        return own_rank * FANOUT + 1 + self.ordered().index(child)
+        place = min(self.ordered().index(child), MAX_CHILDREN - 1)
+        return min(own_rank * MAX_CHILDREN + 1 + place, MAX_RANK)
+
+
+def children_limit(bytes_per_s: float) -> int:
+    """Return how many children a VM's budget for notices allows.
+
+    Examples
+    ========
+    >>> [children_limit(budget) for budget in (25_000, 100_000, 2_500_000)]
+    [3, 7, 16]
+    """
+    affordable = int(bytes_per_s / NEIGHBOUR_BYTES_PER_S)
+    return min(max(affordable, MIN_CHILDREN), MAX_CHILDREN)
--- a/primroserudder/fleet/membership/exchange.py
+++ b/primroserudder/fleet/membership/exchange.py
@@ -17,6 +17,7 @@
 
 from ...process.clock import Clock
 from .bytebudget import ByteBudget
+from .children import children_limit
 from .links import Links
 from .notice import (
     Direction,
@@ -58,7 +59,8 @@
 
     def __post_init__(self) -> None:
         """Begin without neighbours."""
-        self.tree = Tree(self.peers, self.clock.monotonic())
+        limit = children_limit(self.budget.bytes_per_s)
+        self.tree = Tree(self.peers, self.clock.monotonic(), limit)
         self.sender = NoticeSender(
             self.peers,
             self.tree,
--- a/primroserudder/fleet/membership/tree.py
+++ b/primroserudder/fleet/membership/tree.py
@@ -5,9 +5,10 @@
 Every VM but the root has one parent, which comes before it in the order of
 ``PeerAddresses``, so that there are no cycles whatever each VM knows. A VM
 without a parent asks VMs before it; the first that answers names its root, and
-the VM becomes a child of that root. A VM with more than ``FANOUT`` children
-redirects the last ones to the first ones. The number of neighbours of a VM is
-therefore bounded, and grows neither with the domain nor with the site.
+the VM becomes a child of that root. A VM with more
+children than its link carries redirects the last ones to the first ones. The
+number of neighbours of a VM is therefore bounded, and grows neither with the
+domain nor with the site.
 
 A root that hears of a VM before it joins that VM together with its own
 children, so that a fast VM that starts again gets its place back. Nothing here
@@ -53,6 +54,7 @@
 
     peers: PeerAddresses
     began_at: float
+    children_limit: int
     parent: str = ''
     ancestors: tuple[str, ...] = ()
     rank: int = 0
@@ -68,7 +70,7 @@
 
     def __post_init__(self) -> None:
         """Begin without a parent."""
-        self.children = Children(self.peers)
+        self.children = Children(self.peers, self.children_limit)
         self._orphaned_at = self.began_at
 
     def is_settled(self, now: float) -> bool:
--- a/primroserudder/testing/noticenetwork.py
+++ b/primroserudder/testing/noticenetwork.py
@@ -17,7 +17,8 @@
 from .fleetdata import ManualClock
 
 TICK_S = 0.05
-LINK_MBPS = 10.0
+SLOW_LINK_MBPS = 10.0
+FAST_LINK_MBPS = 100.0
 # Ticks in which a domain of this size chooses its tree.
 SETTLING_TICKS = 60
 
@@ -50,6 +51,7 @@
     """
 
     loss: float = 0
+    link_mbps: float = FAST_LINK_MBPS
     clock: ManualClock = field(default_factory=ManualClock)
     exchanges: dict[str, Exchange] = field(default_factory=dict)
     counts: dict[str, InFlightCounts] = field(default_factory=dict)
@@ -71,7 +73,7 @@
             PeerAddresses(address, domain, speed),
             self.clock,
             counts,
-            LINK_MBPS,
+            self.link_mbps,
             lambda: Facts(lease_claim=self.claims.get(address, '')),
             lambda: self.strikes.get(address, Strikes()),
         )
@@ -140,9 +142,14 @@
         return roots
 
 
-def notice_network(domains: int, vms: int, loss: float = 0) -> NoticeNetwork:
+def notice_network(
+    domains: int,
+    vms: int,
+    loss: float = 0,
+    link_mbps: float = FAST_LINK_MBPS,
+) -> NoticeNetwork:
     """Return a settled network; lower addresses have faster VMs."""
-    network = NoticeNetwork(loss)
+    network = NoticeNetwork(loss, link_mbps)
     for domain in range(domains):
         for vm in range(1, vms + 1):
             network.add(f'10.{domain}.0.{vm}:7', f'fd-{domain}', 1 / vm)
