--- a/primroserudder/fleet/callers.py
+++ b/primroserudder/fleet/callers.py
@@ -102,9 +102,20 @@
             ) from error
 
     async def finish(self) -> web.StreamResponse:
-        """Finish a complete stream and return its response."""
+        """Finish a complete stream and return its response.
+
+        Raises
+        ======
+        CallerDisconnected
+            The caller closed its connection.
+        """
         response = self.response or web.Response(status=HTTPStatus.OK)
-        await response.write_eof()
+        try:
+            await response.write_eof()
+        except OSError as error:
+            raise CallerDisconnected(
+                'the caller closed its connection'
+            ) from error
         return response
 
     def abort(self) -> None:
@@ -171,10 +182,17 @@
         is_whole = outcome.ending is Ending.DELIVERED
         self.metrics.count('streams', whole=str(is_whole))
         if is_whole:
-            return await stream.finish()
+            return await self._finish(stream)
         stream.abort()
         return stream.response
 
+    async def _finish(self, stream: CallerStream) -> web.StreamResponse:
+        """Finish a stream; one whose caller left needs no response."""
+        try:
+            return await stream.finish()
+        except CallerDisconnected:
+            raise asyncio.CancelledError from None
+
     async def _read_request(
         self,
         request: web.BaseRequest,
--- a/primroserudder/fleet/membership/children.py
+++ b/primroserudder/fleet/membership/children.py
@@ -54,7 +54,7 @@
         if ordered.index(child) < self.limit:
             return ''
         # Spreads the others evenly, in another way at each level.
-        key = short_key(f'{self.peers.own_address} {child}')
+        key = short_key(self.peers.own_address + child)
         return ordered[key % self.limit]
 
     def rank_of(self, child: str, own_rank: int) -> int:
