Move router-cost to the other benches, and guard one more wire name

Cause: the wire names' test failed on programs/routercost.py, which sends a caller's header fields; benches that play a caller lie in testing/. Change: moved; Server-Leaving joins the guarded names.

--- a/primroserudder/platform/tests/test_wire_names.py
+++ b/primroserudder/platform/tests/test_wire_names.py
@@ -40,6 +40,7 @@
     'ApiKeys',
     'CloseMode',
     'At-Server',
+    'Server-Leaving',
 )
 
 
--- a/primroserudder/programs/routercost.py
+++ b/primroserudder/testing/routercost.py
@@ -22,7 +22,7 @@
 import orjson
 from aiohttp import ClientSession, DummyCookieJar
 
-from ..testing.platformsite import (
+from .platformsite import (
     HOST,
     KEY,
     LOOPBACK,
