Keep spares by fabric domain in sites that have many of them

Change: spares are for the loss of a whole fabric domain and of two engines in each of the others; a site with few domains keeps 0.7 as before. Before: the new test failed (608 engines); after: 792 of 875 serve. Sites with six domains have the same groups as before.

--- a/primroserudder/fleet/demand.py
+++ b/primroserudder/fleet/demand.py
@@ -14,8 +14,11 @@
 from .directorynames import pool_name
 from .model import EngineSpec, ModelSpec
 
-# Fraction of the engines in the initial groups; the others are spares.
-INITIAL_ENGINE_SHARE = 0.7
+# Fraction of the engines that the initial groups have at least; the others are
+# spares.
+MIN_SERVING_SHARE = 0.7
+# Spares that each fabric domain with groups keeps; they repair only its own.
+SPARES_PER_DOMAIN = 2
 # The loss of one of so many groups takes a fifth of a model's slots.
 MIN_GROUPS = 5
 # Average fraction of slots in use; the rest is left free for bursts.
@@ -52,9 +55,9 @@
     >>> initial_groups(EngineSpec(13, models, 0, 5, 8), [11] * 6)
     {'small': 5, 'large': 5}
     >>> initial_groups(EngineSpec(13, models, 0, 5, 8), [33] * 20)
-    {'small': 20, 'large': 67}
+    {'small': 25, 'large': 86}
     """
-    serving = INITIAL_ENGINE_SHARE * sum(domain_sizes)
+    serving = _serving_engines(domain_sizes)
     groups: dict[str, float] = {}
     models = sorted(spec.models_by_name.values(), key=_group_size)
     for number, model in enumerate(models):
@@ -65,6 +68,20 @@
     return groups
 
 
+def _serving_engines(domain_sizes: Sequence[int]) -> float:
+    """Return the engines for groups: all but those for repairs.
+
+    Explanation
+    ===========
+    A whole fabric domain may go dark, and each of the others loses engines.
+    In a site with few domains that would be nearly half of the engines.
+    """
+    engines = sum(domain_sizes)
+    others = len(domain_sizes) - 1
+    spares = max(domain_sizes, default=0) + SPARES_PER_DOMAIN * others
+    return max(MIN_SERVING_SHARE * engines, engines - spares)
+
+
 def _count_by_work(models: Sequence[ModelSpec], engines: float) -> int:
     """Return the groups of the first of some models that share engines."""
     model = models[0]
--- a/primroserudder/fleet/tests/test_load_decisions.py
+++ b/primroserudder/fleet/tests/test_load_decisions.py
@@ -8,6 +8,7 @@
 from ...platform import decode_configuration, decode_engine
 from ...process.platform import Row
 from ...testing.fleetdata import (
+    LARGE,
     SPEC,
     ManualClock,
     formation,
@@ -112,6 +113,16 @@
     assert min(initial_groups(SPEC, DOMAINS).values()) >= 5
 
 
+def test_site_with_many_fabric_domains_needs_fewer_spares() -> None:
+    groups = initial_groups(SPEC, LARGE_DOMAINS)
+    serving = sum(
+        count * SPEC.models_by_name[model].group_size
+        for model, count in groups.items()
+    )
+    # One domain may go dark, and each of the others loses two engines.
+    assert serving == pytest.approx(24 * (35 - 2), abs=LARGE.group_size)
+
+
 def test_wanted_groups_have_room_in_the_fabric_domains() -> None:
     # Domains of 11 have room for one group of six, however many there are.
     heavy = replace(SPEC.models_by_name['large'], work_share=50)
