Word the tree's page and one condition more plainly

Cause: read as a newcomer, the tree's docstring was badly filled, a parameter was not described, and a local name misled. Tests: membership passes.

--- a/primroserudder/fleet/__init__.py
+++ b/primroserudder/fleet/__init__.py
@@ -4,5 +4,6 @@
 ===========
 The decisions are made in modules that read no socket, clock or stored row:
 ``routes``, ``balancing``, ``retries``, ``demand``, ``group_lifecycle``,
-``placement`` and ``preloading``. The other modules carry the decisions out.
+``placement``, ``preloading`` and ``membership.tree``. The other modules carry
+the decisions out; ``membership`` holds what the routers tell each other.
 """
--- a/primroserudder/fleet/membership/exchange.py
+++ b/primroserudder/fleet/membership/exchange.py
@@ -36,6 +36,7 @@
 MIN_TICK_INTERVAL_S = 0.02
 TICK_INTERVAL_PER_VM_S = 0.001
 MAX_TICK_INTERVAL_S = 0.05
+
 # Takes the facts and strikes that a neighbour sent.
 Listener = Callable[[str, Facts, Strikes], None]
 
--- a/primroserudder/fleet/membership/tree.py
+++ b/primroserudder/fleet/membership/tree.py
@@ -5,10 +5,9 @@
 Every VM but the root has one parent, which comes before it in the order of
 ``PeerAddresses``, so that there are no cycles whatever each VM knows. A VM
 without a parent asks VMs before it; the first that answers names its root, and
-the VM becomes a child of that root. A VM with more
-children than its link carries redirects the last ones to the first ones. The
-number of neighbours of a VM is therefore bounded, and grows neither with the
-domain nor with the site.
+the VM becomes a child of that root. A VM with more children than its link
+carries redirects the last ones to the first ones. The number of neighbours of
+a VM is therefore bounded, and grows neither with the domain nor with the site.
 
 A root that hears of a VM before it joins that VM together with its own
 children, so that a fast VM that starts again gets its place back. Nothing here
@@ -44,6 +43,8 @@
     ==========
     began_at : float
         Monotonic time of the start, in seconds.
+    children_limit : int
+        Number of children beyond which further ones are redirected.
     ancestors : tuple of str
         Addresses of the parent, the next ancestor and the root.
     rank : int
@@ -144,11 +145,11 @@
     def note(self, sender: str, notice: Notice, now: float) -> bool:
         """Record a notice; return whether its sender is a neighbour."""
         if notice.direction is Direction.TO_DOMAIN:
-            is_other = notice.failure_domain != self.peers.failure_domain
-            if is_other and not self.parent:
-                root_domain = notice.failure_domain
-                self.representatives.note(root_domain, sender, now)
-            return is_other and not self.parent
+            domain = notice.failure_domain
+            is_for_root = domain != self.peers.failure_domain
+            if is_for_root and not self.parent:
+                self.representatives.note(domain, sender, now)
+            return is_for_root and not self.parent
         if notice.direction is Direction.TO_PARENT:
             return self._note_child(sender, notice, now)
         if notice.direction is Direction.TO_CHILD:
