Try a free slot for a request that may not wait any more

Cause: a check of this work refused a request at once if all its engines wanted none for longer than it may wait. A request that is older than its longest wait, as after a late refusal by an engine, may wait less than zero seconds, and even engines that had asked for nothing counted as wanting none for longer. It was refused although slots were free. Change: a negative wait counts as zero. Before: test_late_refusal_without_a_time_is_retried_elsewhere failed (503); after: passes.

--- a/primroserudder/fleet/serving.py
+++ b/primroserudder/fleet/serving.py
@@ -142,7 +142,7 @@
                 retry_after=RETRY_AFTER_NO_GROUP_S,
             )
         back_off_s = self.selector.back_off_s(call)
-        if back_off_s > wait_s:
+        if back_off_s > max(wait_s, 0):
             raise NoFreeSlot(
                 'all engines of the pool want no requests now',
                 retry_after=back_off_s,
--- a/primroserudder/fleet/tests/test_engine_signals.py
+++ b/primroserudder/fleet/tests/test_engine_signals.py
@@ -151,3 +151,14 @@
         engine.faults.refuses = False
         await asyncio.sleep(0.5)
         assert await _send(site, '/refunds/1') == [200]
+
+
+async def test_late_refusal_without_a_time_is_retried_elsewhere() -> None:
+    # The refusal comes after the time that a request may wait for a slot.
+    async with platform_site() as site:
+        await _wait_until_serving(site)
+        refusing = _plain(site)[0]
+        refusing.faults.refuses = True
+        refusing.faults.refuses_after_s = 0.2
+        while not refusing.refused:
+            assert await _send(site, '/lookups/1') == [200]
--- a/primroserudder/standins/groupengine.py
+++ b/primroserudder/standins/groupengine.py
@@ -60,6 +60,7 @@
     cuts_after_events: int | None = None
     cuts_within_event: bool = False
     refuses: bool = False
+    refuses_after_s: float = 0
     # Value of the Retry-After field of refusals, none if empty.
     retry_after: str = ''
     # Whether responses say that the engine leaves; its entry doesn't.
@@ -189,6 +190,7 @@
         refusal = self._refusal(request)
         if refusal is not None:
             self.refused += 1
+            await asyncio.sleep(self.faults.refuses_after_s)
             return refusal
         self.received_requests.append(
             ReceivedRequest(
