Show that a second of silence ends streams without an answer

The stand-in engine can be silent and go on (streams, reports and orders wait meanwhile). The caller's connection is aborted 0.6 s into the silence (log: engine_unreachable, strike, repeat or refuse), and the sound engine gets a strike.

--- a/primroserudder/standins/groupengine.py
+++ b/primroserudder/standins/groupengine.py
@@ -29,6 +29,7 @@
 SERVICE = 'model'
 # Longer than any caller's timeout.
 HANG_S = 60
+SILENCE_POLL_S = 0.01
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,10 +72,17 @@
     ignores_orders: bool = False
     late_orders_s: float = 0
     is_unresponsive: bool = False
+    # Whether the engine sends nothing for now, and goes on later.
+    is_silent: bool = False
     # Requests with these bodies end the engine's process.
     crashing_bodies: set[bytes] = field(default_factory=set)
     crashes_silently: bool = False
 
+    async def wait_while_silent(self) -> None:
+        """Wait until the engine is not silent any more."""
+        while self.is_silent:
+            await asyncio.sleep(SILENCE_POLL_S)
+
 
 @dataclass(slots=True)
 class GroupEngine:
@@ -161,6 +169,7 @@
     async def _report(self, _request: web.Request) -> web.Response:
         if self.faults.is_unresponsive:
             await asyncio.sleep(HANG_S)
+        await self.faults.wait_while_silent()
         entry = {
             **self._entry(),
             'Queued': 0,
@@ -175,6 +184,7 @@
         order = orjson.loads(await request.read())
         if self.faults.is_unresponsive:
             await asyncio.sleep(HANG_S)
+        await self.faults.wait_while_silent()
         self.orders.append(order)
         delay_s = self.faults.late_orders_s
         if delay_s:
@@ -232,6 +242,7 @@
     async def _answer(self, request: web.Request) -> web.StreamResponse:
         if self.faults.never_answers:
             await asyncio.sleep(HANG_S)
+        await self.faults.wait_while_silent()
         headers = {
             ATTEMPT_ID: request.headers.get(ATTEMPT_ID, ''),
             **_leaving_field(self.faults),
@@ -261,6 +272,7 @@
                 return await self._cut(request, response, number)
             if self.faults.is_unresponsive:
                 await asyncio.sleep(HANG_S)
+            await self.faults.wait_while_silent()
             await response.write(event(number))
             await asyncio.sleep(self.event_s)
         await response.write_eof()
