Let a head finish the streams that can't move before it is closed

A member that did not answer two probes (0.6 s) made the lease holder close the head at once, which ends all of its streams, and order the members of a silent head to leave, after which the head ends them itself when it goes on. A member that drains had the same effect three seconds later. A stream that may not run on another engine lost its caller's connection.

Cause: the group's way to its end knew two cases, a drain and a loss, and took silence for a loss; and closing served both to move the streams that can move and to end the others.

The change: streams move when the group is reported broken (at once after a silence or a loss, after 3 s of a drain, as before); the head is closed at once only after a loss, after 0.9 s of silence, or 8 s after a drain or a silence that ended (a member that drains stays up to 10 s while its head has work). Members of a silent head keep their places for the 0.9 s. A loss that the list shows ends all waiting.

--- a/primroserudder/fleet/group_lifecycle.py
+++ b/primroserudder/fleet/group_lifecycle.py
@@ -13,6 +13,7 @@
 """
 
 from collections.abc import Collection, Mapping
+from collections.abc import Set as AbstractSet
 from dataclasses import dataclass, field
 
 from .actions import Action, Close, Join, Leave, Open, Release
@@ -20,9 +21,36 @@
 
 # Added to the time that a head waits for a lost member.
 STALL_MARGIN_S = 0.6
-# A draining group may finish its streams within this time; after it the head
-# is closed at once and the streams move to other groups.
-MAX_GRACEFUL_CLOSE_S = 3.0
+# The streams of a draining group move to other groups after this time. A member
+# that drains stays for up to ten seconds while its head has work: until then
+# the head finishes the streams that can't move.
+STREAMS_MOVE_AFTER_S = 3.0
+MAX_CLOSING_S = 8.0
+# An engine that does not answer probes may be silent for about a second and go
+# on, so that its group's streams that can't move wait for it this long.
+MAX_SILENCE_S = 0.9
+
+
+@dataclass(frozen=True, slots=True)
+class CloseTimes:
+    """How long a group that dissolves may go on with its streams, in seconds.
+
+    Parameters
+    ==========
+    move_after_s : float
+        From then on its streams move to other groups if they can.
+    end_after_s : float
+        From then on its head does not finish its streams.
+    """
+
+    move_after_s: float = 0
+    end_after_s: float = 0
+
+
+AT_ONCE = CloseTimes()
+ON_DRAIN = CloseTimes(STREAMS_MOVE_AFTER_S, MAX_CLOSING_S)
+ON_SILENCE = CloseTimes(end_after_s=MAX_SILENCE_S)
+AFTER_SILENCE = CloseTimes(end_after_s=MAX_CLOSING_S)
 
 
 @dataclass(slots=True)
@@ -36,6 +64,7 @@
     true by default. Times are monotonic and in seconds: ``first_left_at`` is
     that of the first acknowledged order to leave, and since
     ``no_member_listed_since`` no listed member has reported the group.
+    ``close_times`` depend on the reason why the group dissolves.
     """
 
     formation: Formation
@@ -43,7 +72,7 @@
     created_at: float
     is_open_ordered: bool = True
     is_dissolving: bool = False
-    is_graceful: bool = False
+    close_times: CloseTimes = AT_ONCE
     dissolving_since: float = 0
     is_close_answered: bool = False
     has_head_left: bool = False
@@ -53,15 +82,28 @@
     pending_members: set[str] = field(default_factory=set)
     reason: str = ''
 
-    def dissolve(self, reason: str, now: float, *, graceful: bool) -> None:
+    def dissolve(
+        self, reason: str, now: float, close_times: CloseTimes = AT_ONCE
+    ) -> None:
         """Begin to free the members; later calls have no effect."""
         if self.is_dissolving:
             return
         self.is_dissolving = True
-        self.is_graceful = graceful
+        self.close_times = close_times
         self.dissolving_since = now
         self.reason = reason
 
+    def is_broken(self, now: float) -> bool:
+        """Return whether the group's streams should move to other groups."""
+        dissolving_s = now - self.dissolving_since
+        return (
+            self.is_dissolving and dissolving_s >= self.close_times.move_after_s
+        )
+
+    def may_finish_streams(self, now: float) -> bool:
+        """Return whether the head may still finish the streams it runs."""
+        return now - self.dissolving_since < self.close_times.end_after_s
+
     def note_remaining(
         self,
         listed: Collection[Engine],
@@ -99,7 +141,7 @@
     """The engines as listed and reachable at one moment."""
 
     engines_by_id: Mapping[str, Engine]
-    unreachable: Collection[str]
+    unreachable: AbstractSet[str]
     stall_s: float
     now: float
 
@@ -120,7 +162,9 @@
     Marks the group as dissolving if a member was lost or drains, or if the
     head is broken.
     """
-    if not progress.is_dissolving:
+    if progress.is_dissolving:
+        progress.close_times = _close_times(progress, snapshot)
+    else:
         _check_members(progress, snapshot)
     if progress.is_dissolving:
         return _dissolving_actions(progress, snapshot)
@@ -138,20 +182,48 @@
 
 
 def _check_members(progress: GroupProgress, snapshot: EngineSnapshot) -> None:
-    draining = False
-    for engine_id in progress.formation.members:
-        engine = snapshot.engine(engine_id)
-        if engine is None or _has_restarted(engine, progress):
-            reason = f'member {engine_id} lost'
-            progress.dissolve(reason, snapshot.now, graceful=False)
-            return
-        draining = draining or engine.is_draining
-    if draining:
-        progress.dissolve('a member drains', snapshot.now, graceful=True)
+    lost = _lost_members(progress, snapshot)
+    if lost:
+        reason = f'member {lost[0]} lost'
+        progress.dissolve(reason, snapshot.now)
+        return
+    members = progress.formation.members
+    silent = [member for member in members if member in snapshot.unreachable]
+    if silent:
+        reason = f'member {silent[0]} does not answer'
+        progress.dissolve(reason, snapshot.now, ON_SILENCE)
+        return
+    if any(snapshot.engines_by_id[member].is_draining for member in members):
+        progress.dissolve('a member drains', snapshot.now, ON_DRAIN)
         return
     head = snapshot.engines_by_id[progress.formation.head]
     if _state(head, progress) is GroupState.BROKEN:
-        progress.dissolve('head broken', snapshot.now, graceful=False)
+        progress.dissolve('head broken', snapshot.now)
+
+
+def _close_times(
+    progress: GroupProgress, snapshot: EngineSnapshot
+) -> CloseTimes:
+    """Return the times of a dissolving group by what its members do now."""
+    is_loss = _lost_members(progress, snapshot)
+    if progress.close_times is AT_ONCE or is_loss:
+        return AT_ONCE
+    if snapshot.unreachable.isdisjoint(progress.formation.members):
+        is_drain = progress.close_times is ON_DRAIN
+        return ON_DRAIN if is_drain else AFTER_SILENCE
+    return ON_SILENCE
+
+
+def _lost_members(
+    progress: GroupProgress, snapshot: EngineSnapshot
+) -> list[str]:
+    """Return the members that are not listed any more, or were restarted."""
+    listed = snapshot.engines_by_id
+    return [
+        member
+        for member in progress.formation.members
+        if member not in listed or _has_restarted(listed[member], progress)
+    ]
 
 
 def _forming_actions(
@@ -209,8 +281,7 @@
     head: Engine,
     now: float,
 ) -> list[Action]:
-    waited_s = now - progress.dissolving_since
-    is_within_grace = progress.is_graceful and waited_s < MAX_GRACEFUL_CLOSE_S
+    is_within_grace = progress.may_finish_streams(now)
     if progress.is_close_answered and is_within_grace:
         return []
     return [Close(head, at_once=not is_within_grace)]
@@ -230,6 +301,8 @@
     stalled_at = snapshot.now - snapshot.stall_s - STALL_MARGIN_S
     if progress.has_missed_a_member_since(stalled_at):
         return [Release('the head has been stalled long enough')]
+    if progress.may_finish_streams(snapshot.now):
+        return []
     return [
         Leave(engine)
         for engine in remaining
--- a/primroserudder/fleet/group_reconciler.py
+++ b/primroserudder/fleet/group_reconciler.py
@@ -139,10 +139,11 @@
         )
 
     def _update_broken_groups(self, tenure: Tenure) -> None:
+        now = self.clock.monotonic()
         self.broken_groups = tuple(
             name
             for name, progress in tenure.groups_by_name.items()
-            if progress.is_dissolving and not progress.is_graceful
+            if progress.is_broken(now)
         )
 
     async def _replace(
--- a/primroserudder/fleet/tenure.py
+++ b/primroserudder/fleet/tenure.py
@@ -131,7 +131,7 @@
         if self.inherited is None:
             for progress in self.groups_by_name.values():
                 if self._has_head_elsewhere(progress):
-                    progress.dissolve('ended before', now, graceful=False)
+                    progress.dissolve('ended before', now)
         else:
             # What this process has released before was free by proof.
             self.groups_by_name = dict(self.inherited)
@@ -177,7 +177,7 @@
         progress = GroupProgress(
             listed.formation(), listed.born_by_member(), now
         )
-        progress.dissolve('unclaimed', now, graceful=False)
+        progress.dissolve('unclaimed', now)
         self.groups_by_name[listed.name] = progress
 
     def _new_progress(
--- a/primroserudder/fleet/tests/test_silent_engine.py
+++ b/primroserudder/fleet/tests/test_silent_engine.py
@@ -21,10 +21,13 @@
 
 SILENCE_S = 1.2
 EVENT_S = 0.05
+# A stream of such events takes longer than a drained group keeps its streams.
+SLOW_EVENT_S = 0.9
 EVENTS = 5
 WHOLE_STREAM = b''.join(event(number) for number in range(1, EVENTS + 1))
 ONE_ATTEMPT = {'MaxAttempts': 1}
 NOT_RESUMABLE = {'Resumable': False}
+LONG_ROUTE = {**ONE_ATTEMPT, 'TimeoutMs': 6000}
 
 
 def _routes(**changes: object) -> Sequence[Mapping[str, object]]:
@@ -102,6 +105,22 @@
         assert received == WHOLE_STREAM
 
 
+async def test_stream_that_cannot_move_survives_a_draining_member() -> None:
+    # Its head is closed before the member leaves, but not under the stream.
+    async with platform_site(engines=4) as site:
+        await _start(site, **LONG_ROUTE)
+        for engine in site.engines_by_id.values():
+            engine.event_s = SLOW_EVENT_S
+        async with site.request('/notes/1') as response:
+            received = await response.content.readexactly(len(event(1)))
+            head = next(head for head in site.heads() if head.running)
+            member = site.engines_by_id[head.members[1]]
+            member.is_draining = True
+            member.register()
+            received += await response.content.read()
+        assert received == WHOLE_STREAM
+
+
 async def test_stream_survives_the_silence_of_all_engines() -> None:
     async with platform_site(engines=4) as site:
         await _start(site)
