Probe an unreachable engine again, and use it once it answers

What callers saw: after a second of silence of a sound engine its group was dissolved, and no new one formed from its members for up to four seconds more: requests of the model were refused meanwhile.

Cause: an engine that missed two probes counted as unreachable for a fixed four seconds, whatever it answered afterwards. Now it is probed each 0.4 s while it is unreachable and listed, and counts as reachable with its first answer. A further miss does not extend the time, as before.

--- a/primroserudder/fleet/reachability.py
+++ b/primroserudder/fleet/reachability.py
@@ -35,10 +35,11 @@
     clock: Clock
     log: DecisionLog
     start: Start
-    on_loss: Callable[[], None]
+    on_change: Callable[[], None]
     is_holder: Callable[[], bool]
     _unreachable_until: dict[str, float] = field(default_factory=dict)
     _probed_at: dict[str, float] = field(default_factory=dict)
+    _probed_again_at: dict[str, float] = field(default_factory=dict)
 
     def unreachable(self) -> set[str]:
         """Return the ids of engines that recently failed to answer."""
@@ -58,6 +59,23 @@
         for engine_id in engine_ids:
             self.start(self._probe_engine(engine_id))
 
+    def probe_unreachable(self) -> None:
+        """Start to probe the unreachable engines again, once per interval."""
+        now = self.clock.monotonic()
+        for engine_id in self.unreachable():
+            probed_at = self._probed_again_at.get(engine_id, 0)
+            if now - probed_at >= PROBE_INTERVAL_S:
+                self._probed_again_at[engine_id] = now
+                self.start(self._probe_again(engine_id))
+
+    async def _probe_again(self, engine_id: str) -> None:
+        engine = self.directory.engines_by_id.get(engine_id)
+        if engine is None or await self.orders.report(engine) is None:
+            return
+        if self._unreachable_until.pop(engine_id, None) is not None:
+            self.log.note('engine_reachable', engine=engine_id)
+            self.on_change()
+
     async def _probe_engine(self, engine_id: str) -> None:
         engine = self.directory.engines_by_id.get(engine_id)
         if engine is None:
@@ -73,7 +91,7 @@
             self.log.note('engine_unreachable', engine=engine_id)
             if self.is_holder():
                 self._probe_neighbours(engine)
-        self.on_loss()
+        self.on_change()
 
     def _probe_neighbours(self, lost: Engine) -> None:
         neighbours: Collection[str] = [
--- a/primroserudder/fleet/silent_heads.py
+++ b/primroserudder/fleet/silent_heads.py
@@ -47,6 +47,7 @@
             for head in heads:
                 self.reachability.probe(f'head {head}', (head,))
             self._cut_unreachable_heads(heads)
+            self.reachability.probe_unreachable()
 
     def _cut_unreachable_heads(self, heads: Collection[str]) -> None:
         """Cut the streams of silent heads that are unreachable from this VM."""
