Take the ports of test sites from below the range of outgoing connections

Seen once, beside other test runs: test_engine_signals, 'address already in use' as a router opened its port. free_ports returned ports of the system's range for outgoing connections; between the look and the opening one of the many other connections took it. Ports now come in turn from 10,000 to 29,999, beginning elsewhere in each process.

--- a/primroserudder/testing/platformsite.py
+++ b/primroserudder/testing/platformsite.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import os
 import socket
 from collections.abc import AsyncIterator, Callable, Mapping, Sequence
 from contextlib import (
@@ -26,6 +27,8 @@
 NO_FIELDS: Mapping[str, str] = MappingProxyType({})
 POLL_INTERVAL_S = 0.01
 GROUP_SIZE = 2
+PORTS = range(10_000, 30_000)
+PORT_STEP = 1009
 
 
 @dataclass(slots=True)
@@ -230,11 +233,26 @@
 
 
 def free_ports(count: int) -> Sequence[int]:
-    """Return ports that are free for TCP now, and assumed free for UDP."""
-    sockets = [socket.socket() for _ in range(count)]
-    for unbound in sockets:
-        unbound.bind((LOOPBACK, 0))
-    ports = [bound.getsockname()[1] for bound in sockets]
-    for opened in sockets:
-        opened.close()
-    return ports
+    """Return ports that are free for TCP now, and assumed free for UDP.
+
+    Explanation
+    ===========
+    They lie below the range from which the system takes the ports of outgoing
+    connections: one of these could take a port before a router opens it.
+    """
+    return list(itertools.islice(filter(_is_free, _ports), count))
+
+
+def _is_free(port: int) -> bool:
+    with socket.socket() as unbound:
+        try:
+            unbound.bind((LOOPBACK, port))
+        except OSError:
+            return False
+    return True
+
+
+# Processes that run tests at the same time begin at different ports.
+_ports = itertools.islice(
+    itertools.cycle(PORTS), os.getpid() * PORT_STEP % len(PORTS), None
+)
