Count a refused connection neither as a try nor against the retry budget

What callers saw: streams that had begun were broken off, and requests refused or answered 502, while sound engines had free slots.

Cause: the list shows an engine for some seconds after its end, and each VM offers it a request a second. A connection that it refuses cost one of four tries and one retry of the site's budget, although the request reached no engine and no engine saw an arrival. Class of fault: as with silence, a request was given up for what had not happened to it.

The change: an ending of its own, 'not sent'. Attempts keep numbers of their own. Two tests that named the ending of a refused connection name the new one.

--- a/primroserudder/fleet/attempt.py
+++ b/primroserudder/fleet/attempt.py
@@ -129,7 +129,7 @@
             ) as response:
                 return await self._read_response(response)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
-            return AttemptResult(Ending.NOT_RUN, NO_CONNECTION)
+            return AttemptResult(Ending.NOT_SENT, NO_CONNECTION)
         except TimeoutError as error:
             # A slow engine times out too.
             return self._broken_result(
--- a/primroserudder/fleet/attemptrunner.py
+++ b/primroserudder/fleet/attemptrunner.py
@@ -15,7 +15,7 @@
 from .health import TargetHealth
 from .model import RequestKind, Target
 from .quarantine import Quarantine
-from .retries import Ending
+from .retries import NEVER_RUN, Ending
 from .streammoves import StreamMoves
 
 # A stream that may not leave a lost target is asked again at this interval.
@@ -45,7 +45,7 @@
         self, call: Call, target: Target, sink: StreamSink
     ) -> AttemptResult:
         """Run one attempt and return how it ended."""
-        number = call.retry_state.tries + 1
+        number = call.retry_state.next_number
         call.dispatch.open(number)
         with self._tracked_attempt(target) as activity:
             attempt = Attempt(
@@ -53,7 +53,7 @@
             )
             with self._noted_if_abandoned(attempt):
                 outcome = await self._run_until_lost(attempt)
-        if outcome.ending is Ending.NOT_RUN:
+        if outcome.ending in NEVER_RUN:
             call.dispatch.note_refused(number)
         return outcome
 
--- a/primroserudder/fleet/health.py
+++ b/primroserudder/fleet/health.py
@@ -13,10 +13,10 @@
 from dataclasses import dataclass, field
 
 from ..process.clock import Clock
-from .attempt import NO_CONNECTION, AttemptResult
+from .attempt import AttemptResult
 from .membership import short_key
 from .model import Target
-from .retries import Ending
+from .retries import NEVER_RUN, Ending
 
 AVOID_UNREACHABLE_S = 1.0
 AVOID_REFUSING_S = 0.15
@@ -72,7 +72,7 @@
             self.failures_by_engine.pop(engine_id, None)
             self.unreachable_at_by_domain.pop(target.failure_domain, None)
             return
-        if outcome.ending is Ending.NOT_RUN:
+        if outcome.ending in NEVER_RUN:
             self._note_not_run(target, outcome, now)
             return
         failures = self.failures_by_engine.get(engine_id, 0) + 1
@@ -159,7 +159,7 @@
         outcome: AttemptResult,
         now: float,
     ) -> None:
-        if outcome.reason == NO_CONNECTION:
+        if outcome.ending is Ending.NOT_SENT:
             unreachable_at = self.unreachable_at_by_domain.setdefault(
                 target.failure_domain, {}
             )
--- a/primroserudder/fleet/retries.py
+++ b/primroserudder/fleet/retries.py
@@ -12,7 +12,9 @@
 
     # A complete successful response was received.
     DELIVERED = 'delivered'
-    # No connection was made, or the engine confirmed that it ran nothing.
+    # No connection was made, so that the request reached no engine.
+    NOT_SENT = 'not sent'
+    # The engine confirmed that it ran nothing.
     NOT_RUN = 'not run'
     # The engine returned an error response.
     FAILED = 'failed'
@@ -22,6 +24,9 @@
     CUT = 'cut'
 
 
+NEVER_RUN = frozenset((Ending.NOT_SENT, Ending.NOT_RUN))
+
+
 class Step(enum.StrEnum):
     """Next step after an attempt."""
 
@@ -35,6 +40,9 @@
 # Attempts that did not run don't count against the route's maximum, so this
 # limits the total of both kinds.
 MAX_TRIES = 4
+# The list shows engines for some seconds after their end. Connections that they
+# refuse are no tries; this keeps a request from going through all of them.
+MAX_REFUSED_CONNECTIONS = 12
 MIN_RETRY_TIME_S = 0.05
 # The rest of the extra retries is left for processes that start anew, since
 # they don't know what their predecessors spent in the same window.
@@ -47,7 +55,8 @@
 
     Explanation
     ===========
-    ``tries`` counts all attempts, ``runs`` only those that may have run.
+    ``tries`` counts the attempts that reached an engine, ``runs`` only those
+    that may have run, ``refused_connections`` those that reached none.
     ``is_retry_paid`` is true while the retry budget was charged for a retry
     that has not begun yet.
     """
@@ -55,14 +64,23 @@
     route: Route
     tries: int = 0
     runs: int = 0
+    refused_connections: int = 0
     is_retry_paid: bool = False
 
     def record(self, ending: Ending) -> None:
         """Count an attempt that ended."""
+        if ending is Ending.NOT_SENT:
+            self.refused_connections += 1
+            return
         self.tries += 1
         if ending is not Ending.NOT_RUN:
             self.runs += 1
 
+    @property
+    def next_number(self) -> int:
+        """Return the number of the request's next attempt."""
+        return self.tries + self.refused_connections + 1
+
     def next_step(self, ending: Ending, remaining_s: float) -> Step:
         """Return the next step after the attempt recorded last.
 
@@ -77,7 +95,7 @@
             return Step.RETRY
         if ending is Ending.FAILED:
             return Step.FORWARD_FAILURE
-        if ending is Ending.NOT_RUN and not self.runs:
+        if ending in NEVER_RUN and not self.runs:
             return Step.REFUSE
         return Step.GIVE_UP
 
@@ -90,7 +108,11 @@
         )
 
     def _may_retry(self, ending: Ending, remaining_s: float) -> bool:
-        if remaining_s < MIN_RETRY_TIME_S or self.tries >= MAX_TRIES:
+        if remaining_s < MIN_RETRY_TIME_S:
+            return False
+        if ending is Ending.NOT_SENT:
+            return self.refused_connections < MAX_REFUSED_CONNECTIONS
+        if self.tries >= MAX_TRIES:
             return False
         return ending is Ending.NOT_RUN or self._may_run_again(self.runs)
 
--- a/primroserudder/fleet/serving.py
+++ b/primroserudder/fleet/serving.py
@@ -16,7 +16,7 @@
 from .membership import InFlightCounts
 from .model import Target
 from .quarantine import Quarantine, Quarantined
-from .retries import Ending, Step
+from .retries import NEVER_RUN, Ending, Step
 from .streammoves import RetryCharger
 from .target_selector import TargetSelector
 from .waitqueue import RETRY_AFTER_NO_GROUP_S, NoFreeSlot, WaitQueue, max_wait_s
@@ -106,7 +106,7 @@
             self._record_outcome(call, target, outcome)
             call.retry_state.record(outcome.ending)
             step = call.retry_state.next_step(outcome.ending, call.remaining_s)
-            if step is Step.RETRY and not self.charger.try_pay(call):
+            if step is Step.RETRY and not self._may_send_again(call, outcome):
                 step = _step_without_retry(outcome.ending, call)
             if step is Step.FORWARD_FAILURE and sink.is_started:
                 # The caller has already received a success status and events.
@@ -179,6 +179,16 @@
         self.health.note(target, outcome, self.clock.monotonic())
         self.quarantine.note_outcome(call, target, outcome)
 
+    def _may_send_again(self, call: Call, outcome: AttemptResult) -> bool:
+        """Return whether the retry budget allows a retry after an attempt.
+
+        Explanation
+        ===========
+        A request that reached no engine is no retry when it reaches the first.
+        One that ran before stays paid for.
+        """
+        return outcome.ending is Ending.NOT_SENT or self.charger.try_pay(call)
+
     def _finish(
         self,
         step: Step,
@@ -224,6 +234,6 @@
 def _step_without_retry(ending: Ending, call: Call) -> Step:
     if ending is Ending.FAILED:
         return Step.FORWARD_FAILURE
-    if ending is Ending.NOT_RUN and not call.retry_state.runs:
+    if ending in NEVER_RUN and not call.retry_state.runs:
         return Step.REFUSE
     return Step.GIVE_UP
--- a/primroserudder/fleet/tests/test_attempt.py
+++ b/primroserudder/fleet/tests/test_attempt.py
@@ -213,7 +213,7 @@
         session, request, target, sink, lambda *_: None
     ).run()
     await session.close()
-    assert result.ending is Ending.NOT_RUN
+    assert result.ending is Ending.NOT_SENT
 
 
 async def test_response_over_the_size_limit_is_not_complete(
--- a/primroserudder/fleet/tests/test_load_decisions.py
+++ b/primroserudder/fleet/tests/test_load_decisions.py
@@ -163,7 +163,7 @@
 def test_domain_is_avoided_once_two_engines_are_unreachable() -> None:
     clock = ManualClock()
     health = TargetHealth(clock)
-    not_connected = AttemptResult(Ending.NOT_RUN, NO_CONNECTION)
+    not_connected = AttemptResult(Ending.NOT_SENT, NO_CONNECTION)
     for engine_id in 'ab':
         assert not health.is_domain_avoided('fd-2')
         health_target = target(engine_id, domain='fd-2')
--- a/primroserudder/fleet/tests/test_retries.py
+++ b/primroserudder/fleet/tests/test_retries.py
@@ -6,7 +6,14 @@
 
 from ...testing.fleetdata import route
 from ..model import RequestKind
-from ..retries import MAX_TRIES, Ending, RetryBudget, RetryState, Step
+from ..retries import (
+    MAX_REFUSED_CONNECTIONS,
+    MAX_TRIES,
+    Ending,
+    RetryBudget,
+    RetryState,
+    Step,
+)
 
 RUN_ONCE = route(kind=RequestKind.NON_IDEMPOTENT, max_attempts=1)
 
@@ -97,3 +104,16 @@
             budget.record_request(0)
         retries += sum(budget.try_spend(0, vms) for _ in range(200))
     assert retries <= ratio * sum(requests_by_life) * vms + extra
+
+
+def test_refused_connections_use_up_no_tries() -> None:
+    retry_state = RetryState(route(max_attempts=2))
+    retry_state.record(Ending.CUT)
+    for _ in range(MAX_REFUSED_CONNECTIONS - 1):
+        retry_state.record(Ending.NOT_SENT)
+        step = retry_state.next_step(Ending.NOT_SENT, remaining_s=1)
+        assert step is Step.RETRY
+    assert (retry_state.tries, retry_state.runs) == (1, 1)
+    retry_state.record(Ending.NOT_SENT)
+    step = retry_state.next_step(Ending.NOT_SENT, remaining_s=1)
+    assert step is Step.GIVE_UP
