Count how each request ends, and report one without an end

Nothing told an operator, or a test, that a request whose head was read had ended with a closed connection and nothing else; a caller that left had no line at all.

Each request now ends in exactly one of: answered (an engine's response written whole), refused (a response of the router's own written whole), aborted (a stream reset, so that it can't look complete), caller gone. The handler writes its responses itself, so that it knows whether they went out, and notes the ending as it happens. None or two is a violation of one_ending_per_request: counted, logged once with the request's id through Invariants, and shown under `violations` of /state.

test_caller_streams imports CallerStream from its new module; its check is the same.

--- a/primroserudder/faultsoak/checks.py
+++ b/primroserudder/faultsoak/checks.py
@@ -176,6 +176,25 @@
     )
 
 
+def check_requests(state: Mapping[str, object]) -> Iterator[str]:
+    """Return the requests without exactly one ending in a router's state.
+
+    Parameters
+    ==========
+    state : mapping
+        The state dump of a router, empty if the router did not respond.
+    """
+    violations = state.get('violations')
+    if isinstance(violations, Mapping):
+        yield from violations.values()
+    requests = state.get('requests')
+    if not isinstance(requests, Mapping):
+        return
+    ended = sum(requests['endings'].values())
+    if requests['read'] != requests['under_way'] + ended:
+        yield f'not each request that was read has an ending: {requests}'
+
+
 def check_versions(versions: Sequence[int]) -> Iterator[str]:
     """Return each change of a process's configuration to an older version."""
     for before, after in zip(versions, versions[1:], strict=False):
--- a/primroserudder/faultsoak/soak.py
+++ b/primroserudder/faultsoak/soak.py
@@ -14,6 +14,7 @@
 from .checks import (
     check_exchange,
     check_exits,
+    check_requests,
     check_runs,
     check_stops,
     check_versions,
@@ -54,6 +55,7 @@
     exchanges: list[Exchange] = field(default_factory=list)
     violations: list[str] = field(default_factory=list)
     versions_by_incarnation: dict[str, list[int]] = field(default_factory=dict)
+    request_violations: set[str] = field(default_factory=set)
 
     async def run(self) -> SoakReport:
         """Run the soak and return its report."""
@@ -88,9 +90,7 @@
             asyncio.ensure_future(caller.run())
             for caller in self._callers(site)
         ]
-        tasks.append(
-            asyncio.ensure_future(self._record_versions(site, session))
-        )
+        tasks.append(asyncio.ensure_future(self._record_states(site, session)))
         await self._wait_for_recovery(site, 'the start')
         await faults.inject(plan_faults(self.options))
         await self._wait_for_recovery(site, 'the last fault')
@@ -130,16 +130,20 @@
             await asyncio.sleep(POLL_INTERVAL_S)
         self.violations.append(f'did not recover after {since}')
 
-    async def _record_versions(
+    async def _record_states(
         self,
         site: SoakSite,
         session: aiohttp.ClientSession,
     ) -> None:
-        """Record the configuration versions of each router incarnation."""
+        """Record each router incarnation's configurations and violations."""
         while True:
             for router in site.routers:
                 incarnation = f'{router.name}.{router.incarnation}'
                 state = await _fetch_state(session, router.ip)
+                self.request_violations.update(
+                    f'{incarnation}: {violation}'
+                    for violation in check_requests(state)
+                )
                 version = state.get('configuration')
                 if isinstance(version, int):
                     self.versions_by_incarnation.setdefault(
@@ -176,6 +180,10 @@
                 yield f'{engine.engine_id} still runs {engine.running}'
         for router in site.routers:
             state = await _fetch_state(session, router.ip)
+            self.request_violations.update(
+                f'{router.name}: {violation}'
+                for violation in check_requests(state)
+            )
             running = state.get('running')
             if running:
                 yield f'{router.name} still reports running requests: {running}'
@@ -212,6 +220,7 @@
         for incarnation, versions in self.versions_by_incarnation.items():
             for violation in check_versions(versions):
                 yield f'{incarnation}: {violation}'
+        yield from sorted(self.request_violations)
         yield from faults.crashing.violations()
         yield from site.group_checker.violations
         yield from self._tracebacks()
--- a/primroserudder/faultsoak/tests/test_checks.py
+++ b/primroserudder/faultsoak/tests/test_checks.py
@@ -1,6 +1,7 @@
 """Each check reports violations and accepts correct behaviour."""
 
 import signal
+from collections.abc import Mapping
 from dataclasses import replace
 
 import pytest
@@ -10,6 +11,7 @@
 from ..checks import (
     check_exchange,
     check_exits,
+    check_requests,
     check_runs,
     check_stops,
     check_versions,
@@ -146,3 +148,26 @@
             [exchange], [router_exit], link_faults, RECEIVED_IDS, grace_s=5
         )
     )
+
+
+_REQUESTS = {'read': 3, 'under_way': 1, 'endings': {'answered': 1, 'gone': 1}}
+
+
+def test_requests_with_one_ending_each_pass() -> None:
+    assert not list(check_requests({'requests': _REQUESTS, 'violations': {}}))
+    assert not list(check_requests({}))
+
+
+@pytest.mark.parametrize(
+    'state',
+    [
+        {'requests': {**_REQUESTS, 'read': 4}, 'violations': {}},
+        {'requests': {**_REQUESTS, 'under_way': 0}, 'violations': {}},
+        {'requests': _REQUESTS, 'violations': {'one_ending': 'request r-1'}},
+    ],
+    ids=['no ending', 'two endings', 'violation'],
+)
+def test_request_without_exactly_one_ending_is_found(
+    state: Mapping[str, object],
+) -> None:
+    assert list(check_requests(state))
--- a/primroserudder/fleet/callers.py
+++ b/primroserudder/fleet/callers.py
@@ -10,7 +10,6 @@
 
 import orjson
 from aiohttp import web
-from multidict import CIMultiDict
 
 from ..errors import Ran, RudderError
 from ..platform import headers as wire
@@ -21,10 +20,11 @@
 from ..request.dispatch import DispatchRecord
 from .attempt import AttemptResult, StreamSink
 from .call import Call
-from .events import Event
 from .model import Configuration
+from .requestendings import RequestEnding, RequestEndings
 from .retries import Ending, RetryState
 from .routes import find_destination, find_route
+from .servedrequest import CallerDisconnected, ServedRequest
 from .serving import Server
 
 FIRST_CONFIGURATION_RETRY_S = 0.5
@@ -40,14 +40,6 @@
     default_remedy = 'retry the request after the delay in Retry-After'
 
 
-class CallerDisconnected(RudderError):
-    """The caller closed its connection."""
-
-    code = 'caller_gone'
-    status = 499
-    default_remedy = 'none is needed: the caller has disconnected'
-
-
 class BodyTooLarge(RudderError):
     """The request body exceeds the configured limit."""
 
@@ -57,73 +49,6 @@
     default_remedy = 'send a smaller body'
 
 
-@dataclass(slots=True, eq=False)
-class CallerStream:
-    """A response that is being streamed to a caller."""
-
-    request: web.BaseRequest
-    is_closing: Callable[[], bool]
-    response: web.StreamResponse | None = None
-
-    async def start(self, status: int, headers: CIMultiDict[str]) -> None:
-        """Send the status line and the header fields.
-
-        Raises
-        ======
-        CallerDisconnected
-            The caller closed its connection.
-        """
-        response = web.StreamResponse(status=status, headers=headers)
-        if self.is_closing():
-            response.force_close()
-        self.response = response
-        try:
-            await response.prepare(self.request)
-        except OSError as error:
-            raise CallerDisconnected(
-                'the caller closed its connection'
-            ) from error
-
-    async def send_event(self, event: Event) -> None:
-        """Send one event.
-
-        Raises
-        ======
-        CallerDisconnected
-            The caller closed its connection.
-        """
-        if self.response is None:
-            return
-        try:
-            await self.response.write(event.octets)
-        except OSError as error:
-            raise CallerDisconnected(
-                'the caller closed its connection'
-            ) from error
-
-    async def finish(self) -> web.StreamResponse:
-        """Finish a complete stream and return its response.
-
-        Raises
-        ======
-        CallerDisconnected
-            The caller closed its connection.
-        """
-        response = self.response or web.Response(status=HTTPStatus.OK)
-        try:
-            await response.write_eof()
-        except OSError as error:
-            raise CallerDisconnected(
-                'the caller closed its connection'
-            ) from error
-        return response
-
-    def abort(self) -> None:
-        """Abort the connection, so that the stream can't look complete."""
-        if self.request.transport is not None:
-            self.request.transport.abort()
-
-
 @dataclass(slots=True)
 class CallerHandler:
     """Reads requests, serves them and sends the responses."""
@@ -135,6 +60,7 @@
     on_request: Callable[[], None]
     rng: random.Random = field(default_factory=random.Random)
     invariants: Invariants = field(init=False)
+    endings: RequestEndings = field(init=False)
     is_closing: bool = False
     busy_connections: Counter[web.RequestHandler] = field(
         default_factory=Counter,
@@ -143,6 +69,7 @@
     def __post_init__(self) -> None:
         """Create the invariants, which count violations in the metrics."""
         self.invariants = Invariants(self.metrics)
+        self.endings = RequestEndings(self.invariants, self.metrics)
 
     @property
     def in_flight(self) -> int:
@@ -152,52 +79,90 @@
     async def serve_request(
         self, request: web.BaseRequest
     ) -> web.StreamResponse:
-        """Serve one request and return its response."""
+        """Serve one request and return its response, which is written."""
         self.on_request()
-        with self._tracked_request(request):
-            return await self._serve(request)
+        attempt_id = request.headers.get(ATTEMPT_ID, '')
+        with (
+            self._tracked_connection(request),
+            self.endings.tracked(attempt_id) as opened,
+        ):
+            served = ServedRequest(
+                request,
+                opened,
+                asyncio.get_running_loop().time(),
+                lambda: self.is_closing,
+            )
+            return await self._serve_to_end(served)
 
     @contextmanager
-    def _tracked_request(self, request: web.BaseRequest) -> Iterator[None]:
+    def _tracked_connection(self, request: web.BaseRequest) -> Iterator[None]:
         self.busy_connections[request.protocol] += 1
         try:
             yield
         finally:
             self.busy_connections -= Counter((request.protocol,))
 
-    async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
-        received_at = asyncio.get_running_loop().time()
-        stream = CallerStream(request, lambda: self.is_closing)
+    async def _serve_to_end(self, served: ServedRequest) -> web.StreamResponse:
+        try:
+            return await self._serve(served)
+        except CallerDisconnected:
+            self._note_gone(served)
+            raise asyncio.CancelledError from None
+        except asyncio.CancelledError:
+            if served.is_caller_gone:
+                self._note_gone(served)
+            raise
+
+    async def _serve(self, served: ServedRequest) -> web.StreamResponse:
+        stream = served.stream
         sink = StreamSink(stream.start, stream.send_event)
         try:
-            call = await self._read_request(request, received_at)
+            call = await self._read_request(served)
             outcome = await self.server.serve(call, sink)
         except CallerDisconnected:
-            raise asyncio.CancelledError from None
+            raise
         except RudderError as error:
-            return self._handle_error(request, stream, error, received_at)
-        self._log_answer(call, outcome, received_at)
-        if stream.response is None:
-            return self._complete_response(outcome)
+            return await self._refuse(served, error)
+        return await self._answer(served, call, outcome)
+
+    async def _answer(
+        self, served: ServedRequest, call: Call, outcome: AttemptResult
+    ) -> web.StreamResponse:
+        taken_s = served.held_s
+        response = await self._end(served, outcome)
+        self._log_answer(served, call, outcome, taken_s)
+        return response
+
+    async def _end(
+        self, served: ServedRequest, outcome: AttemptResult
+    ) -> web.StreamResponse:
+        stream_response = served.stream.response
+        if stream_response is None:
+            return await served.send(
+                _complete_response(outcome), RequestEnding.ANSWERED
+            )
         is_whole = outcome.ending is Ending.DELIVERED
         self.metrics.count('streams', whole=str(is_whole))
         if is_whole:
-            return await self._finish(stream)
-        stream.abort()
-        return stream.response
+            return await served.finish_stream()
+        return served.abort_stream(stream_response)
 
-    async def _finish(self, stream: CallerStream) -> web.StreamResponse:
-        """Finish a stream; one whose caller left needs no response."""
-        try:
-            return await stream.finish()
-        except CallerDisconnected:
-            raise asyncio.CancelledError from None
+    async def _refuse(
+        self, served: ServedRequest, error: RudderError
+    ) -> web.StreamResponse:
+        held_s = served.held_s
+        stream_response = served.stream.response
+        if stream_response is None:
+            response = await served.send(
+                _error_response(error, served.attempt_id), RequestEnding.REFUSED
+            )
+        else:
+            response = served.abort_stream(stream_response)
+        self._log_refusal(served, error, held_s)
+        return response
 
-    async def _read_request(
-        self,
-        request: web.BaseRequest,
-        received_at: float,
-    ) -> Call:
+    async def _read_request(self, served: ServedRequest) -> Call:
+        request = served.request
         configuration = self.configuration()
         if configuration is None:
             raise NoConfiguration(
@@ -220,70 +185,71 @@
             body=body,
             metadata=metadata,
             destination=destination,
-            received_at=received_at,
-            deadline_at=received_at + min(allowed_s, route.timeout_s),
+            received_at=served.received_at,
+            deadline_at=served.received_at + min(allowed_s, route.timeout_s),
             retry_state=RetryState(route),
             dispatch=DispatchRecord(self.invariants, metadata.attempt_id),
             last_event_id=metadata.last_event_id,
         )
 
-    def _complete_response(self, outcome: AttemptResult) -> web.Response:
-        complete = outcome.response
-        if complete is None:
-            return web.Response(status=HTTPStatus.BAD_GATEWAY)
-        response = web.Response(
-            status=complete.status, headers=complete.headers, body=complete.body
-        )
-        if self.is_closing:
-            response.force_close()
-        return response
-
-    def _handle_error(
-        self,
-        request: web.BaseRequest,
-        stream: CallerStream,
-        error: RudderError,
-        received_at: float,
-    ) -> web.StreamResponse:
-        elapsed_s = asyncio.get_running_loop().time() - received_at
-        attempt_id = request.headers.get(ATTEMPT_ID, '')
+    def _log_refusal(
+        self, served: ServedRequest, error: RudderError, held_s: float
+    ) -> None:
         self.metrics.count('refusals', code=error.code)
-        self.metrics.latency(f'refusal_{error.code}').record(elapsed_s)
+        self.metrics.latency(f'refusal_{error.code}').record(held_s)
         self.log.note(
             'refuse',
-            request=attempt_id,
+            request=served.attempt_id,
+            end=served.end,
             code=error.code,
             status=error.status,
             ran=error.ran.value,
             reason=str(error),
-            held_ms=round(elapsed_s * 1000),
-            path=request.path,
+            held_ms=round(held_s * 1000),
+            path=served.request.path,
         )
-        if stream.response is not None:
-            stream.abort()
-            return stream.response
-        return _error_response(error, attempt_id, is_closing=self.is_closing)
 
     def _log_answer(
         self,
+        served: ServedRequest,
         call: Call,
         outcome: AttemptResult,
-        received_at: float,
+        taken_s: float,
     ) -> None:
-        elapsed_s = asyncio.get_running_loop().time() - received_at
         self.metrics.count('answers', ending=outcome.ending.value)
-        self.metrics.latency('answer').record(elapsed_s)
+        self.metrics.latency('answer').record(taken_s)
         self.log.note(
             'answer',
             request=call.metadata.attempt_id,
+            end=served.end,
             route=call.destination.route.name,
             ending=outcome.ending.value,
             reason=outcome.reason,
             runs=call.retry_state.runs,
             engines=sorted(call.tried_engines),
-            taken_ms=round(elapsed_s * 1000),
+            taken_ms=round(taken_s * 1000),
         )
 
+    def _note_gone(self, served: ServedRequest) -> None:
+        served.note_gone()
+        self.log.note(
+            'caller_gone',
+            request=served.attempt_id,
+            end=served.end,
+            had_events=served.stream.response is not None,
+            held_ms=round(served.held_s * 1000),
+            path=served.request.path,
+        )
+
+
+def _complete_response(outcome: AttemptResult) -> web.Response:
+    complete = outcome.response
+    if complete is None:
+        return web.Response(status=HTTPStatus.BAD_GATEWAY)
+    return web.Response(
+        status=complete.status, headers=complete.headers, body=complete.body
+    )
+
 
 async def _read_body(request: web.BaseRequest, max_bytes: int) -> bytes:
     body = bytearray()
@@ -294,12 +260,7 @@
     return bytes(body)
 
 
-def _error_response(
-    error: RudderError,
-    attempt_id: str,
-    *,
-    is_closing: bool,
-) -> web.Response:
+def _error_response(error: RudderError, attempt_id: str) -> web.Response:
     headers = {ATTEMPT_ID: attempt_id} if attempt_id else {}
     if error.retry_after is not None:
         headers['Retry-After'] = format(error.retry_after, 'g')
@@ -309,12 +270,9 @@
         'remedy': error.remedy,
         'ran': error.ran.value,
     }
-    response = web.Response(
+    return web.Response(
         status=error.status,
         headers=headers,
         body=orjson.dumps({'error': error_fields}),
         content_type='application/json',
     )
-    if is_closing:
-        response.force_close()
-    return response
--- a/primroserudder/fleet/router.py
+++ b/primroserudder/fleet/router.py
@@ -155,6 +155,8 @@
             'lease_held': self.lease.is_held(),
             'groups': sorted(tenure.groups_by_name) if tenure else [],
             'log_lines_dropped': self.log.dropped,
+            'requests': self.ports.handler.endings.dump(),
+            'violations': self.ports.handler.invariants.dump(),
             'metrics': self.metrics.dump(),
         }
 
--- /dev/null
+++ b/primroserudder/fleet/servedrequest.py
@@ -0,0 +1,174 @@
+"""One request of a caller while its response is prepared and written."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from aiohttp import web
+from multidict import CIMultiDict
+
+from ..errors import RudderError
+from ..platform.names import ATTEMPT_ID
+from .events import Event
+from .requestendings import OpenRequest, RequestEnding
+
+
+class CallerDisconnected(RudderError):
+    """The caller closed its connection."""
+
+    code = 'caller_gone'
+    status = 499
+    default_remedy = 'none is needed: the caller has disconnected'
+
+
+@dataclass(slots=True, eq=False)
+class CallerStream:
+    """A response that is being streamed to a caller."""
+
+    request: web.BaseRequest
+    is_closing: Callable[[], bool]
+    response: web.StreamResponse | None = None
+
+    async def start(self, status: int, headers: CIMultiDict[str]) -> None:
+        """Send the status line and the header fields.
+
+        Raises
+        ======
+        CallerDisconnected
+            The caller closed its connection.
+        """
+        response = web.StreamResponse(status=status, headers=headers)
+        if self.is_closing():
+            response.force_close()
+        self.response = response
+        try:
+            await response.prepare(self.request)
+        except OSError as error:
+            raise CallerDisconnected(
+                'the caller closed its connection'
+            ) from error
+
+    async def send_event(self, event: Event) -> None:
+        """Send one event.
+
+        Raises
+        ======
+        CallerDisconnected
+            The caller closed its connection.
+        """
+        if self.response is None:
+            return
+        try:
+            await self.response.write(event.octets)
+        except OSError as error:
+            raise CallerDisconnected(
+                'the caller closed its connection'
+            ) from error
+
+    async def finish(self) -> web.StreamResponse:
+        """Finish a complete stream and return its response.
+
+        Raises
+        ======
+        CallerDisconnected
+            The caller closed its connection.
+        """
+        response = self.response or web.Response()
+        try:
+            await response.write_eof()
+        except OSError as error:
+            raise CallerDisconnected(
+                'the caller closed its connection'
+            ) from error
+        return response
+
+    def abort(self) -> None:
+        """Abort the connection, so that the stream can't look complete."""
+        if self.request.transport is not None:
+            self.request.transport.abort()
+
+
+@dataclass(slots=True, eq=False)
+class ServedRequest:
+    """A request with its response; each way to end it notes its ending.
+
+    Parameters
+    ==========
+    received_at : float
+        Time of the event loop, in seconds.
+    """
+
+    request: web.BaseRequest
+    opened: OpenRequest
+    received_at: float
+    stream: CallerStream = field(init=False)
+    is_closing: Callable[[], bool]
+
+    def __post_init__(self) -> None:
+        """Begin without a response."""
+        self.stream = CallerStream(self.request, self.is_closing)
+
+    @property
+    def attempt_id(self) -> str:
+        """Return the id that the caller gave, or an empty string."""
+        return self.request.headers.get(ATTEMPT_ID, '')
+
+    @property
+    def held_s(self) -> float:
+        """Return the seconds since the head was read."""
+        return asyncio.get_running_loop().time() - self.received_at
+
+    @property
+    def is_caller_gone(self) -> bool:
+        """Return whether the connection is closed."""
+        transport = self.request.transport
+        return transport is None or transport.is_closing()
+
+    @property
+    def end(self) -> str:
+        """Return the noted ending for the log, empty while there is none."""
+        return ', '.join(self.opened.endings)
+
+    async def send(
+        self, response: web.Response, ending: RequestEnding
+    ) -> web.StreamResponse:
+        """Write a complete response.
+
+        Raises
+        ======
+        CallerDisconnected
+            The caller closed its connection.
+        """
+        if self.is_closing():
+            response.force_close()
+        try:
+            await response.prepare(self.request)
+            await response.write_eof()
+        except OSError as error:
+            raise CallerDisconnected(
+                'the caller closed its connection'
+            ) from error
+        self.opened.end(ending)
+        return response
+
+    async def finish_stream(self) -> web.StreamResponse:
+        """Finish a complete stream.
+
+        Raises
+        ======
+        CallerDisconnected
+            The caller closed its connection.
+        """
+        response = await self.stream.finish()
+        self.opened.end(RequestEnding.ANSWERED)
+        return response
+
+    def abort_stream(self, response: web.StreamResponse) -> web.StreamResponse:
+        """Abort a stream that is not complete."""
+        self.stream.abort()
+        self.opened.end(RequestEnding.ABORTED)
+        return response
+
+    def note_gone(self) -> None:
+        """Note that the caller closed its connection."""
+        self.opened.end(RequestEnding.CALLER_GONE)
--- a/primroserudder/fleet/tests/test_caller_streams.py
+++ b/primroserudder/fleet/tests/test_caller_streams.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from ..callers import CallerDisconnected, CallerStream
+from ..servedrequest import CallerDisconnected, CallerStream
 
 
 class _ClosedResponse:
