Never refuse as not run a request that may have run

What callers saw: 503 with "ran: no" and a Retry-After for a request that an engine had taken. Cause: before a second attempt all engines asked for no requests for longer than the time left, and the refusal for want of a slot was raised past the request's dispatch record, which alone knows whether it ran.

Red before: test_request_that_may_have_run_is_never_refused_as_not_run[back off], 503. The other two ways (no slot until the deadline, no engine listed any more) were right already, by the deadline's own error; they are kept as tests. Looked at and right: the errors of timeouts, quarantine and retry budget, which all go through the dispatch record, and those before the first attempt.

Each refusal for want of a slot now goes through the record: 502 unless the request never ran.

--- a/primroserudder/fleet/serving.py
+++ b/primroserudder/fleet/serving.py
@@ -84,6 +84,8 @@
                 return await self._serve(call, sink)
         except TimeoutError as error:
             raise self._timeout_error(call) from error
+        except NoFreeSlot as error:
+            raise self._no_slot_error(call, error) from None
 
     def grant_free_slots(self) -> None:
         """Assign free slots to waiting requests, in all pools."""
@@ -99,6 +101,12 @@
             DeadlinePassed('the deadline of the request passed')
         )
 
+    def _no_slot_error(self, call: Call, error: NoFreeSlot) -> RudderError:
+        """Return what a request without a slot is told: whether it ran."""
+        if call.dispatch.ran is Ran.NO:
+            return call.dispatch.close(error)
+        return call.dispatch.close(MayHaveRun(str(error)))
+
     async def _serve(self, call: Call, sink: StreamSink) -> AttemptResult:
         while True:
             target = await self._acquire_slot(call)
