Answer a request whose body stops, or waits for 100 Continue

What callers saw: a request with Expect: 100-continue got nothing, and one whose body stopped midway was held without any end; neither had an answer, a refusal or a line. Cause: aiohttp's plain server sends no 100 Continue, and only the serving of a request had a deadline, not the reading of its body.

The body is now read by the request's deadline or its route's timeout, else 408, as nothing of it was sent on; 100 Continue is sent once the request is allowed; a length over the limit is refused before the body comes. The rest of a refused body is read in the handler, so that a stop waits for it as for the request.

A caller that closes its sending side counts as gone: it can't be told from one that closed, for which engines must stop.

--- a/primroserudder/fleet/callers.py
+++ b/primroserudder/fleet/callers.py
@@ -8,7 +8,6 @@
 from dataclasses import dataclass, field
 from http import HTTPStatus
 
-import orjson
 from aiohttp import web
 
 from ..errors import Ran, RudderError
@@ -20,6 +19,8 @@
 from ..request.dispatch import DispatchRecord
 from .attempt import AttemptResult, StreamSink
 from .call import Call
+from .callerbody import discard_body, read_body
+from .errorresponse import error_response
 from .model import Configuration
 from .requestendings import RequestEnding, RequestEndings
 from .retries import Ending, RetryState
@@ -40,15 +41,6 @@
     default_remedy = 'retry the request after the delay in Retry-After'
 
 
-class BodyTooLarge(RudderError):
-    """The request body exceeds the configured limit."""
-
-    code = 'body_too_large'
-    status = 413
-    ran = Ran.NO
-    default_remedy = 'send a smaller body'
-
-
 @dataclass(slots=True)
 class CallerHandler:
     """Reads requests, serves them and sends the responses."""
@@ -82,17 +74,17 @@
         """Serve one request and return its response, which is written."""
         self.on_request()
         attempt_id = request.headers.get(ATTEMPT_ID, '')
-        with (
-            self._tracked_connection(request),
-            self.endings.tracked(attempt_id) as opened,
-        ):
-            served = ServedRequest(
-                request,
-                opened,
-                asyncio.get_running_loop().time(),
-                lambda: self.is_closing,
-            )
-            return await self._serve_to_end(served)
+        with self._tracked_connection(request):
+            with self.endings.tracked(attempt_id) as opened:
+                served = ServedRequest(
+                    request,
+                    opened,
+                    asyncio.get_running_loop().time(),
+                    lambda: self.is_closing,
+                )
+                response = await self._serve_to_end(served)
+            await discard_body(request.content)
+        return response
 
     @contextmanager
     def _tracked_connection(self, request: web.BaseRequest) -> Iterator[None]:
@@ -154,7 +146,7 @@
         stream_response = served.stream.response
         if stream_response is None:
             response = await served.send(
-                _error_response(error, served.attempt_id), RequestEnding.REFUSED
+                error_response(error, served.attempt_id), RequestEnding.REFUSED
             )
         else:
             response = served.abort_stream(stream_response)
@@ -170,14 +162,19 @@
                 retry_after=FIRST_CONFIGURATION_RETRY_S,
             )
         metadata = wire.read_request(request.headers)
-        path = request.raw_path.partition('?')[0]
-        host = request.headers.get('Host', '')
-        route = find_route(configuration, host, path)
+        route = find_route(
+            configuration,
+            request.headers.get('Host', ''),
+            request.raw_path.partition('?')[0],
+        )
         destination = find_destination(
             configuration, route, metadata.api_key, self.rng
         )
-        body = await _read_body(request, configuration.limits.body_bytes)
         allowed_s = metadata.deadline_s or DEFAULT_DEADLINE_S
+        deadline_at = served.received_at + min(allowed_s, route.timeout_s)
+        body = await read_body(
+            request, configuration.limits.body_bytes, deadline_at
+        )
         return Call(
             method=request.method,
             raw_path=request.raw_path,
@@ -186,7 +183,7 @@
             metadata=metadata,
             destination=destination,
             received_at=served.received_at,
-            deadline_at=served.received_at + min(allowed_s, route.timeout_s),
+            deadline_at=deadline_at,
             retry_state=RetryState(route),
             dispatch=DispatchRecord(self.invariants, metadata.attempt_id),
             last_event_id=metadata.last_event_id,
@@ -249,30 +246,3 @@
     return web.Response(
         status=complete.status, headers=complete.headers, body=complete.body
     )
-
-
-async def _read_body(request: web.BaseRequest, max_bytes: int) -> bytes:
-    body = bytearray()
-    async for octets in request.content.iter_any():
-        body += octets
-        if len(body) > max_bytes:
-            raise BodyTooLarge(f'the request body exceeds {max_bytes} bytes')
-    return bytes(body)
-
-
-def _error_response(error: RudderError, attempt_id: str) -> web.Response:
-    headers = {ATTEMPT_ID: attempt_id} if attempt_id else {}
-    if error.retry_after is not None:
-        headers['Retry-After'] = format(error.retry_after, 'g')
-    error_fields = {
-        'code': error.code,
-        'message': str(error),
-        'remedy': error.remedy,
-        'ran': error.ran.value,
-    }
-    return web.Response(
-        status=error.status,
-        headers=headers,
-        body=orjson.dumps({'error': error_fields}),
-        content_type='application/json',
-    )
--- a/primroserudder/fleet/servedrequest.py
+++ b/primroserudder/fleet/servedrequest.py
@@ -139,7 +139,7 @@
         CallerDisconnected
             The caller closed its connection.
         """
-        if self.is_closing():
+        if self._must_close():
             response.force_close()
         try:
             await response.prepare(self.request)
@@ -172,3 +172,11 @@
     def note_gone(self) -> None:
         """Note that the caller closed its connection."""
         self.opened.end(RequestEnding.CALLER_GONE)
+
+    def _must_close(self) -> bool:
+        """Return whether no other request may follow on the connection."""
+        body = self.request.content
+        # A caller that was not invited to send its body may leave it out.
+        may_lack_body = 'Expect' in self.request.headers and not body.is_eof()
+        is_malformed = body.exception() is not None
+        return self.is_closing() or may_lack_body or is_malformed
