Answer 400 to malformed bodies and requests, without a traceback

What callers saw: after a malformed chunk the connection stayed open without any answer. Cause: aiohttp queues the parser's error as the next message, and the request that is being read waits for a body that can't go on. Operators saw a traceback on standard error for each malformed request of any caller, past the log's limit; a reader of standard error that stands still would have held the process.

Red before: test_malformed_chunk_is_answered_400 (timeout), and the 8 cases of test_malformed_request_is_answered_400_and_harms_no_other (no count; a head over the limit got 400, now 431).

The connection fails a body that something else follows too early, and the caller gets a typed 400. Malformed requests are counted in rudder_malformed_requests_total and logged as decisions, which are limited.

--- /dev/null
+++ b/primroserudder/fleet/callerconnection.py
@@ -0,0 +1,150 @@
+"""Connections of callers, on top of aiohttp's server.
+
+Explanation
+===========
+aiohttp parses requests and keeps connections. Two things differ here. A
+body that turns out to be malformed fails the request that it belongs to, which
+would wait for the rest otherwise. Malformed requests are counted and answered
+with a typed error, where aiohttp would write a traceback for each.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from http import HTTPStatus
+from itertools import islice
+
+from aiohttp import StreamReader, web
+from aiohttp.http_exceptions import HttpProcessingError, LineTooLong
+
+from ..errors import Ran, RudderError
+from ..process.decisions import DecisionLog
+from ..process.metrics import Metrics
+from .errorresponse import error_response
+
+MAX_HEADER_BYTES = 65_536
+# No connection is closed for being idle any sooner than this.
+MIN_KEEPALIVE_S = 75.0
+
+
+class MalformedRequest(RudderError):
+    """The bytes on a connection are no HTTP request."""
+
+    code = 'malformed_request'
+    status = 400
+    ran = Ran.NO
+    default_remedy = 'send requests in HTTP/1.1'
+
+
+class HeadTooLarge(RudderError):
+    """The request line or a header field is too long."""
+
+    code = 'head_too_large'
+    status = 431
+    ran = Ran.NO
+    default_remedy = 'send a shorter path and shorter header fields'
+
+
+class ConnectionFailed(RudderError):
+    """Handling a connection failed for a reason that no code expects."""
+
+    code = 'internal_error'
+    status = 500
+
+
+@dataclass(slots=True)
+class ConnectionErrors:
+    """Counts and logs what fails on connections, apart from requests."""
+
+    log: DecisionLog
+    metrics: Metrics
+
+    def note(self, error: BaseException | None) -> RudderError:
+        """Note an error and return what the caller is told."""
+        if isinstance(error, HttpProcessingError):
+            self.metrics.count('malformed_requests')
+            self.log.note('malformed_request', kind=type(error).__name__)
+            if isinstance(error, LineTooLong):
+                return HeadTooLarge('the head of the request is too long')
+            return MalformedRequest('the request is malformed')
+        self.metrics.count('connection_errors')
+        self.log.note('connection_failed', error=type(error).__name__)
+        return ConnectionFailed('an unexpected error ended the connection')
+
+
+class CallerConnection(web.RequestHandler):
+    """One caller's connection."""
+
+    __slots__ = ('_last_body', 'caller_server')
+
+    def __init__(self, server: 'CallerServer', **options: object) -> None:
+        """Begin without a request."""
+        super().__init__(server, **options)  # type: ignore[arg-type]
+        self.caller_server = server
+        self._last_body: StreamReader | None = None
+
+    def data_received(self, octets: bytes) -> None:
+        """Parse bytes; fail a body that something else follows too early."""
+        known = self._request_count
+        super().data_received(octets)
+        added = self._request_count - known
+        first = len(self._messages) - added
+        for _, body in islice(self._messages, first, None):
+            self._fail_unfinished_body()
+            self._last_body = body
+
+    def handle_error(
+        self,
+        request: web.BaseRequest,
+        status: int = HTTPStatus.INTERNAL_SERVER_ERROR,
+        exc: BaseException | None = None,
+        message: str | None = None,
+    ) -> web.StreamResponse:
+        """Return the response to a malformed request.
+
+        Raises
+        ======
+        ConnectionError
+            A response has begun already.
+        """
+        error = self.caller_server.errors.note(exc)
+        if request.writer.output_size:
+            raise ConnectionError('a response has begun') from exc
+        response = error_response(error, '')
+        response.force_close()
+        return response
+
+    def log_exception(self, *args: object, **details: object) -> None:
+        """Note an error that aiohttp would write a traceback for."""
+        error = details.get('exc_info')
+        known = error if isinstance(error, BaseException) else None
+        self.caller_server.errors.note(known)
+
+    def _fail_unfinished_body(self) -> None:
+        # A message can't begin within a body, so it is the parser's error.
+        body = self._last_body
+        if body is not None and not body.is_eof():
+            body.set_exception(web.RequestPayloadError('malformed body'))
+
+
+class CallerServer(web.Server):
+    """Makes the connections of callers."""
+
+    def __init__(
+        self,
+        handler: Callable[..., object],
+        errors: ConnectionErrors,
+    ) -> None:
+        """Store how connections are made."""
+        super().__init__(
+            handler,  # type: ignore[arg-type]
+            handler_cancellation=True,
+            keepalive_timeout=MIN_KEEPALIVE_S,
+            max_line_size=MAX_HEADER_BYTES,
+            max_field_size=MAX_HEADER_BYTES,
+            access_log=None,
+        )
+        self.errors = errors
+
+    def __call__(self) -> CallerConnection:
+        """Return a new connection."""
+        return CallerConnection(self, loop=self._loop, **self._kwargs)
--- a/primroserudder/fleet/ports.py
+++ b/primroserudder/fleet/ports.py
@@ -11,12 +11,11 @@
 from ..errors import RudderError
 from ..platform.names import READY_PATH
 from ..process.metrics import Metrics
+from .callerconnection import CallerServer, ConnectionErrors
 from .callers import CallerHandler
 from .settings import RouterSettings
 from .tablerelay import TableRelay
 
-MAX_HEADER_BYTES = 65_536
-CALLER_KEEPALIVE_S = 75.0
 LISTEN_BACKLOG = 1024
 CLOSE_POLL_S = 0.05
 
@@ -55,13 +54,9 @@
         PortTaken
             A port can't be opened.
         """
-        caller_server = web.Server(
+        caller_server = CallerServer(
             self.handler.serve_request,
-            handler_cancellation=True,
-            keepalive_timeout=CALLER_KEEPALIVE_S,
-            max_line_size=MAX_HEADER_BYTES,
-            max_field_size=MAX_HEADER_BYTES,
-            access_log=None,
+            ConnectionErrors(self.handler.log, self.metrics),
         )
         internal_server = web.Server(self._serve_internal, access_log=None)
         settings = self.settings
--- a/primroserudder/fleet/tests/test_caller_port.py
+++ b/primroserudder/fleet/tests/test_caller_port.py
@@ -66,6 +66,65 @@
         assert b'connection: close' in response.head.lower()
 
 
+async def test_malformed_chunk_is_answered_400() -> None:
+    async with platform_site(engines=0, plain=1) as site:
+        await _wait_until_serving(site)
+        async with raw_caller(site) as caller, raw_caller(site) as other:
+            chunked = {'Transfer-Encoding': 'chunked'}
+            caller.send(head('one', LOOKUP, fields=chunked))
+            caller.send(b'4\r\ntext\r\n')
+            await asyncio.sleep(0.1)
+            caller.send(b'zz\r\n')
+            response = await _response(caller)
+            assert response.status == 400
+            assert b'malformed_body' in response.body
+            async with asyncio.timeout(5):
+                assert not await caller.reader.read()
+            other.request('two', LOOKUP)
+            assert (await _response(other)).status == 200
+        assert not site.arrivals('one')
+        assert _has_no_violation(site)
+
+
+@pytest.mark.parametrize(
+    'octets',
+    [
+        b'no request at all\r\n\r\n',
+        b'GET / HTTP/1.1\r\nHost one.example\r\n\r\n',
+        b'GET /\x00 HTTP/1.1\r\nHost: one.example\r\n\r\n',
+        b'POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n',
+        b'POST / HTTP/1.1\r\nContent-Length: many\r\n\r\n',
+        b'\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03',
+        b'GET / HTTP/1.1\r\nX: %b\r\n\r\n' % (70_000 * b'x'),
+        b'GET / HTTP/1.1\r\n%b\r\n' % (200 * b'X: x\r\n'),
+    ],
+    ids=[
+        'line',
+        'field',
+        'null',
+        'lengths',
+        'length',
+        'TLS',
+        'long field',
+        'many fields',
+    ],
+)
+async def test_malformed_request_is_answered_400_and_harms_no_other(
+    octets: bytes, caplog: pytest.LogCaptureFixture
+) -> None:
+    async with platform_site(engines=0, plain=1) as site:
+        await _wait_until_serving(site)
+        async with raw_caller(site) as caller, raw_caller(site) as other:
+            caller.send(octets)
+            response = await _response(caller)
+            assert response.status in {400, 431}
+            other.request('two', LOOKUP)
+            assert (await _response(other)).status == 200
+        assert not any(each.exc_info for each in caplog.records)
+        metrics = site.routers[0].metrics
+        assert metrics.value('malformed_requests') == 1
+
+
 @pytest.mark.parametrize(
     ('framing', 'first_part'),
     [
