Pass on encoded bodies of requests unchanged

What callers saw: an engine got a decoded body with the field that calls it encoded, and a body that does not decode was answered 500. Cause: aiohttp's server decodes bodies by default.

Red before (with the stand-in engine no longer decoding either, so that it records what was sent): test_encoded_body_reaches_the_engine_unchanged, both cases. The callers' port now leaves bodies as they are.

--- a/primroserudder/fleet/callerconnection.py
+++ b/primroserudder/fleet/callerconnection.py
@@ -141,6 +141,7 @@
             keepalive_timeout=MIN_KEEPALIVE_S,
             max_line_size=MAX_HEADER_BYTES,
             max_field_size=MAX_HEADER_BYTES,
+            auto_decompress=False,
             access_log=None,
         )
         self.errors = errors
--- a/primroserudder/fleet/tests/test_caller_port.py
+++ b/primroserudder/fleet/tests/test_caller_port.py
@@ -1,6 +1,7 @@
 """Callers that speak HTTP in unusual, slow or broken ways."""
 
 import asyncio
+import gzip
 from collections.abc import Mapping
 
 import pytest
@@ -66,6 +67,21 @@
         assert b'connection: close' in response.head.lower()
 
 
+@pytest.mark.parametrize(
+    'body',
+    [gzip.compress(b'text', mtime=0), b'not gzip'],
+    ids=['gzip', 'not gzip'],
+)
+async def test_encoded_body_reaches_the_engine_unchanged(body: bytes) -> None:
+    async with platform_site(engines=0, plain=1) as site:
+        await _wait_until_serving(site)
+        coding = {'Content-Encoding': 'gzip'}
+        async with raw_caller(site) as caller:
+            caller.request('one', LOOKUP, body=body, fields=coding)
+            assert (await _response(caller)).status == 200
+        assert _received_body(site, 'one') == body
+
+
 async def test_malformed_chunk_is_answered_400() -> None:
     async with platform_site(engines=0, plain=1) as site:
         await _wait_until_serving(site)
--- a/primroserudder/testing/platformsite.py
+++ b/primroserudder/testing/platformsite.py
@@ -218,8 +218,12 @@
 
 
 async def _serve(stack: AsyncExitStack, app: web.Application) -> str:
+    # Engines record a body as it was sent, whatever its coding.
     runner = web.AppRunner(
-        app, handler_cancellation=True, shutdown_timeout=POLL_INTERVAL_S
+        app,
+        handler_cancellation=True,
+        shutdown_timeout=POLL_INTERVAL_S,
+        auto_decompress=False,
     )
     await runner.setup()
     stack.push_async_callback(runner.cleanup)
