Keep idle connections as long as the configuration allows

What callers saw: with an IdleTimeoutMs over 94 s, a connection that was used again within four fifths of it could be closed under the request. Cause: the limit was fixed at 75 s.

Red before: test_idle_connection_is_kept_as_long_as_the_configuration_allows, with 0.2 s in place of the 75. A connection now stays for the configured time if it is longer than 75 s; a change is noticed within 75 s.

--- a/primroserudder/fleet/callerconnection.py
+++ b/primroserudder/fleet/callerconnection.py
@@ -2,10 +2,11 @@
 
 Explanation
 ===========
-aiohttp parses requests and keeps connections. Two things differ here. A
+aiohttp parses requests and keeps connections. Three things differ here. A
 body that turns out to be malformed fails the request that it belongs to, which
 would wait for the rest otherwise. Malformed requests are counted and answered
-with a typed error, where aiohttp would write a traceback for each.
+with a typed error, where aiohttp would write a traceback for each. And the
+time for which an idle connection is kept follows the configuration.
 """
 
 from collections.abc import Callable
@@ -125,6 +126,18 @@
         if body is not None and not body.is_eof():
             body.set_exception(web.RequestPayloadError('malformed body'))
 
+    def _process_keepalive(self) -> None:
+        now = self._loop.time()
+        longer_s = self.caller_server.idle_s() - self._keepalive_timeout
+        left_s = self._next_keepalive_close_time + max(longer_s, 0) - now
+        if left_s > 0:
+            # The configuration may change the limit before the next check.
+            self._keepalive_handle = self._loop.call_later(
+                min(left_s, self._keepalive_timeout), self._process_keepalive
+            )
+            return
+        super()._process_keepalive()
+
 
 class CallerServer(web.Server):
     """Makes the connections of callers."""
@@ -133,6 +146,7 @@
         self,
         handler: Callable[..., object],
         errors: ConnectionErrors,
+        idle_s: Callable[[], float],
     ) -> None:
         """Store how connections are made."""
         super().__init__(
@@ -145,6 +159,7 @@
             access_log=None,
         )
         self.errors = errors
+        self.idle_s = idle_s
 
     def __call__(self) -> CallerConnection:
         """Return a new connection."""
--- a/primroserudder/fleet/ports.py
+++ b/primroserudder/fleet/ports.py
@@ -57,6 +57,7 @@
         caller_server = CallerServer(
             self.handler.serve_request,
             ConnectionErrors(self.handler.log, self.metrics),
+            self._idle_s,
         )
         internal_server = web.Server(self._serve_internal, access_log=None)
         settings = self.settings
@@ -127,6 +128,11 @@
             return web.Response(body=body, content_type='application/json')
         return web.Response(status=HTTPStatus.NOT_FOUND)
 
+    def _idle_s(self) -> float:
+        """Return for how long callers may leave a connection idle."""
+        configuration = self.handler.configuration()
+        return 0 if configuration is None else configuration.limits.idle_s
+
     def _readiness(self) -> int:
         if self.is_ready():
             return HTTPStatus.OK
--- a/primroserudder/fleet/tests/test_caller_port.py
+++ b/primroserudder/fleet/tests/test_caller_port.py
@@ -9,6 +9,7 @@
 from ...testing.configchanges import with_route
 from ...testing.platformsite import PlatformSite, configuration, platform_site
 from ...testing.rawcaller import RawCaller, RawResponse, head, raw_caller
+from .. import callerconnection
 
 LONG_BODY = b'x' * 1_000_000
 LOOKUP = '/lookups/1'
@@ -264,6 +265,25 @@
         assert not site.arrivals('inner')
 
 
+async def test_idle_connection_is_kept_as_long_as_the_configuration_allows(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # Callers use a connection again after up to four fifths of the limit.
+    monkeypatch.setattr(callerconnection, 'MIN_KEEPALIVE_S', 0.2)
+    async with platform_site(engines=0, plain=1) as site:
+        await _wait_until_serving(site)
+        async with raw_caller(site) as caller:
+            caller.request('one', LOOKUP)
+            assert (await _response(caller)).status == 200
+            longer = configuration(2, Limits={'IdleTimeoutMs': 1500})
+            site.store.rows.put('op', 'config', longer)
+            await asyncio.sleep(1.2)
+            caller.request('two', LOOKUP)
+            assert (await _response(caller)).status == 200
+            async with asyncio.timeout(5):
+                assert not await caller.reader.read()
+
+
 async def test_caller_that_closes_its_sending_side_counts_as_gone() -> None:
     # A caller that closed its connection can't be told from one that only
     # ended its sending side; engines must not work on for the former.
