Answer a request that an unexpected error ends, with one line

What callers saw: an untyped 500 without the request's id; or, if something that the request waited for was cancelled, a closed connection and nothing else. Operators saw a traceback and no line of the request, so that its end could not be found by its id.

The handler now turns every error that no code expects into one typed 500, or the abort of a stream that has begun, with one refuse line that names the error's type and place; its text may hold parts of a request and is left out. A cancellation ends the request silently only if its own task was cancelled.

--- a/primroserudder/fleet/callers.py
+++ b/primroserudder/fleet/callers.py
@@ -6,7 +6,6 @@
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, field
-from http import HTTPStatus
 
 from aiohttp import web
 
@@ -25,8 +24,13 @@
 from .requestendings import RequestEnding, RequestEndings
 from .retries import Ending, RetryState
 from .routes import find_destination, find_route
-from .servedrequest import CallerDisconnected, ServedRequest
+from .servedrequest import (
+    CallerDisconnected,
+    ServedRequest,
+    complete_response,
+)
 from .serving import Server
+from .unexpectederror import UnexpectedError, cause_fields
 
 FIRST_CONFIGURATION_RETRY_S = 0.5
 DEFAULT_DEADLINE_S = 30.0
@@ -100,10 +104,15 @@
         except CallerDisconnected:
             self._note_gone(served)
             raise asyncio.CancelledError from None
-        except asyncio.CancelledError:
-            if served.is_caller_gone:
-                self._note_gone(served)
-            raise
+        except asyncio.CancelledError as error:
+            if _is_cancelled():
+                if served.is_caller_gone:
+                    self._note_gone(served)
+                raise
+            # Something that the request waited for was cancelled.
+            return await self._end_unexpectedly(served, error)
+        except Exception as error:
+            return await self._end_unexpectedly(served, error)
 
     async def _serve(self, served: ServedRequest) -> web.StreamResponse:
         stream = served.stream
@@ -117,6 +126,12 @@
             return await self._refuse(served, error)
         return await self._answer(served, call, outcome)
 
+    async def _end_unexpectedly(
+        self, served: ServedRequest, error: BaseException
+    ) -> web.StreamResponse:
+        """Refuse a request, or abort its stream, after an unexpected error."""
+        return await self._refuse(served, UnexpectedError(error))
+
     async def _answer(
         self, served: ServedRequest, call: Call, outcome: AttemptResult
     ) -> web.StreamResponse:
@@ -131,7 +146,7 @@
         stream_response = served.stream.response
         if stream_response is None:
             return await served.send(
-                _complete_response(outcome), RequestEnding.ANSWERED
+                complete_response(outcome), RequestEnding.ANSWERED
             )
         is_whole = outcome.ending is Ending.DELIVERED
         self.metrics.count('streams', whole=str(is_whole))
@@ -202,6 +217,7 @@
             status=error.status,
             ran=error.ran.value,
             reason=str(error),
+            **cause_fields(error),
             held_ms=round(held_s * 1000),
             path=served.request.path,
         )
@@ -239,10 +255,7 @@
         )
 
 
-def _complete_response(outcome: AttemptResult) -> web.Response:
-    complete = outcome.response
-    if complete is None:
-        return web.Response(status=HTTPStatus.BAD_GATEWAY)
-    return web.Response(
-        status=complete.status, headers=complete.headers, body=complete.body
-    )
+def _is_cancelled() -> bool:
+    """Return whether the current task itself was cancelled."""
+    task = asyncio.current_task()
+    return task is None or bool(task.cancelling())
--- a/primroserudder/fleet/servedrequest.py
+++ b/primroserudder/fleet/servedrequest.py
@@ -3,12 +3,14 @@
 import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from http import HTTPStatus
 
 from aiohttp import web
 from multidict import CIMultiDict
 
 from ..errors import RudderError
 from ..platform.names import ATTEMPT_ID
+from .attempt import AttemptResult
 from .events import Event
 from .requestendings import OpenRequest, RequestEnding
 
@@ -40,13 +42,13 @@
         response = web.StreamResponse(status=status, headers=headers)
         if self.is_closing():
             response.force_close()
-        self.response = response
         try:
             await response.prepare(self.request)
         except OSError as error:
             raise CallerDisconnected(
                 'the caller closed its connection'
             ) from error
+        self.response = response
 
     async def send_event(self, event: Event) -> None:
         """Send one event.
@@ -180,3 +182,13 @@
         may_lack_body = 'Expect' in self.request.headers and not body.is_eof()
         is_malformed = body.exception() is not None
         return self.is_closing() or may_lack_body or is_malformed
+
+
+def complete_response(outcome: AttemptResult) -> web.Response:
+    """Return the response with what an engine answered."""
+    complete = outcome.response
+    if complete is None:
+        return web.Response(status=HTTPStatus.BAD_GATEWAY)
+    return web.Response(
+        status=complete.status, headers=complete.headers, body=complete.body
+    )
