Reset a broken-off stream that has no chunks

What callers saw: a caller that speaks HTTP/1.0 got a broken-off stream that looked complete. Cause: such a stream has no chunks and ends with its connection, and aborting a transport closes the connection in good order.

Red before: test_broken_off_stream_to_an_old_caller_never_looks_complete (no reset). Streams in chunks lack their last chunk and are aborted as before, so that the events already written still arrive.

--- a/primroserudder/fleet/servedrequest.py
+++ b/primroserudder/fleet/servedrequest.py
@@ -1,11 +1,13 @@
 """One request of a caller while its response is prepared and written."""
 
 import asyncio
+import socket
+import struct
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from http import HTTPStatus
 
-from aiohttp import web
+from aiohttp import HttpVersion11, web
 from multidict import CIMultiDict
 
 from ..errors import RudderError
@@ -15,6 +17,10 @@
 from .requestendings import OpenRequest, RequestEnding
 
 
+# Closing a socket that lingers for zero seconds resets its connection.
+RESET = struct.pack('ii', 1, 0)
+
+
 class CallerDisconnected(RudderError):
     """The caller closed its connection."""
 
@@ -85,9 +91,20 @@
         return response
 
     def abort(self) -> None:
-        """Abort the connection, so that the stream can't look complete."""
-        if self.request.transport is not None:
-            self.request.transport.abort()
+        """Abort the connection, so that the stream can't look complete.
+
+        Explanation
+        ===========
+        A stream without chunks ends with its connection, so that connection
+        is reset.
+        """
+        transport = self.request.transport
+        if transport is None:
+            return
+        if self.request.version < HttpVersion11:
+            connection = transport.get_extra_info('socket')
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+        transport.abort()
 
 
 @dataclass(slots=True, eq=False)
--- a/primroserudder/fleet/tests/test_caller_port.py
+++ b/primroserudder/fleet/tests/test_caller_port.py
@@ -310,3 +310,19 @@
 def _version(site: PlatformSite) -> int:
     current = site.routers[0].view.configuration()
     return current.version if current else 0
+
+
+async def test_broken_off_stream_to_an_old_caller_never_looks_complete() -> (
+    None
+):
+    # HTTP/1.0 has no chunks: there a stream ends with its connection.
+    async with platform_site(engines=2, plain=0) as site:
+        await _wait_until_serving(site)
+        for engine in site.engines_by_id.values():
+            engine.faults.cuts_after_events = 1
+        async with raw_caller(site) as caller:
+            octets = _head_with_length('one', '/notes/1', 4)
+            caller.send(octets.replace(b'HTTP/1.1', b'HTTP/1.0'))
+            caller.send(b'text')
+            with pytest.raises(ConnectionResetError):
+                await caller.reader.read()
