Lose no request that arrives as the port of callers closes

What callers saw, around a planned stop: connections that the kernel had accepted, and requests on kept connections that had arrived but not begun, were reset without an answer. Cause: closing the listening socket resets its backlog, and connections without a request in flight were closed at once, also those whose request lay in the socket's buffer or had just been parsed.

Red before: test_request_in_the_backlog_as_the_port_closes_is_answered and test_request_on_a_kept_connection_as_the_port_closes_is_answered (connection reset in both). test_each_request_sent_during_a_stop_under_load_has_an_answer was not shown red: it asks the new port whether it is closed.

The port now takes over the backlog in the same turn in which it closes, reads for 50 ms what has arrived, lets requests that were parsed begin, and only then closes the idle connections. That a refusal stays readable while the port closes held already, and is guarded.

--- a/primroserudder/fleet/ports.py
+++ b/primroserudder/fleet/ports.py
@@ -12,11 +12,11 @@
 from ..platform.names import READY_PATH
 from ..process.metrics import Metrics
 from .callerconnection import CallerServer, ConnectionErrors
+from .callerport import LISTEN_BACKLOG, CallerPort
 from .callers import CallerHandler
 from .settings import RouterSettings
 from .tablerelay import TableRelay
 
-LISTEN_BACKLOG = 1024
 CLOSE_POLL_S = 0.05
 
 
@@ -44,7 +44,16 @@
     dump: Callable[[], Mapping[str, object]]
     relay: TableRelay
     _runners: list[web.ServerRunner] = field(default_factory=list)
-    _sites: list[web.TCPSite] = field(default_factory=list)
+    caller_port: CallerPort = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Prepare the port of callers."""
+        server = CallerServer(
+            self.handler.serve_request,
+            ConnectionErrors(self.handler.log, self.metrics),
+            self._idle_s,
+        )
+        self.caller_port = CallerPort(server, self.handler.busy_connections)
 
     async def open(self) -> None:
         """Open all ports.
@@ -54,36 +63,17 @@
         PortTaken
             A port can't be opened.
         """
-        caller_server = CallerServer(
-            self.handler.serve_request,
-            ConnectionErrors(self.handler.log, self.metrics),
-            self._idle_s,
-        )
         internal_server = web.Server(self._serve_internal, access_log=None)
         settings = self.settings
         metrics = f'{settings.ip}:{settings.metrics_port}'
-        await self._listen(caller_server, settings.callers)
+        await self._listen_for_callers(settings.callers)
         await self._listen(internal_server, settings.readiness, metrics)
         table_server = web.Server(self.relay.answer, access_log=None)
         await self._listen(table_server, settings.exchange_endpoint)
 
     async def close_to_callers(self) -> None:
-        """Accept no new connections of callers and close the idle ones.
-
-        Explanation
-        ===========
-        A connection with an in-flight request is closed after its response,
-        even if that response started before the stop with a keep-alive
-        header. Otherwise a request could arrive so late on it that its
-        response would be cut off.
-        """
-        await self._sites[0].stop()
-        server = self._runners[0].server
-        for connection in () if server is None else server.connections:
-            if connection in self.handler.busy_connections:
-                connection.close()
-            else:
-                connection.force_close()
+        """Accept no new connections of callers and close the idle ones."""
+        await self.caller_port.stop()
 
     async def close(self) -> None:
         """Close all ports immediately."""
@@ -102,6 +92,14 @@
         while self.handler.in_flight and loop.time() < exit_at:
             await asyncio.sleep(CLOSE_POLL_S)
 
+    async def _listen_for_callers(self, address: str) -> None:
+        host, _, port = address.rpartition(':')
+        self._runners.append(self.caller_port.runner)
+        try:
+            await self.caller_port.open(host, int(port))
+        except OSError as error:
+            raise PortTaken(f'{address}: {error.strerror}') from error
+
     async def _listen(self, server: web.Server, *addresses: str) -> None:
         runner = web.ServerRunner(server, shutdown_timeout=CLOSE_POLL_S)
         self._runners.append(runner)
@@ -109,7 +107,6 @@
         for address in addresses:
             host, _, port = address.rpartition(':')
             site = web.TCPSite(runner, host, int(port), backlog=LISTEN_BACKLOG)
-            self._sites.append(site)
             try:
                 await site.start()
             except OSError as error:
--- /dev/null
+++ b/primroserudder/fleet/tests/test_stop_endings.py
@@ -0,0 +1,124 @@
+"""No request that a stopping router has read is left without an end."""
+
+import asyncio
+import socket
+from collections.abc import AsyncIterator
+from contextlib import AsyncExitStack, asynccontextmanager
+
+import pytest
+
+from ...testing.platformsite import PlatformSite, platform_site
+from ...testing.rawcaller import RawCaller, RawResponse, head, raw_caller
+from .. import router as router_module
+
+LOOKUP = '/lookups/1'
+NOTICE_S = 0.3
+
+
+@asynccontextmanager
+async def _serving_site(
+    monkeypatch: pytest.MonkeyPatch, engines: int = 0
+) -> AsyncIterator[PlatformSite]:
+    """Run a site whose routers stop soon after the notice."""
+    monkeypatch.setattr(router_module, 'DRAIN_NOTICE_S', NOTICE_S)
+    async with platform_site(engines=engines, plain=1) as site:
+        directory = site.routers[0].view.directory
+        pools = 1 + bool(engines)
+        await site.until(lambda: len(directory.targets_by_pool()) == pools)
+        yield site
+
+
+async def _response(caller: RawCaller) -> RawResponse:
+    async with asyncio.timeout(5):
+        return await caller.response()
+
+
+def _connect_without_reading(site: PlatformSite) -> socket.socket:
+    """Open a connection whose request lies in the listen backlog."""
+    address = site.routers[0].settings.callers
+    host, _, port = address.rpartition(':')
+    connection = socket.create_connection((host, int(port)))
+    fields = {'Content-Length': '4'}
+    connection.sendall(head('late', LOOKUP, fields=fields))
+    connection.sendall(b'text')
+    connection.setblocking(False)
+    return connection
+
+
+async def test_request_in_the_backlog_as_the_port_closes_is_answered(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async with _serving_site(monkeypatch) as site:
+        router = site.routers[0]
+        connection = _connect_without_reading(site)
+        # The router has not run since the caller connected.
+        closing = asyncio.ensure_future(router.ports.close_to_callers())
+        loop = asyncio.get_running_loop()
+        async with asyncio.timeout(5):
+            received = await loop.sock_recv(connection, 65_536)
+        await closing
+        connection.close()
+        assert received.startswith(b'HTTP/1.1 200')
+
+
+async def test_request_on_a_kept_connection_as_the_port_closes_is_answered(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # The request lies in the socket's buffer, or its head was just parsed.
+    for turns in range(6):
+        async with _serving_site(monkeypatch) as site:
+            router = site.routers[0]
+            async with raw_caller(site) as caller:
+                caller.request('one', LOOKUP)
+                assert (await _response(caller)).status == 200
+                caller.request('two', LOOKUP)
+                for _ in range(turns):
+                    await asyncio.sleep(0)
+                await router.ports.close_to_callers()
+                assert (await _response(caller)).status == 200
+
+
+async def test_refusal_stays_readable_while_the_port_closes(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async with _serving_site(monkeypatch) as site:
+        router = site.routers[0]
+        async with raw_caller(site) as caller:
+            body = b'x' * 3_000_000
+            length = {'Content-Length': str(len(body))}
+            caller.send(head('one', '/nowhere/1', fields=length))
+            caller.send(body[:1000])
+            await site.until(lambda: router.ports.handler.endings.read == 1)
+            await router.ports.close_to_callers()
+            caller.send(body[1000:])
+            async with asyncio.timeout(5):
+                await caller.writer.drain()
+            assert (await _response(caller)).status == 404
+
+
+async def test_each_request_sent_during_a_stop_under_load_has_an_answer(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # Callers connect anew for each request until the port is closed.
+    async with _serving_site(monkeypatch) as site:
+        router = site.routers[0]
+        statuses: list[int] = []
+
+        async def ask_once(stack: AsyncExitStack, name: str) -> None:
+            caller = await stack.enter_async_context(raw_caller(site))
+            caller.request(name, LOOKUP)
+            statuses.append((await _response(caller)).status)
+
+        async def ask(name: str) -> None:
+            while not router.ports.caller_port.is_stopped:
+                async with AsyncExitStack() as stack:
+                    await ask_once(stack, name)
+
+        asking = [
+            asyncio.ensure_future(ask(f'one-{number}')) for number in range(8)
+        ]
+        await asyncio.sleep(0.1)
+        await router.stop()
+        await asyncio.gather(*asking)
+        assert set(statuses) <= {200, 503}
+        assert not router.dump()['violations']
