--- a/primroserudder/fleet/callers.py
+++ b/primroserudder/fleet/callers.py
@@ -6,11 +6,8 @@
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, field
-from http import HTTPStatus
 
-import orjson
 from aiohttp import web
-from multidict import CIMultiDict
 
 from ..errors import Ran, RudderError
 from ..platform import headers as wire
@@ -21,11 +18,15 @@
 from ..request.dispatch import DispatchRecord
 from .attempt import AttemptResult, StreamSink
 from .call import Call
-from .events import Event
+from .callerbody import discard_body, read_body
+from .cutoff import Cutoff, CutOff, stop_error
 from .model import Configuration
+from .requestendings import RequestEndings
 from .retries import Ending, RetryState
 from .routes import find_destination, find_route
+from .servedrequest import CallerDisconnected, ServedRequest
 from .serving import Server
+from .unexpectederror import UnexpectedError, cause_fields
 
 FIRST_CONFIGURATION_RETRY_S = 0.5
 DEFAULT_DEADLINE_S = 30.0
@@ -40,90 +41,6 @@
     default_remedy = 'retry the request after the delay in Retry-After'
 
 
-class CallerDisconnected(RudderError):
-    """The caller closed its connection."""
-
-    code = 'caller_gone'
-    status = 499
-    default_remedy = 'none is needed: the caller has disconnected'
-
-
-class BodyTooLarge(RudderError):
-    """The request body exceeds the configured limit."""
-
-    code = 'body_too_large'
-    status = 413
-    ran = Ran.NO
-    default_remedy = 'send a smaller body'
-
-
-@dataclass(slots=True, eq=False)
-class CallerStream:
-    """A response that is being streamed to a caller."""
-
-    request: web.BaseRequest
-    is_closing: Callable[[], bool]
-    response: web.StreamResponse | None = None
-
-    async def start(self, status: int, headers: CIMultiDict[str]) -> None:
-        """Send the status line and the header fields.
-
-        Raises
-        ======
-        CallerDisconnected
-            The caller closed its connection.
-        """
-        response = web.StreamResponse(status=status, headers=headers)
-        if self.is_closing():
-            response.force_close()
-        self.response = response
-        try:
-            await response.prepare(self.request)
-        except OSError as error:
-            raise CallerDisconnected(
-                'the caller closed its connection'
-            ) from error
-
-    async def send_event(self, event: Event) -> None:
-        """Send one event.
-
-        Raises
-        ======
-        CallerDisconnected
-            The caller closed its connection.
-        """
-        if self.response is None:
-            return
-        try:
-            await self.response.write(event.octets)
-        except OSError as error:
-            raise CallerDisconnected(
-                'the caller closed its connection'
-            ) from error
-
-    async def finish(self) -> web.StreamResponse:
-        """Finish a complete stream and return its response.
-
-        Raises
-        ======
-        CallerDisconnected
-            The caller closed its connection.
-        """
-        response = self.response or web.Response(status=HTTPStatus.OK)
-        try:
-            await response.write_eof()
-        except OSError as error:
-            raise CallerDisconnected(
-                'the caller closed its connection'
-            ) from error
-        return response
-
-    def abort(self) -> None:
-        """Abort the connection, so that the stream can't look complete."""
-        if self.request.transport is not None:
-            self.request.transport.abort()
-
-
 @dataclass(slots=True)
 class CallerHandler:
     """Reads requests, serves them and sends the responses."""
@@ -135,6 +52,8 @@
     on_request: Callable[[], None]
     rng: random.Random = field(default_factory=random.Random)
     invariants: Invariants = field(init=False)
+    endings: RequestEndings = field(init=False)
+    cutoff: Cutoff = field(default_factory=Cutoff)
     is_closing: bool = False
     busy_connections: Counter[web.RequestHandler] = field(
         default_factory=Counter,
@@ -143,6 +62,7 @@
     def __post_init__(self) -> None:
         """Create the invariants, which count violations in the metrics."""
         self.invariants = Invariants(self.metrics)
+        self.endings = RequestEndings(self.invariants, self.metrics)
 
     @property
     def in_flight(self) -> int:
@@ -152,52 +72,102 @@
     async def serve_request(
         self, request: web.BaseRequest
     ) -> web.StreamResponse:
-        """Serve one request and return its response."""
+        """Serve one request and return its response, which is written."""
         self.on_request()
-        with self._tracked_request(request):
-            return await self._serve(request)
+        attempt_id = request.headers.get(ATTEMPT_ID, '')
+        with self._tracked_connection(request):
+            with self.endings.tracked(attempt_id) as opened:
+                served = ServedRequest(
+                    request,
+                    opened,
+                    asyncio.get_running_loop().time(),
+                    lambda: self.is_closing,
+                )
+                response = await self._serve_to_end(served)
+            await discard_body(request.content)
+        return response
 
     @contextmanager
-    def _tracked_request(self, request: web.BaseRequest) -> Iterator[None]:
+    def _tracked_connection(self, request: web.BaseRequest) -> Iterator[None]:
         self.busy_connections[request.protocol] += 1
         try:
             yield
         finally:
-            self.busy_connections -= Counter((request.protocol,))
+            self.busy_connections[request.protocol] -= 1
+            if not self.busy_connections[request.protocol]:
+                self.busy_connections.pop(request.protocol)
 
-    async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
-        received_at = asyncio.get_running_loop().time()
-        stream = CallerStream(request, lambda: self.is_closing)
-        sink = StreamSink(stream.start, stream.send_event)
+    async def _serve_to_end(self, served: ServedRequest) -> web.StreamResponse:
         try:
-            call = await self._read_request(request, received_at)
-            outcome = await self.server.serve(call, sink)
+            return await self._serve(served)
         except CallerDisconnected:
+            self._note_gone(served)
             raise asyncio.CancelledError from None
+        except asyncio.CancelledError as error:
+            if _is_cancelled():
+                if served.is_caller_gone:
+                    self._note_gone(served)
+                raise
+            # Something that the request waited for was cancelled.
+            return await self._end_unexpectedly(served, error)
+        except Exception as error:
+            return await self._end_unexpectedly(served, error)
+
+    async def _serve(self, served: ServedRequest) -> web.StreamResponse:
+        stream = served.stream
+        sink = StreamSink(stream.start, stream.send_event)
+        try:
+            async with self.cutoff.limited():
+                call = await self._read_request(served)
+                outcome = await self.server.serve(call, sink)
+        except CutOff:
+            return await self._refuse(served, stop_error(served.dispatch))
+        except CallerDisconnected:
+            raise
         except RudderError as error:
-            return self._handle_error(request, stream, error, received_at)
-        self._log_answer(call, outcome, received_at)
-        if stream.response is None:
-            return self._complete_response(outcome)
+            return await self._refuse(served, error)
+        return await self._answer(served, call, outcome)
+
+    async def _end_unexpectedly(
+        self, served: ServedRequest, error: BaseException
+    ) -> web.StreamResponse:
+        """Refuse a request, or abort its stream, after an unexpected error."""
+        return await self._refuse(served, UnexpectedError(error))
+
+    async def _answer(
+        self, served: ServedRequest, call: Call, outcome: AttemptResult
+    ) -> web.StreamResponse:
+        taken_s = served.held_s
+        response = await self._end(served, outcome)
+        self._log_answer(served, call, outcome, taken_s)
+        return response
+
+    async def _end(
+        self, served: ServedRequest, outcome: AttemptResult
+    ) -> web.StreamResponse:
+        stream_response = served.stream.response
+        if stream_response is None:
+            return await served.answer(outcome)
         is_whole = outcome.ending is Ending.DELIVERED
         self.metrics.count('streams', whole=str(is_whole))
         if is_whole:
-            return await self._finish(stream)
-        stream.abort()
-        return stream.response
+            return await served.finish_stream()
+        return served.abort_stream(stream_response)
 
-    async def _finish(self, stream: CallerStream) -> web.StreamResponse:
-        """Finish a stream; one whose caller left needs no response."""
-        try:
-            return await stream.finish()
-        except CallerDisconnected:
-            raise asyncio.CancelledError from None
+    async def _refuse(
+        self, served: ServedRequest, error: RudderError
+    ) -> web.StreamResponse:
+        held_s = served.held_s
+        stream_response = served.stream.response
+        if stream_response is None:
+            response = await served.refuse(error)
+        else:
+            response = served.abort_stream(stream_response)
+        self._log_refusal(served, error, held_s)
+        return response
 
-    async def _read_request(
-        self,
-        request: web.BaseRequest,
-        received_at: float,
-    ) -> Call:
+    async def _read_request(self, served: ServedRequest) -> Call:
+        request = served.request
         configuration = self.configuration()
         if configuration is None:
             raise NoConfiguration(
@@ -205,14 +175,20 @@
                 retry_after=FIRST_CONFIGURATION_RETRY_S,
             )
         metadata = wire.read_request(request.headers)
-        path = request.raw_path.partition('?')[0]
-        host = request.headers.get('Host', '')
-        route = find_route(configuration, host, path)
+        route = find_route(
+            configuration,
+            request.headers.get('Host', ''),
+            request.raw_path.partition('?')[0],
+        )
         destination = find_destination(
             configuration, route, metadata.api_key, self.rng
         )
-        body = await _read_body(request, configuration.limits.body_bytes)
         allowed_s = metadata.deadline_s or DEFAULT_DEADLINE_S
+        deadline_at = served.received_at + min(allowed_s, route.timeout_s)
+        body = await read_body(
+            request, configuration.limits.body_bytes, deadline_at
+        )
+        served.dispatch = DispatchRecord(self.invariants, metadata.attempt_id)
         return Call(
             method=request.method,
             raw_path=request.raw_path,
@@ -220,101 +196,65 @@
             body=body,
             metadata=metadata,
             destination=destination,
-            received_at=received_at,
-            deadline_at=received_at + min(allowed_s, route.timeout_s),
+            received_at=served.received_at,
+            deadline_at=deadline_at,
             retry_state=RetryState(route),
-            dispatch=DispatchRecord(self.invariants, metadata.attempt_id),
+            dispatch=served.dispatch,
             last_event_id=metadata.last_event_id,
         )
 
-    def _complete_response(self, outcome: AttemptResult) -> web.Response:
-        complete = outcome.response
-        if complete is None:
-            return web.Response(status=HTTPStatus.BAD_GATEWAY)
-        response = web.Response(
-            status=complete.status, headers=complete.headers, body=complete.body
-        )
-        if self.is_closing:
-            response.force_close()
-        return response
-
-    def _handle_error(
-        self,
-        request: web.BaseRequest,
-        stream: CallerStream,
-        error: RudderError,
-        received_at: float,
-    ) -> web.StreamResponse:
-        elapsed_s = asyncio.get_running_loop().time() - received_at
-        attempt_id = request.headers.get(ATTEMPT_ID, '')
+    def _log_refusal(
+        self, served: ServedRequest, error: RudderError, held_s: float
+    ) -> None:
         self.metrics.count('refusals', code=error.code)
-        self.metrics.latency(f'refusal_{error.code}').record(elapsed_s)
+        self.metrics.latency(f'refusal_{error.code}').record(held_s)
         self.log.note(
             'refuse',
-            request=attempt_id,
+            request=served.attempt_id,
+            end=served.end,
             code=error.code,
             status=error.status,
             ran=error.ran.value,
             reason=str(error),
-            held_ms=round(elapsed_s * 1000),
-            path=request.path,
+            **cause_fields(error),
+            held_ms=round(held_s * 1000),
+            path=served.request.path,
         )
-        if stream.response is not None:
-            stream.abort()
-            return stream.response
-        return _error_response(error, attempt_id, is_closing=self.is_closing)
 
     def _log_answer(
         self,
+        served: ServedRequest,
         call: Call,
         outcome: AttemptResult,
-        received_at: float,
+        taken_s: float,
     ) -> None:
-        elapsed_s = asyncio.get_running_loop().time() - received_at
         self.metrics.count('answers', ending=outcome.ending.value)
-        self.metrics.latency('answer').record(elapsed_s)
+        self.metrics.latency('answer').record(taken_s)
         self.log.note(
             'answer',
             request=call.metadata.attempt_id,
+            end=served.end,
             route=call.destination.route.name,
             ending=outcome.ending.value,
             reason=outcome.reason,
             runs=call.retry_state.runs,
             engines=sorted(call.tried_engines),
-            taken_ms=round(elapsed_s * 1000),
+            taken_ms=round(taken_s * 1000),
         )
 
-
-async def _read_body(request: web.BaseRequest, max_bytes: int) -> bytes:
-    body = bytearray()
-    async for octets in request.content.iter_any():
-        body += octets
-        if len(body) > max_bytes:
-            raise BodyTooLarge(f'the request body exceeds {max_bytes} bytes')
-    return bytes(body)
+    def _note_gone(self, served: ServedRequest) -> None:
+        served.note_gone()
+        self.log.note(
+            'caller_gone',
+            request=served.attempt_id,
+            end=served.end,
+            had_events=served.stream.response is not None,
+            held_ms=round(served.held_s * 1000),
+            path=served.request.path,
+        )
 
 
-def _error_response(
-    error: RudderError,
-    attempt_id: str,
-    *,
-    is_closing: bool,
-) -> web.Response:
-    headers = {ATTEMPT_ID: attempt_id} if attempt_id else {}
-    if error.retry_after is not None:
-        headers['Retry-After'] = format(error.retry_after, 'g')
-    error_fields = {
-        'code': error.code,
-        'message': str(error),
-        'remedy': error.remedy,
-        'ran': error.ran.value,
-    }
-    response = web.Response(
-        status=error.status,
-        headers=headers,
-        body=orjson.dumps({'error': error_fields}),
-        content_type='application/json',
-    )
-    if is_closing:
-        response.force_close()
-    return response
+def _is_cancelled() -> bool:
+    """Return whether the current task itself was cancelled."""
+    task = asyncio.current_task()
+    return task is None or bool(task.cancelling())
