Take a response that has no body as whole without a length

Callers of an engine that answers 204 or 304 without a Content-Length, or of a HEAD request, got a 502 for a whole answer; where the route may repeat, the request ran again on another engine.

Cause: such a response is complete with its header fields, so aiohttp has released its connection before Framing.of looks at it. The framing found neither a length nor a connection whose close it could check, and counted the response as truncated.

Evidence: fleet/tests/test_framing.py, red before in test_response_with_no_content_is_whole_without_a_length (8 cases), test_response_that_nothing_was_modified_is_whole_without_a_length (2) and test_response_to_a_head_request_is_whole_without_a_body (2 of 4).

Ruled out: a missing or late Framing.closed for responses with a body.

Change: a response to HEAD, and one with status 204 or 304, is complete once its header fields are read (RFC 9112, section 6.3).

--- a/primroserudder/fleet/framing.py
+++ b/primroserudder/fleet/framing.py
@@ -5,10 +5,12 @@
 A response without a length ends when its connection closes. aiohttp treats
 a connection reset as such an end too, so this module checks how the
 connection was closed. If that is unknown, the response counts as truncated.
+A response that can't have a body is complete with its header fields.
 """
 
 import asyncio
 from dataclasses import dataclass
+from http import HTTPStatus
 
 import aiohttp
 from multidict import CIMultiDictProxy
@@ -16,30 +18,40 @@
 # The connection closes together with the end of the body; this is the longest
 # wait for aiohttp to report it.
 CLOSE_WAIT_S = 0.1
+_STATUSES_WITHOUT_BODY = frozenset(
+    (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED)
+)
 
 
 @dataclass(frozen=True, slots=True)
 class Framing:
-    """How the end of a response body is detected."""
+    """How the end of a response body is detected.
 
-    has_length: bool
+    Parameters
+    ==========
+    marks_end : bool
+        Whether the response itself says where it ends, by a length, by
+        chunks or by having no body.
+    """
+
+    marks_end: bool
     closed: asyncio.Future[None] | None
 
     @classmethod
     def of(cls, response: aiohttp.ClientResponse) -> 'Framing':
         """Return the framing of a response whose headers were just read."""
-        if _has_length(response.headers):
-            return cls(has_length=True, closed=None)
+        if _has_no_body(response) or _has_length(response.headers):
+            return cls(marks_end=True, closed=None)
         connection = response.connection
         protocol = connection.protocol if connection else None
         return cls(
-            has_length=False,
+            marks_end=False,
             closed=None if protocol is None else protocol.closed,
         )
 
     async def is_complete(self) -> bool:
         """Return whether the body was received completely."""
-        if self.has_length:
+        if self.marks_end:
             return True
         if self.closed is None:
             return False
@@ -47,6 +59,14 @@
         return self.closed.done() and self.closed.exception() is None
 
 
+def _has_no_body(response: aiohttp.ClientResponse) -> bool:
+    """Return whether there is never a body (RFC 9112, section 6.3)."""
+    return (
+        response.method == aiohttp.hdrs.METH_HEAD
+        or response.status in _STATUSES_WITHOUT_BODY
+    )
+
+
 def _has_length(headers: CIMultiDictProxy[str]) -> bool:
     coding = headers.get('Transfer-Encoding', '').lower()
     return 'Content-Length' in headers or 'chunked' in coding
