Take only the last coding for the chunks that end a response

A response with "Transfer-Encoding: chunked, other" ends with its connection. When the connection was reset, the caller got the truncated body as a complete success, in streams too.

Cause: the framing looked for "chunked" anywhere in the first field of that name. So it also missed chunks that a second field names, and the caller got a 502 for a whole answer.

Change: all fields of the name are joined, and only "chunked" as the last coding marks the end; any coding makes a length invalid (RFC 9112, section 6.3).

--- a/primroserudder/fleet/framing.py
+++ b/primroserudder/fleet/framing.py
@@ -68,5 +68,14 @@
 
 
 def _has_length(headers: CIMultiDictProxy[str]) -> bool:
-    coding = headers.get('Transfer-Encoding', '').lower()
-    return 'Content-Length' in headers or 'chunked' in coding
+    """Return whether a body has a length or ends with a last chunk.
+
+    Explanation
+    ===========
+    Chunks mark the end only as the last coding of all (RFC 9112, section
+    6.3), and a coding makes a length invalid.
+    """
+    codings = ','.join(headers.getall(aiohttp.hdrs.TRANSFER_ENCODING, ()))
+    if codings:
+        return codings.rpartition(',')[2].strip().lower() == 'chunked'
+    return aiohttp.hdrs.CONTENT_LENGTH in headers
--- a/primroserudder/fleet/tests/test_framing.py
+++ b/primroserudder/fleet/tests/test_framing.py
@@ -117,3 +117,24 @@
     script = sends(b''.join((HEAD, length, b'\r\n')), then=stays_silent)
     outcomes = _attempts(loop_factory, script, 5, method='HEAD')
     assert _endings(outcomes) == {Ending.DELIVERED}
+
+
+@pytest.mark.parametrize('is_stream', [False, True])
+def test_reset_response_in_another_coding_is_never_taken_as_whole(
+    loop_factory: LoopFactory, is_stream: bool
+) -> None:
+    # Chunks that are wrapped in another coding end with the connection.
+    coded = b'Transfer-Encoding: chunked, other\r\n\r\n'
+    script = sends(b''.join((HEAD, coded, EVENTS)), then=resets)
+    outcomes = _attempts(loop_factory, script, 5, is_stream=is_stream)
+    assert _endings(outcomes) <= {Ending.UNKNOWN, Ending.CUT}
+
+
+def test_chunks_that_a_second_field_names_count_as_such(
+    loop_factory: LoopFactory,
+) -> None:
+    fields = b'Transfer-Encoding: other\r\nTransfer-Encoding: chunked\r\n\r\n'
+    chunks = b'2\r\nok\r\n0\r\n\r\n'
+    script = sends(b''.join((HEAD, fields, chunks)), then=stays_silent)
+    outcomes = _attempts(loop_factory, script, 5)
+    assert {outcome.body for outcome in outcomes} == {b'ok'}
