Tell a response's reader at once that its body is broken

An engine that sent a broken chunk, a chunk size over the limit or a trailer that is too long after the first bytes of a body held its caller until the deadline, though no valid answer could come any more. Its slot was held as long. A report, an order or a call to the store waited for its timeout in the same way.

Cause: aiohttp closes such a connection but tells the error only to one who waits for a head; whoever reads the body waits on.

Evidence: platform/tests/test_responsehandler.py, red before in all 8 cases of test_broken_chunk_ends_an_attempt_before_its_deadline (reason TimeoutError).

Ruled out: bodies with a length, and chunks that end with the connection; aiohttp tells their readers.

Change: BoundedResponseHandler takes the place of aiohttp's class for the connections of all sessions. It passes an error on to a body that is not complete.

--- a/primroserudder/platform/session.py
+++ b/primroserudder/platform/session.py
@@ -4,6 +4,8 @@
 
 import aiohttp
 
+from .responsehandler import BoundedConnector
+
 # The store answers in 4 ms, and in about 200 ms while it is disturbed.
 CALL_TIMEOUT_S = 1.0
 KEEPALIVE_IDLE_S = 1
@@ -16,7 +18,7 @@
     reuses_connections: bool = True,
 ) -> aiohttp.ClientSession:
     """Return a session with TCP keepalive, which detects dead connections."""
-    connector = aiohttp.TCPConnector(
+    connector = BoundedConnector(
         socket_factory=_keepalive_socket,
         limit=0,
         force_close=not reuses_connections,
