Bound what a peer may send beside the bytes of a body

An engine that sent empty lines, spaces after a field's name, folded lines, interim responses, a chunk's extension, leading zeros or spaces of a chunk size, or spaces in a trailer without end held its caller and its slot until the deadline, and a core with it: on loopback 200 to 730 MB were read in 2 s, and 2 s of interim responses delayed all other tasks by up to 0.14 s.

Cause: aiohttp and its parser bound the lines and the number of the fields, but not what they skip without keeping it.

Evidence: platform/tests/test_responsehandler.py, red before in 10 of 20 cases of test_endless_head_ends_an_attempt_before_its_deadline and in 8 of 10 of test_endless_framing_of_a_chunk_ends_an_attempt_before_its_deadline (reason TimeoutError).

Ruled out: bytes that are no HTTP, an endless status line, short and long header lines, names and trailers without end; aiohttp refuses them within 0.2 MB, and tests now hold that too.

Change: a response that takes more than 64 KiB in a row without a byte of its body fails, and its connection is aborted. Chunks of single bytes with an extension each, and interim responses before a response, are still read. After it all cases end within 4 MB sent, of which the sockets' buffers hold a part.

--- a/primroserudder/platform/responsehandler.py
+++ b/primroserudder/platform/responsehandler.py
@@ -3,7 +3,9 @@
 Explanation
 ===========
 aiohttp bounds the lines and the number of a response's header fields. This
-module adds what it lacks for peers that may be faulty.
+module adds what it lacks for peers that may be faulty: a bound on what it
+skips without a word (empty lines, spaces, interim responses, extensions and
+leading zeros of chunks), and that an error in a body reaches its reader.
 """
 
 from dataclasses import dataclass
@@ -14,12 +16,45 @@
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.http import RawResponseMessage
 
+# A response may take this many bytes in a row that are no part of its body:
+# its head with all interim responses, what frames a chunk, or its trailers.
+MAX_BYTES_WITHOUT_BODY = 65_536
+
+
+class EndlessResponse(aiohttp.ClientPayloadError):
+    """A peer sent too many bytes that are no part of a body."""
+
 
 @dataclass(slots=True)
 class _ResponseProgress:
-    """What was read of the response to the current request."""
+    """What was read of the response to the current request.
+
+    Parameters
+    ==========
+    body_bytes : int
+        How much of the body was read.
+    bytes_since : int
+        Bytes read since the body last grew.
+    """
 
     body: aiohttp.StreamReader | None = None
+    body_bytes: int = 0
+    bytes_since: int = 0
+    has_failed: bool = False
+
+    def note(self, octets: int) -> None:
+        """Note that some bytes of the connection were read."""
+        body_bytes = 0 if self.body is None else self.body.total_bytes
+        if body_bytes > self.body_bytes:
+            self.body_bytes = body_bytes
+            self.bytes_since = 0
+        else:
+            self.bytes_since += octets
+
+    @property
+    def is_endless(self) -> bool:
+        """Return whether the body has not grown for too many bytes."""
+        return self.bytes_since > MAX_BYTES_WITHOUT_BODY
 
 
 class BoundedResponseHandler(ResponseHandler):
@@ -28,6 +63,11 @@
     Explanation
     ===========
     An error in the middle of a body reaches the reader of the body at once.
+
+    Raises
+    ======
+    EndlessResponse
+        More than ``MAX_BYTES_WITHOUT_BODY`` came without a byte of a body.
     """
 
     def __init__(self, *parameters: Any, **options: Any) -> None:
@@ -40,6 +80,20 @@
         self._progress = _ResponseProgress()
         super().set_response_params(**parameters)
 
+    def data_received(self, data: bytes) -> None:  # noqa: WPS110
+        """Read bytes of the connection, or resume with none."""
+        progress = self._progress
+        if progress.has_failed:
+            return
+        super().data_received(data)
+        progress.note(len(data))
+        if progress.is_endless:
+            self._fail(
+                EndlessResponse(
+                    f'over {MAX_BYTES_WITHOUT_BODY} bytes without a body'
+                )
+            )
+
     def feed_data(
         self,
         message: tuple[RawResponseMessage, aiohttp.StreamReader],
@@ -63,6 +117,13 @@
                 aiohttp.ClientPayloadError(f'invalid body: {errors[0]!r}')
             )
 
+    def _fail(self, error: aiohttp.ClientPayloadError) -> None:
+        """Abort the connection."""
+        self._progress.has_failed = True
+        if self.transport is not None:
+            self.transport.abort()
+        self.set_exception(error)
+
 
 class BoundedConnector(aiohttp.TCPConnector):
     """Opens connections whose responses are read with bounds."""
--- a/primroserudder/platform/tests/test_responsehandler.py
+++ b/primroserudder/platform/tests/test_responsehandler.py
@@ -3,11 +3,14 @@
 import pytest
 
 from ...fleet.retries import Ending
-from ...testing.rawattempts import CHUNKED_HEAD, EVENTS, raw_attempt
-from ...testing.rawpeer import sends, stays_silent
+from ...testing.rawattempts import CHUNKED_HEAD, EVENTS, HEAD, raw_attempt
+from ...testing.rawpeer import floods, sends, stays_silent
+from ..responsehandler import MAX_BYTES_WITHOUT_BODY
 
 FIRST_CHUNK = b'%x\r\n%s\r\n' % (len(EVENTS), EVENTS)
 LONG_TRAILER = b'0\r\n%s' % (b'n' * 9000)
+# The socket buffers of both sides take bytes that are never read.
+MOST_SENT_BYTES = 4_194_304
 TIMED_OUT = 'TimeoutError'
 
 
@@ -26,3 +29,82 @@
     expected = (Ending.CUT, EVENTS) if is_stream else (Ending.UNKNOWN, b'')
     assert (outcome.result.ending, outcome.caller_bytes) == expected
     assert outcome.result.reason != TIMED_OUT
+
+
+@pytest.mark.parametrize('is_stream', [False, True])
+@pytest.mark.parametrize(
+    ('first', 'repeated'),
+    [
+        (b'', b'\x00'),
+        (b'HTTP/1.1 200 ', b'reason'),
+        (b'HTTP/1.1 200 OK\r\n', b'name: text\r\n'),
+        (b'HTTP/1.1 200 OK\r\nname: ', b'text'),
+        (b'HTTP/1.1 200 OK\r\n', b'name'),
+        (b'', b'\r\n'),
+        (b'HTTP/1.1 200 OK\r\nname:', b' '),
+        (b'HTTP/1.1 200 OK\r\nname:', b'\r\n '),
+        (b'', b'HTTP/1.1 100 Continue\r\n\r\n'),
+        (b'', b'HTTP/1.1 103 Early Hints\r\nLink: one\r\n\r\n'),
+    ],
+    ids=[
+        'no line end',
+        'status line',
+        'short lines',
+        'long line',
+        'long name',
+        'empty lines',
+        'spaces',
+        'folded lines',
+        'continue',
+        'hints',
+    ],
+)
+async def test_endless_head_ends_an_attempt_before_its_deadline(
+    first: bytes, repeated: bytes, is_stream: bool
+) -> None:
+    outcome = await raw_attempt(floods(first, repeated), is_stream=is_stream)
+    assert outcome.result.ending is Ending.UNKNOWN
+    assert outcome.result.reason != TIMED_OUT
+    assert outcome.result.may_have_crashed
+    assert outcome.peer.sent_bytes < MOST_SENT_BYTES
+    assert not outcome.caller_bytes
+
+
+@pytest.mark.parametrize('is_stream', [False, True])
+@pytest.mark.parametrize(
+    ('first', 'repeated'),
+    [
+        (b'4;extension', b's'),
+        (b'', b'0'),
+        (b'4', b' '),
+        (b'0\r\n', b'name: text\r\n'),
+        (b'0\r\nname:', b' '),
+    ],
+    ids=['extension', 'zeros', 'spaces', 'trailers', 'trailer'],
+)
+async def test_endless_framing_of_a_chunk_ends_an_attempt_before_its_deadline(
+    first: bytes, repeated: bytes, is_stream: bool
+) -> None:
+    script = floods(b''.join((CHUNKED_HEAD, FIRST_CHUNK, first)), repeated)
+    outcome = await raw_attempt(script, is_stream=is_stream)
+    assert outcome.result.ending is not Ending.DELIVERED
+    assert outcome.result.reason != TIMED_OUT
+    assert outcome.peer.sent_bytes < MOST_SENT_BYTES
+    assert outcome.caller_bytes in {b'', EVENTS}
+
+
+async def test_response_in_small_chunks_is_read_whole() -> None:
+    # Most bytes are no part of the body, and more of them than the bound.
+    length = MAX_BYTES_WITHOUT_BODY // 4
+    chunks = b'1;name=text\r\na\r\n' * length
+    script = sends(b''.join((CHUNKED_HEAD, chunks, b'0\r\n\r\n')))
+    outcome = await raw_attempt(script)
+    assert outcome.body == b'a' * length
+
+
+async def test_response_after_interim_responses_is_read() -> None:
+    interim = b'HTTP/1.1 102 Processing\r\n\r\n'
+    response = b''.join((HEAD, b'Content-Length: 2\r\n\r\nok'))
+    script = sends(interim, interim * 20, b''.join((interim, response)))
+    outcome = await raw_attempt(script)
+    assert outcome.body == b'ok'
