Refuse a response that switches to another protocol

An engine that answered with the status 101 and closed had its 101 passed on to the caller, who never asked for another protocol.

Cause: the status counts as an engine's failure like any other, and a body of unknown length as whole once the connection closes.

Evidence: platform/tests/test_responsehandler.py, red before in test_switch_of_protocol_is_no_response[closes].

Change: the connection fails with ProtocolSwitched, and the attempt counts as one that may have run.

--- a/primroserudder/platform/responsehandler.py
+++ b/primroserudder/platform/responsehandler.py
@@ -10,6 +10,7 @@
 
 from dataclasses import dataclass
 from functools import partial
+from http import HTTPStatus
 from typing import Any
 
 import aiohttp
@@ -25,6 +26,10 @@
     """A peer sent too many bytes that are no part of a body."""
 
 
+class ProtocolSwitched(aiohttp.ClientPayloadError):
+    """A peer switched to another protocol without being asked."""
+
+
 @dataclass(slots=True)
 class _ResponseProgress:
     """What was read of the response to the current request.
@@ -68,6 +73,8 @@
     ======
     EndlessResponse
         More than ``MAX_BYTES_WITHOUT_BODY`` came without a byte of a body.
+    ProtocolSwitched
+        The response has the status 101.
     """
 
     def __init__(self, *parameters: Any, **options: Any) -> None:
@@ -100,6 +107,9 @@
         size: int = 0,
     ) -> None:
         """Take the head of a response, and its body, which may follow."""
+        if message[0].code == HTTPStatus.SWITCHING_PROTOCOLS:
+            self._fail(ProtocolSwitched('nobody asked for another protocol'))
+            return
         self._progress.body = message[1]
         super().feed_data(message, size)
 
--- a/primroserudder/platform/tests/test_responsehandler.py
+++ b/primroserudder/platform/tests/test_responsehandler.py
@@ -4,7 +4,7 @@
 
 from ...fleet.retries import Ending
 from ...testing.rawattempts import CHUNKED_HEAD, EVENTS, HEAD, raw_attempt
-from ...testing.rawpeer import floods, sends, stays_silent
+from ...testing.rawpeer import Script, closes, floods, sends, stays_silent
 from ..responsehandler import MAX_BYTES_WITHOUT_BODY
 
 FIRST_CHUNK = b'%x\r\n%s\r\n' % (len(EVENTS), EVENTS)
@@ -93,6 +93,14 @@
     assert outcome.caller_bytes in {b'', EVENTS}
 
 
+@pytest.mark.parametrize('then', [closes, stays_silent])
+async def test_switch_of_protocol_is_no_response(then: Script) -> None:
+    head = HEAD.replace(b'200 OK', b'101 Switching Protocols')
+    upgrade = b'Connection: upgrade\r\nUpgrade: other\r\n\r\n'
+    outcome = await raw_attempt(sends(b''.join((head, upgrade)), then=then))
+    assert outcome.result.ending is Ending.UNKNOWN
+
+
 async def test_response_in_small_chunks_is_read_whole() -> None:
     # Most bytes are no part of the body, and more of them than the bound.
     length = MAX_BYTES_WITHOUT_BODY // 4
