Drop the bytes that follow a complete response

Two effects of one fault. An engine that sent bytes which are no response after a complete one, in the same packet as the head, spoilt it: the caller got a 502, or the request ran again. And a peer that sent a second response on a kept connection, after the first was read, had it taken as the answer to the next report, order or call to the store on that connection.

Cause: aiohttp's parser reads a packet as a whole, and gives out no response of it if any part is invalid. While a connection is idle, it queues what comes, and does not look at the queue before the next request.

Ruled out: extra bytes in a later packet during an attempt, whose connection is closed with the end of the body.

Change: while a head is incomplete, the parser gets the bytes up to where a head may end, then the rest. What comes after a complete response is dropped, and the connection is closed. An extra response that arrives only after the next request was sent can't be told from its answer where the peer echoes no id (reports, orders, the store); that stays.

--- a/primroserudder/platform/responsehandler.py
+++ b/primroserudder/platform/responsehandler.py
@@ -5,9 +5,11 @@
 aiohttp bounds the lines and the number of a response's header fields. This
 module adds what it lacks for peers that may be faulty: a bound on what it
 skips without a word (empty lines, spaces, interim responses, extensions and
-leading zeros of chunks), and that an error in a body reaches its reader.
+leading zeros of chunks), that an error in a body reaches its reader, and that
+bytes after a complete response neither spoil it nor answer another request.
 """
 
+from collections.abc import Iterator
 from dataclasses import dataclass
 from functools import partial
 from http import HTTPStatus
@@ -20,6 +22,7 @@
 # A response may take this many bytes in a row that are no part of its body:
 # its head with all interim responses, what frames a chunk, or its trailers.
 MAX_BYTES_WITHOUT_BODY = 65_536
+_HEAD_END = b'\r\n\r\n'
 
 
 class EndlessResponse(aiohttp.ClientPayloadError):
@@ -40,13 +43,40 @@
         How much of the body was read.
     bytes_since : int
         Bytes read since the body last grew.
+    head_tail : bytes
+        The last bytes of an incomplete head, which may be the first bytes of
+        its end.
     """
 
     body: aiohttp.StreamReader | None = None
     body_bytes: int = 0
     bytes_since: int = 0
+    head_tail: bytes = b''
     has_failed: bool = False
 
+    @property
+    def is_whole(self) -> bool:
+        """Return whether the response was read completely."""
+        return self.body is not None and self.body.is_eof()
+
+    def parts(self, octets: bytes) -> Iterator[bytes]:
+        """Yield bytes in parts, each of which has the end of one head at most.
+
+        Explanation
+        ===========
+        While a head is incomplete, a part ends where a head may end, so that
+        the parser returns a response before it reads what follows.
+        """
+        start = 0
+        while start < len(octets) and self.body is None and not self.has_failed:
+            end = self._possible_head_end(octets, start)
+            part = octets[start:end]
+            yield part
+            self.head_tail = (self.head_tail + part)[1 - len(_HEAD_END) :]
+            start = end
+        if start < len(octets) and not self.has_failed:
+            yield octets[start:]
+
     def note(self, octets: int) -> None:
         """Note that some bytes of the connection were read."""
         body_bytes = 0 if self.body is None else self.body.total_bytes
@@ -61,6 +91,14 @@
         """Return whether the body has not grown for too many bytes."""
         return self.bytes_since > MAX_BYTES_WITHOUT_BODY
 
+    def _possible_head_end(self, octets: bytes, start: int) -> int:
+        within = self.head_tail + octets[start : start + len(_HEAD_END) - 1]
+        at = within.find(_HEAD_END)
+        if at >= 0:
+            return start + at + len(_HEAD_END) - len(self.head_tail)
+        at = octets.find(_HEAD_END, start)
+        return len(octets) if at < 0 else at + len(_HEAD_END)
+
 
 class BoundedResponseHandler(ResponseHandler):
     """Reads the responses of one connection, which may be faulty.
@@ -68,6 +106,8 @@
     Explanation
     ===========
     An error in the middle of a body reaches the reader of the body at once.
+    Bytes after a complete response belong to no request: they are dropped,
+    and the connection is not used again.
 
     Raises
     ======
@@ -89,17 +129,22 @@
 
     def data_received(self, data: bytes) -> None:  # noqa: WPS110
         """Read bytes of the connection, or resume with none."""
+        if not data:
+            super().data_received(data)
+            return
         progress = self._progress
-        if progress.has_failed:
+        if progress.is_whole:
+            self._drop_extra_bytes()
             return
-        super().data_received(data)
-        progress.note(len(data))
-        if progress.is_endless:
-            self._fail(
-                EndlessResponse(
-                    f'over {MAX_BYTES_WITHOUT_BODY} bytes without a body'
+        for part in progress.parts(data):
+            super().data_received(part)
+            progress.note(len(part))
+            if progress.is_endless:
+                self._fail(
+                    EndlessResponse(
+                        f'over {MAX_BYTES_WITHOUT_BODY} bytes without a body'
+                    )
                 )
-            )
 
     def feed_data(
         self,
@@ -107,10 +152,14 @@
         size: int = 0,
     ) -> None:
         """Take the head of a response, and its body, which may follow."""
+        if self._progress.body is not None:
+            self._drop_extra_bytes()
+            return
         if message[0].code == HTTPStatus.SWITCHING_PROTOCOLS:
             self._fail(ProtocolSwitched('nobody asked for another protocol'))
             return
-        self._progress.body = message[1]
+        if message[0].code >= HTTPStatus.OK:
+            self._progress.body = message[1]
         super().feed_data(message, size)
 
     def set_exception(self, *errors: BaseException) -> None:
@@ -120,6 +169,7 @@
         ===========
         aiohttp tells an error only to one who waits for a head.
         """
+        self._progress.has_failed = True
         super().set_exception(*errors)
         body = self._progress.body
         if body is not None and not body.is_eof() and body.exception() is None:
@@ -127,6 +177,13 @@
                 aiohttp.ClientPayloadError(f'invalid body: {errors[0]!r}')
             )
 
+    def _drop_extra_bytes(self) -> None:
+        """Leave a connection whose bytes no longer belong to a response."""
+        self._progress.has_failed = True
+        self.force_close()
+        if self.transport is not None:
+            self.transport.abort()
+
     def _fail(self, error: aiohttp.ClientPayloadError) -> None:
         """Abort the connection."""
         self._progress.has_failed = True
--- a/primroserudder/platform/tests/test_responsehandler.py
+++ b/primroserudder/platform/tests/test_responsehandler.py
@@ -1,13 +1,29 @@
 """Responses that break the protocol, or go on without end."""
 
+import asyncio
+
 import pytest
 
 from ...fleet.retries import Ending
 from ...testing.rawattempts import CHUNKED_HEAD, EVENTS, HEAD, raw_attempt
-from ...testing.rawpeer import Script, closes, floods, sends, stays_silent
+from ...testing.rawpeer import (
+    PIECE_INTERVAL_S,
+    Script,
+    closes,
+    floods,
+    raw_peer,
+    sends,
+    stays_silent,
+)
 from ..responsehandler import MAX_BYTES_WITHOUT_BODY
+from ..session import open_session
 
 FIRST_CHUNK = b'%x\r\n%s\r\n' % (len(EVENTS), EVENTS)
+LAST_CHUNK = b'0\r\n\r\n'
+WITH_LENGTH = b''.join(
+    (HEAD, b'Content-Length: %d\r\n\r\n' % len(EVENTS), EVENTS)
+)
+OTHER_RESPONSE = WITH_LENGTH.replace(b'data', b'DATA')
 LONG_TRAILER = b'0\r\n%s' % (b'n' * 9000)
 # The socket buffers of both sides take bytes that are never read.
 MOST_SENT_BYTES = 4_194_304
@@ -116,3 +132,49 @@
     script = sends(interim, interim * 20, b''.join((interim, response)))
     outcome = await raw_attempt(script)
     assert outcome.body == b'ok'
+
+
+@pytest.mark.parametrize('is_stream', [False, True])
+@pytest.mark.parametrize('repeated', [b'x', b'\r\n', OTHER_RESPONSE])
+@pytest.mark.parametrize(
+    'whole',
+    [WITH_LENGTH, b''.join((CHUNKED_HEAD, FIRST_CHUNK, LAST_CHUNK))],
+    ids=['length', 'chunks'],
+)
+@pytest.mark.parametrize('split', [1, len(HEAD), len(HEAD) + 30, 1000])
+async def test_bytes_after_a_whole_response_do_not_spoil_it(
+    whole: bytes, repeated: bytes, split: int, is_stream: bool
+) -> None:
+    octets = b''.join((whole, repeated * 9))
+    script = sends(octets[:split], octets[split:], then=floods(b'', repeated))
+    outcome = await raw_attempt(script, is_stream=is_stream)
+    assert outcome.result.ending is Ending.DELIVERED
+    received = outcome.caller_bytes if is_stream else outcome.body
+    assert received == EVENTS
+    assert outcome.peer.sent_bytes < MOST_SENT_BYTES
+
+
+@pytest.mark.parametrize('status', [b'204 No Content', b'304 Not Modified'])
+async def test_bytes_after_a_response_without_a_body_do_not_spoil_it(
+    status: bytes,
+) -> None:
+    head = HEAD.replace(b'200 OK', status)
+    outcome = await raw_attempt(floods(b''.join((head, b'\r\n')), b'x'))
+    assert outcome.body == b''
+
+
+@pytest.mark.parametrize('extra', [b'x', OTHER_RESPONSE])
+@pytest.mark.parametrize('is_late', [False, True])
+async def test_extra_response_never_answers_the_next_request(
+    extra: bytes, is_late: bool
+) -> None:
+    pieces = (WITH_LENGTH, extra) if is_late else (WITH_LENGTH + extra,)
+    async with (
+        raw_peer(sends(*pieces, then=stays_silent)) as peer,
+        open_session() as session,
+    ):
+        for _ in range(3):
+            async with session.get(f'http://{peer.address}/') as response:
+                assert await response.read() == EVENTS
+            await asyncio.sleep(3 * PIECE_INTERVAL_S)
+        assert peer.connections == 3
--- a/primroserudder/testing/rawattempts.py
+++ b/primroserudder/testing/rawattempts.py
@@ -1,9 +1,11 @@
 """Attempts at a raw peer, for tests of how responses are read."""
 
 from dataclasses import dataclass, field
+from unittest import mock
 
 from multidict import CIMultiDict
 
+from ..fleet import attempt as attempt_module
 from ..fleet.attempt import Attempt, AttemptResult, StreamSink
 from ..fleet.events import Event
 from ..fleet.model import RequestKind, Target
@@ -20,6 +22,8 @@
 CHUNKED_HEAD = b''.join((HEAD, b'Transfer-Encoding: chunked\r\n\r\n'))
 EVENTS = b'id: 1\ndata: a\n\nid: 2\ndata: b\n\n'
 DEADLINE_S = 3.0
+# A busy machine may need longer to connect than an attempt allows.
+CONNECT_TIMEOUT_S = 2.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,11 +75,16 @@
         raw_peer(script) as peer,
         open_session(deadline_s, reuses_connections=False) as session,
     ):
-        outcome = await Attempt(
+        patch_connect = mock.patch.object(
+            attempt_module, 'CONNECT_TIMEOUT_S', CONNECT_TIMEOUT_S
+        )
+        attempt = Attempt(
             session,
             request,
             Target('i-1', peer.address, 'fd-1', 4),
             StreamSink(caller.start, caller.send_event),
             lambda *_: None,
-        ).run()
+        )
+        with patch_connect:
+            outcome = await attempt.run()
         return RawOutcome(outcome, bytes(caller.octets), peer)
