Bound an event of a stream, and search only its new bytes

An engine that sent an event without end held its caller, its slot and ever more memory until the deadline; comments and empty lines without end did so too, or were passed on as events that started the caller's response, after which no other engine could answer. A whole stream with an empty line or a comment after its last event counted as broken off, and its caller's connection was aborted.

Cause: EventSplitter kept the part of an event that had not ended without a bound, searched it from its start with each piece, and copied all that followed an event. It took each empty line for the end of an event, and any rest for a part of one.

Change: an event, with the comments and empty lines before it, takes 1 MiB at most; more breaks the attempt (EventTooLong). Bytes are searched once. A block without a field line is no event; its bytes go to the caller with the next event or with the end, so the body stays as the engine sent it. Such a block no longer counts as activity for the detection of silent heads.

--- a/primroserudder/fleet/attempt.py
+++ b/primroserudder/fleet/attempt.py
@@ -11,7 +11,7 @@
 from ..platform import headers as wire
 from ..platform.signals import EngineSignals, engine_signals
 from .call import Call
-from .events import Event, EventSplitter
+from .events import Event, EventSplitter, EventTooLong
 from .framing import Framing
 from .model import RequestKind, Target
 from .retries import Ending
@@ -23,7 +23,12 @@
 STATUS_REDIRECT = 300
 MAX_RESPONSE_BYTES = 16_777_216
 NO_CONNECTION = 'no connection'
-_TRANSPORT_ERRORS = (aiohttp.ClientError, OSError, ValueError)
+_TRANSPORT_ERRORS = (
+    aiohttp.ClientError,
+    OSError,
+    ValueError,
+    EventTooLong,
+)
 _OMITTED_DEFAULT_HEADERS = (
     'User-Agent',
     'Accept',
@@ -216,6 +221,8 @@
             return self._broken_result('stream ended within an event')
         if not self.sink.is_started:
             await self._start_stream(response)
+        if splitter.rest():
+            await self.sink.send_event(Event(splitter.rest(), ''))
         return AttemptResult(Ending.DELIVERED, 'stream complete')
 
     async def _relay_event(
--- a/primroserudder/fleet/events.py
+++ b/primroserudder/fleet/events.py
@@ -1,12 +1,30 @@
 """Splits a byte stream into server-sent events."""
 
+import re
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
-_EVENT_ENDS = (b'\n\n', b'\r\n\r\n')
+from ..errors import Ran, RudderError
+
+# An event holds a few tokens; this leaves room for very long ones, while an
+# event that never ends takes little memory.
+MAX_EVENT_BYTES = 1_048_576
+_EVENT_END = re.compile(rb'\n\r?\n')
+_MAX_END_BYTES = 3
+# A line that is neither empty nor a comment.
+_FIELD_LINE = re.compile(rb'^[^:\r\n]', re.MULTILINE)
 _ID_FIELD = b'id:'
 
 
+class EventTooLong(RudderError):
+    """An event, with the comments before it, exceeds the largest size."""
+
+    code = 'event_too_long'
+    status = 502
+    ran = Ran.UNKNOWN
+    default_remedy = 'check the engine, which may send bytes without end'
+
+
 @dataclass(frozen=True, slots=True)
 class Event:
     """A complete event, with its bytes exactly as the engine sent them."""
@@ -19,6 +37,11 @@
 class EventSplitter:
     r"""Buffers bytes and returns complete events.
 
+    Explanation
+    ===========
+    Comments and empty lines are no events; they are returned with the event
+    that follows, or as the rest of the stream.
+
     Examples
     ========
     >>> splitter = EventSplitter()
@@ -30,33 +53,57 @@
     """
 
     _buffer: bytearray = field(default_factory=bytearray)
+    # Where the first line begins that may belong to the next event.
+    _lines_start: int = 0
+    # No end of an event begins before this position.
+    _searched: int = 0
 
     @property
     def has_partial_event(self) -> bool:
-        """Return whether the buffer holds an incomplete event."""
-        return bool(self._buffer)
+        """Return whether the rest is an incomplete event or line."""
+        rest = self._buffer[self._lines_start :]
+        if not rest:
+            return False
+        return bool(_FIELD_LINE.search(rest)) or not rest.endswith(b'\n')
+
+    def rest(self) -> bytes:
+        """Return the bytes after the last complete event."""
+        return bytes(self._buffer)
 
     def feed(self, octets: bytes) -> Iterator[Event]:
-        """Buffer bytes and yield the events that they complete."""
+        """Buffer bytes and yield the events that they complete.
+
+        Raises
+        ======
+        EventTooLong
+            An event exceeds ``MAX_EVENT_BYTES``, whether or not it ends.
+        """
         self._buffer += octets
-        end = self._first_event_end()
-        while end >= 0:
-            event_bytes = bytes(self._buffer[:end])
-            self._buffer = self._buffer[end:]
+        start = 0
+        for end in self._event_ends():
+            event_bytes = bytes(self._buffer[start:end])
+            _check_length(len(event_bytes))
             yield Event(event_bytes, event_id(event_bytes))
-            end = self._first_event_end()
-
-    def _first_event_end(self) -> int:
-        positions = (
-            (terminator, self._buffer.find(terminator))
-            for terminator in _EVENT_ENDS
-        )
-        ends = [
-            position + len(terminator)
-            for terminator, position in positions
-            if position >= 0
-        ]
-        return min(ends, default=-1)
+            start = end
+        self._buffer = self._buffer[start:]
+        self._lines_start -= start
+        self._searched = max(0, len(self._buffer) - _MAX_END_BYTES + 1)
+        _check_length(len(self._buffer))
+
+    def _event_ends(self) -> Iterator[int]:
+        """Yield where events end, past comments and empty lines alone."""
+        found = _EVENT_END.search(self._buffer, self._searched)
+        while found:
+            end = found.end()
+            if _FIELD_LINE.search(self._buffer, self._lines_start, end):
+                yield end
+            self._lines_start = end
+            found = _EVENT_END.search(self._buffer, end)
+
+
+def _check_length(octets: int) -> None:
+    if octets > MAX_EVENT_BYTES:
+        raise EventTooLong(f'an event exceeds {MAX_EVENT_BYTES} bytes')
 
 
 def event_id(octets: bytes) -> str:
