Give other tasks their turn within a piece of many small events

An engine that sent events of a few bytes without end kept the router's loop for as long as a piece of the stream took to pass on: one piece may hold tens of thousands of events, and a write to a caller that keeps up does not suspend the task.

Evidence: fleet/tests/test_endless_streams.py, red before in test_many_small_events_do_not_hold_up_other_tasks.

Change: after 64 events of one piece the relay lets other tasks run. A sound engine sends a few events in a piece, which take the same way as before.

--- a/primroserudder/fleet/attempt.py
+++ b/primroserudder/fleet/attempt.py
@@ -22,6 +22,8 @@
 STATUS_OK = 200
 STATUS_REDIRECT = 300
 MAX_RESPONSE_BYTES = 16_777_216
+# Other tasks get their turn after this many events of one piece.
+EVENTS_IN_A_ROW = 64
 NO_CONNECTION = 'no connection'
 _TRANSPORT_ERRORS = (
     aiohttp.ClientError,
@@ -211,8 +213,10 @@
         framing = Framing.of(response)
         splitter = EventSplitter()
         async for octets in response.content.iter_any():
-            for event in splitter.feed(octets):
+            for number, event in enumerate(splitter.feed(octets), 1):
                 await self._relay_event(response, event)
+                if number % EVENTS_IN_A_ROW == 0:
+                    await asyncio.sleep(0)
         if not await framing.is_complete():
             return self._broken_result(
                 'connection failed before a response of unknown length ended'
--- a/primroserudder/fleet/tests/test_endless_streams.py
+++ b/primroserudder/fleet/tests/test_endless_streams.py
@@ -1,5 +1,6 @@
 """Streams that never end, that end within an event, or that are slow."""
 
+import asyncio
 from collections.abc import Callable
 
 import pytest
@@ -14,6 +15,7 @@
     sends,
     trickles,
 )
+from .. import attempt as attempt_module
 from ..events import MAX_EVENT_BYTES
 from ..retries import Ending
 
@@ -109,3 +111,27 @@
         )
         assert outcome.result.ending in {Ending.CUT, Ending.UNKNOWN}
         assert EVENTS.startswith(outcome.caller_bytes)
+
+
+class _Turns:
+    """A task that counts how often it gets its turn."""
+
+    def __init__(self) -> None:
+        self.count = 0
+
+    async def take(self) -> None:
+        while True:
+            self.count += 1
+            await asyncio.sleep(0)
+
+
+async def test_many_small_events_do_not_hold_up_other_tasks() -> None:
+    events = 10_000
+    body = b'a\n\n' * events
+    turns = _Turns()
+    other = asyncio.ensure_future(turns.take())
+    script = sends(b''.join((STREAM_HEAD, body)))
+    outcome = await raw_attempt(script, is_stream=True, deadline_s=60)
+    other.cancel()
+    assert outcome.caller_bytes == body
+    assert turns.count > events // attempt_module.EVENTS_IN_A_ROW
