Bound what is read of a report, an order's answer and the store's answers

A peer that answered a report, an order or a call to the store with a body without end was read into memory until the call's timeout.

Ruled out: answers whose head never ends; they end with the bound on bytes beside a body.

Change: read_bounded reads 256 KiB of an engine's answer and 16 MiB of the store's at most; a page of rows has 1 MB, and changes have no size of their own on the platform's pages. More counts as no report, an unknown outcome or PlatformUnavailable, as a call without an answer does, with the log lines that these have (engine_unreachable, store_lost).

--- a/primroserudder/platform/orders.py
+++ b/primroserudder/platform/orders.py
@@ -11,12 +11,15 @@
 
 from ..fleet.model import Engine, Formation
 from . import names
+from .boundedbody import read_bounded
 from .enginelist import EngineReport, decode_report
 from .session import open_session
 
 ORDER_TIMEOUT_S = 0.5
 # A report needs no slot, so the engine answers within milliseconds.
 REPORT_TIMEOUT_S = 0.15
+# A report lists the models of one engine; an order's answer needs no body.
+MAX_ANSWER_BYTES = 262_144
 
 
 class OrderOutcome(enum.StrEnum):
@@ -105,7 +108,8 @@
         timeout = aiohttp.ClientTimeout(total=REPORT_TIMEOUT_S)
         try:
             async with self.session.get(url, timeout=timeout) as answer:
-                return decode_report(orjson.loads(await answer.read()))
+                body = await read_bounded(answer, MAX_ANSWER_BYTES)
+                return decode_report(orjson.loads(body))
         except _REPORT_ERRORS:
             return None
 
@@ -139,7 +143,7 @@
             async with self.session.post(
                 url, data=body, headers=headers
             ) as answer:
-                await answer.read()
+                await read_bounded(answer, MAX_ANSWER_BYTES)
                 return _outcome(answer.status)
         except aiohttp.ClientConnectorError:
             return OrderOutcome.NOT_DELIVERED
--- a/primroserudder/platform/store.py
+++ b/primroserudder/platform/store.py
@@ -23,6 +23,7 @@
     TablePage,
 )
 from . import names
+from .boundedbody import read_bounded
 from .session import CALL_TIMEOUT_S, open_session
 from .storeformat import (
     MILLISECONDS_PER_SECOND,
@@ -38,6 +39,8 @@
 
 # The response to a feed call may come this long after its wait time.
 FEED_SLACK_S = 0.8
+# A page of rows has 1 MB at most; the changes of a large table take some MB.
+MAX_ANSWER_BYTES = 16_777_216
 PAGE_ROWS = 500
 # Appended to the last key of a page, this gives the next possible key, at
 # which the next page starts.
@@ -252,7 +255,8 @@
         era_text = answer.headers.get(names.STORE_ERA, '')
         era = int(era_text) if era_text.isdecimal() else self.era
         self.era = max(self.era, era)
-        return _Reply(answer.status, await answer.read(), era)
+        body = await read_bounded(answer, MAX_ANSWER_BYTES)
+        return _Reply(answer.status, body, era)
 
 
 def _check_read(status: int) -> None:
