Bound what is read of a table from another router

A router that answered a read of a table with a body without end was read into memory until the call's timeout, which for changes is the wait time and 0.5 s.

Change: 16 MiB are read at most; more makes the relay fail like any other error, with the log line relay_left, and the next source is read.

--- a/primroserudder/fleet/relayedtables.py
+++ b/primroserudder/fleet/relayedtables.py
@@ -22,6 +22,7 @@
 from aiohttp import ClientError, ClientSession, ClientTimeout
 from pydantic import ValidationError
 
+from ..platform import read_bounded
 from ..process.clock import Clock
 from ..process.decisions import DecisionLog
 from ..process.loops import cancel_on_exit
@@ -33,6 +34,8 @@
 
 # A relay may answer this long after the requested wait time.
 RELAY_TIMEOUT_SLACK_S = 0.5
+# A table of some thousand rows takes a few MB.
+MAX_ANSWER_BYTES = 16_777_216
 # A failed relay is queried again after this time.
 RELAY_RETRY_S = 2.0
 # This many relays are queried before the store itself.
@@ -298,7 +301,7 @@
             params=query,
             timeout=timeout,
         ) as answer:
-            body = await answer.read()
+            body = await read_bounded(answer, MAX_ANSWER_BYTES)
             if answer.status != HTTPStatus.OK:
                 return None
         self.relayed_reads += 1
--- a/primroserudder/fleet/tests/test_tablerelay.py
+++ b/primroserudder/fleet/tests/test_tablerelay.py
@@ -16,10 +16,17 @@
 from ...process.tables import TableFollower
 from ...standins.tablestore import TableStore
 from ...testing.platformsite import free_ports
-from ..relayedtables import MAX_RELAYS, RelayedTableSource
+from ...testing.rawpeer import floods, raw_peer
+from ..relayedtables import (
+    MAX_ANSWER_BYTES,
+    MAX_RELAYS,
+    RelayedTableSource,
+)
 from ..tablerelay import TableRelay
 
 LONG_WAIT_S = 5.0
+# The buffers of sockets and readers take bytes beyond a bound.
+BUFFERED_BYTES = 6_291_456
 
 
 @dataclass(slots=True)
@@ -244,3 +251,26 @@
             with pytest.raises(PlatformUnavailable):
                 await pair.tables.read_table('things')
         assert pair.standin.calls - calls == 3
+
+
+@pytest.mark.parametrize(
+    'head',
+    [b'\r\n', b'Content-Length: 9999999999\r\n\r\n'],
+    ids=['unframed', 'length'],
+)
+async def test_relay_with_an_endless_answer_is_left_for_the_store(
+    head: bytes,
+) -> None:
+    async with _relay_and_router() as pair:
+        pair.standin.rows.put('things', 'a', {'number': 1})
+        await asyncio.sleep(0.1)
+        start = b''.join((b'HTTP/1.1 200 OK\r\n', head))
+        async with raw_peer(floods(start, b' ')) as peer:
+            pair.relay_addresses.clear()
+            pair.relay_addresses.append(peer.address)
+            page = await pair.tables.read_table('things')
+            assert [row.fields for row in page.rows] == [{'number': 1}]
+            assert peer.sent_bytes < MAX_ANSWER_BYTES + BUFFERED_BYTES
+            await pair.tables.read_table('things')
+            assert peer.connections == 1
+        assert pair.tables.relayed_reads == 0
--- a/primroserudder/platform/__init__.py
+++ b/primroserudder/platform/__init__.py
@@ -8,6 +8,7 @@
 names.
 """
 
+from .boundedbody import read_bounded
 from .configuration import UnreadableConfiguration, decode_configuration
 from .enginelist import (
     EngineReport,
@@ -31,4 +32,5 @@
     'decode_report',
     'engine_row_age',
     'open_session',
+    'read_bounded',
 )
