--- a/primroserudder/fleet/attempt.py
+++ b/primroserudder/fleet/attempt.py
@@ -11,7 +11,7 @@
 from ..platform import headers as wire
 from ..platform.signals import EngineSignals, engine_signals
 from .call import Call
-from .events import Event, EventSplitter
+from .events import Event, EventSplitter, EventTooLong
 from .framing import Framing
 from .model import RequestKind, Target
 from .retries import Ending
@@ -22,8 +22,15 @@
 STATUS_OK = 200
 STATUS_REDIRECT = 300
 MAX_RESPONSE_BYTES = 16_777_216
+# Other tasks get their turn after this many events of one piece.
+EVENTS_IN_A_ROW = 64
 NO_CONNECTION = 'no connection'
-_TRANSPORT_ERRORS = (aiohttp.ClientError, OSError, ValueError)
+_TRANSPORT_ERRORS = (
+    aiohttp.ClientError,
+    OSError,
+    ValueError,
+    EventTooLong,
+)
 _OMITTED_DEFAULT_HEADERS = (
     'User-Agent',
     'Accept',
@@ -206,8 +213,10 @@
         framing = Framing.of(response)
         splitter = EventSplitter()
         async for octets in response.content.iter_any():
-            for event in splitter.feed(octets):
+            for number, event in enumerate(splitter.feed(octets), 1):
                 await self._relay_event(response, event)
+                if number % EVENTS_IN_A_ROW == 0:
+                    await asyncio.sleep(0)
         if not await framing.is_complete():
             return self._broken_result(
                 'connection failed before a response of unknown length ended'
@@ -216,6 +225,8 @@
             return self._broken_result('stream ended within an event')
         if not self.sink.is_started:
             await self._start_stream(response)
+        if splitter.rest():
+            await self.sink.send_event(Event(splitter.rest(), ''))
         return AttemptResult(Ending.DELIVERED, 'stream complete')
 
     async def _relay_event(
