Answer the requests that a stopping router can't finish

What callers saw: a request still under way at the end of a planned stop's grace period got a closed connection and nothing else, also one that had never been sent to an engine. Cause: the process closed its connections under them.

Red before: test_request_that_outlasts_the_grace_period_is_answered (lookups, refunds, notes), test_request_that_waits_for_a_slot_at_the_end_is_refused_as_ not_run, test_body_that_outlasts_the_grace_period_is_refused_as_not_run and test_stream_that_outlasts_the_grace_period_is_aborted (counted as the caller's leaving).

At the end of the grace period the work on all requests is cut off: 503 if the request never ran, 502 if it may have run, by its dispatch record; streams that have begun are aborted. Their responses get 0.1 s of the 0.4 s reserve.

The site of the tests gave its routers a grace period of 2 s, shorter than the notice of 3.2 s that a stop begins with; test_connection_closes_after_a_ response_that_outlasts_notice then needed a stream to outlive the grace period, which it did only because the test never closed the router. The period is 5 s now, and the test is unchanged and as strict.

--- a/primroserudder/fleet/callers.py
+++ b/primroserudder/fleet/callers.py
@@ -19,16 +19,12 @@
 from .attempt import AttemptResult, StreamSink
 from .call import Call
 from .callerbody import discard_body, read_body
-from .errorresponse import error_response
+from .cutoff import Cutoff, CutOff, stop_error
 from .model import Configuration
-from .requestendings import RequestEnding, RequestEndings
+from .requestendings import RequestEndings
 from .retries import Ending, RetryState
 from .routes import find_destination, find_route
-from .servedrequest import (
-    CallerDisconnected,
-    ServedRequest,
-    complete_response,
-)
+from .servedrequest import CallerDisconnected, ServedRequest
 from .serving import Server
 from .unexpectederror import UnexpectedError, cause_fields
 
@@ -57,6 +53,7 @@
     rng: random.Random = field(default_factory=random.Random)
     invariants: Invariants = field(init=False)
     endings: RequestEndings = field(init=False)
+    cutoff: Cutoff = field(default_factory=Cutoff)
     is_closing: bool = False
     busy_connections: Counter[web.RequestHandler] = field(
         default_factory=Counter,
@@ -96,7 +93,9 @@
         try:
             yield
         finally:
-            self.busy_connections -= Counter((request.protocol,))
+            self.busy_connections[request.protocol] -= 1
+            if not self.busy_connections[request.protocol]:
+                self.busy_connections.pop(request.protocol)
 
     async def _serve_to_end(self, served: ServedRequest) -> web.StreamResponse:
         try:
@@ -118,8 +117,11 @@
         stream = served.stream
         sink = StreamSink(stream.start, stream.send_event)
         try:
-            call = await self._read_request(served)
-            outcome = await self.server.serve(call, sink)
+            async with self.cutoff.limited():
+                call = await self._read_request(served)
+                outcome = await self.server.serve(call, sink)
+        except CutOff:
+            return await self._refuse(served, stop_error(served.dispatch))
         except CallerDisconnected:
             raise
         except RudderError as error:
@@ -145,9 +147,7 @@
     ) -> web.StreamResponse:
         stream_response = served.stream.response
         if stream_response is None:
-            return await served.send(
-                complete_response(outcome), RequestEnding.ANSWERED
-            )
+            return await served.answer(outcome)
         is_whole = outcome.ending is Ending.DELIVERED
         self.metrics.count('streams', whole=str(is_whole))
         if is_whole:
@@ -160,9 +160,7 @@
         held_s = served.held_s
         stream_response = served.stream.response
         if stream_response is None:
-            response = await served.send(
-                error_response(error, served.attempt_id), RequestEnding.REFUSED
-            )
+            response = await served.refuse(error)
         else:
             response = served.abort_stream(stream_response)
         self._log_refusal(served, error, held_s)
@@ -190,6 +188,7 @@
         body = await read_body(
             request, configuration.limits.body_bytes, deadline_at
         )
+        served.dispatch = DispatchRecord(self.invariants, metadata.attempt_id)
         return Call(
             method=request.method,
             raw_path=request.raw_path,
@@ -200,7 +199,7 @@
             received_at=served.received_at,
             deadline_at=deadline_at,
             retry_state=RetryState(route),
-            dispatch=DispatchRecord(self.invariants, metadata.attempt_id),
+            dispatch=served.dispatch,
             last_event_id=metadata.last_event_id,
         )
 
--- a/primroserudder/fleet/router.py
+++ b/primroserudder/fleet/router.py
@@ -43,6 +43,8 @@
 DRAIN_NOTICE_S = 3.2
 # Streams that still run are cut off this long before the process is killed.
 EXIT_RESERVE_S = 0.4
+# Time to write the responses of requests that are cut off.
+LAST_RESPONSES_S = 0.1
 # A pause between polls batches changes. The lease holder's pause is shorter
 # because it waits for the effect of its orders.
 FOLLOWER_FEED_PAUSE_S = 0.3
@@ -107,7 +109,7 @@
         Explanation
         ===========
         Requests that are still in flight when the grace period ends are cut
-        off.
+        off: their callers get a refusal, or the abort of a stream.
         """
         loop = asyncio.get_running_loop()
         exit_at = loop.time() + self.settings.grace_s - EXIT_RESERVE_S
@@ -119,11 +121,15 @@
         await asyncio.sleep(DRAIN_NOTICE_S)
         await self.ports.close_to_callers()
         await self.ports.wait_until_idle(exit_at)
-        self.log.note('stopped', cut=handler.in_flight)
+        cut = handler.in_flight
+        handler.cutoff.reach()
+        await self.ports.wait_until_idle(loop.time() + LAST_RESPONSES_S)
+        self.log.note('stopped', cut=cut)
 
     async def close(self) -> None:
         """Cancel all tasks and close all connections immediately."""
         self._is_stopping = True
+        self.ports.handler.cutoff.reach()
         await self.supervisor.close()
         self.exchange.stop()
         await self.ports.close()
--- a/primroserudder/fleet/servedrequest.py
+++ b/primroserudder/fleet/servedrequest.py
@@ -12,7 +12,9 @@
 
 from ..errors import RudderError
 from ..platform.names import ATTEMPT_ID
+from ..request.dispatch import DispatchRecord
 from .attempt import AttemptResult
+from .errorresponse import error_response
 from .events import Event
 from .requestendings import OpenRequest, RequestEnding
 
@@ -120,8 +122,9 @@
     request: web.BaseRequest
     opened: OpenRequest
     received_at: float
-    stream: CallerStream = field(init=False)
     is_closing: Callable[[], bool]
+    stream: CallerStream = field(init=False)
+    dispatch: DispatchRecord | None = None
 
     def __post_init__(self) -> None:
         """Begin without a response."""
@@ -148,27 +151,29 @@
         """Return the noted ending for the log, empty while there is none."""
         return ', '.join(self.opened.endings)
 
-    async def send(
-        self, response: web.Response, ending: RequestEnding
-    ) -> web.StreamResponse:
-        """Write a complete response.
+    async def answer(self, outcome: AttemptResult) -> web.StreamResponse:
+        """Write an engine's complete response.
 
         Raises
         ======
         CallerDisconnected
             The caller closed its connection.
         """
-        if self._must_close():
-            response.force_close()
-        try:
-            await response.prepare(self.request)
-            await response.write_eof()
-        except OSError as error:
-            raise CallerDisconnected(
-                'the caller closed its connection'
-            ) from error
-        self.opened.end(ending)
-        return response
+        return await self._send(
+            _complete_response(outcome), RequestEnding.ANSWERED
+        )
+
+    async def refuse(self, error: RudderError) -> web.StreamResponse:
+        """Write a response of the router's own.
+
+        Raises
+        ======
+        CallerDisconnected
+            The caller closed its connection.
+        """
+        return await self._send(
+            error_response(error, self.attempt_id), RequestEnding.REFUSED
+        )
 
     async def finish_stream(self) -> web.StreamResponse:
         """Finish a complete stream.
@@ -192,6 +197,21 @@
         """Note that the caller closed its connection."""
         self.opened.end(RequestEnding.CALLER_GONE)
 
+    async def _send(
+        self, response: web.Response, ending: RequestEnding
+    ) -> web.StreamResponse:
+        if self._must_close():
+            response.force_close()
+        try:
+            await response.prepare(self.request)
+            await response.write_eof()
+        except OSError as error:
+            raise CallerDisconnected(
+                'the caller closed its connection'
+            ) from error
+        self.opened.end(ending)
+        return response
+
     def _must_close(self) -> bool:
         """Return whether no other request may follow on the connection."""
         body = self.request.content
@@ -201,8 +221,7 @@
         return self.is_closing() or may_lack_body or is_malformed
 
 
-def complete_response(outcome: AttemptResult) -> web.Response:
-    """Return the response with what an engine answered."""
+def _complete_response(outcome: AttemptResult) -> web.Response:
     complete = outcome.response
     if complete is None:
         return web.Response(status=HTTPStatus.BAD_GATEWAY)
--- a/primroserudder/fleet/tests/test_stop_endings.py
+++ b/primroserudder/fleet/tests/test_stop_endings.py
@@ -7,12 +7,16 @@
 
 import pytest
 
-from ...testing.platformsite import PlatformSite, platform_site
+from ...testing.configchanges import with_route
+from ...testing.platformsite import GRACE_S, PlatformSite, platform_site
 from ...testing.rawcaller import RawCaller, RawResponse, head, raw_caller
 from .. import router as router_module
+from ..router import Router
 
 LOOKUP = '/lookups/1'
 NOTICE_S = 0.3
+# Requests are worked on for this long after a stop began.
+WORK_S = 0.6
 
 
 @asynccontextmanager
@@ -21,6 +25,7 @@
 ) -> AsyncIterator[PlatformSite]:
     """Run a site whose routers stop soon after the notice."""
     monkeypatch.setattr(router_module, 'DRAIN_NOTICE_S', NOTICE_S)
+    monkeypatch.setattr(router_module, 'EXIT_RESERVE_S', GRACE_S - WORK_S)
     async with platform_site(engines=engines, plain=1) as site:
         directory = site.routers[0].view.directory
         pools = 1 + bool(engines)
@@ -28,6 +33,23 @@
         yield site
 
 
+async def _set_route(site: PlatformSite, name: str, **changes: int) -> None:
+    site.store.rows.put('op', 'config', with_route(2, name, **changes))
+    view = site.routers[0].view
+
+    def is_in_force() -> bool:
+        current = view.configuration()
+        return current is not None and current.version == 2
+
+    await site.until(is_in_force)
+
+
+async def _stop(router: Router) -> None:
+    """Stop a router as its program does."""
+    await router.stop()
+    await router.close()
+
+
 async def _response(caller: RawCaller) -> RawResponse:
     async with asyncio.timeout(5):
         return await caller.response()
@@ -96,6 +118,83 @@
             assert (await _response(caller)).status == 404
 
 
+async def test_request_that_waits_for_a_slot_at_the_end_is_refused_as_not_run(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async with _serving_site(monkeypatch) as site:
+        router = site.routers[0]
+        await _set_route(site, 'lookups', SloMs=4000, TimeoutMs=4000)
+        router.in_flight_counts.running_by_engine['i-0'] = 100
+        async with raw_caller(site) as caller:
+            stopping = asyncio.ensure_future(_stop(router))
+            # It may wait for 0.5 s, which is longer than the work goes on.
+            await asyncio.sleep(0.25)
+            caller.request('one', LOOKUP)
+            response = await _response(caller)
+            await stopping
+        assert response.status == 503
+        assert b'"code":"stopping"' in response.body
+        assert not site.arrivals('one')
+        assert not router.dump()['violations']
+
+
+@pytest.mark.parametrize('route', ['refunds', 'lookups', 'notes'])
+async def test_request_that_outlasts_the_grace_period_is_answered(
+    monkeypatch: pytest.MonkeyPatch, route: str
+) -> None:
+    async with _serving_site(monkeypatch, engines=2) as site:
+        router = site.routers[0]
+        await _set_route(site, route, TimeoutMs=4000)
+        for engine in site.engines_by_id.values():
+            engine.faults.never_answers = True
+        async with raw_caller(site) as caller:
+            stopping = asyncio.ensure_future(_stop(router))
+            await asyncio.sleep(0.1)
+            caller.request('one', f'/{route}/1')
+            response = await _response(caller)
+            await stopping
+        assert response.status == 502
+        assert b'"code":"stopped_within_run"' in response.body
+        assert site.arrivals('one')
+        assert not router.dump()['violations']
+
+
+async def test_body_that_outlasts_the_grace_period_is_refused_as_not_run(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async with _serving_site(monkeypatch) as site:
+        await _set_route(site, 'lookups', TimeoutMs=4000)
+        async with raw_caller(site) as caller:
+            caller.request('one', LOOKUP, fields={'Content-Length': '10'})
+            stopping = asyncio.ensure_future(_stop(site.routers[0]))
+            assert (await _response(caller)).status == 503
+            await stopping
+
+
+async def test_stream_that_outlasts_the_grace_period_is_aborted(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async with _serving_site(monkeypatch, engines=2) as site:
+        router = site.routers[0]
+        for engine in site.engines_by_id.values():
+            engine.event_s = 0.2
+            engine.events = 20
+        async with raw_caller(site) as caller:
+            caller.request('one')
+            await caller.reader.readuntil(b'id: 1')
+            await _stop(router)
+            with pytest.raises((asyncio.IncompleteReadError, ConnectionError)):
+                await _response(caller)
+        endings = router.ports.handler.endings
+        assert endings.dump()['endings'] == {
+            'answered': 0,
+            'refused': 0,
+            'aborted': 1,
+            'caller gone': 0,
+        }
+        assert not router.dump()['violations']
+
+
 async def test_each_request_sent_during_a_stop_under_load_has_an_answer(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
--- a/primroserudder/testing/platformsite.py
+++ b/primroserudder/testing/platformsite.py
@@ -26,6 +26,8 @@
 NO_FIELDS: Mapping[str, str] = MappingProxyType({})
 POLL_INTERVAL_S = 0.01
 GROUP_SIZE = 2
+# Longer than the notice that a stopping router gives.
+GRACE_S = 5
 
 
 @dataclass(slots=True)
@@ -205,7 +207,7 @@
         inner_ports=(ports[2], ports[3]),
         store=site.store_address,
         metrics_port=ports[4],
-        grace_s=2,
+        grace_s=GRACE_S,
     )
     router = Router(settings)
     await router.start()
