--- a/primroserudder/standins/groupengine.py
+++ b/primroserudder/standins/groupengine.py
@@ -88,6 +88,8 @@
     is_plain: bool = False
     events: int = 5
     event_s: float = 0.01
+    # Before the answer of a plain engine.
+    answer_delay_s: float = 0
     join_s: float = 0.02
     restart_s: float = 0.05
     end_process: Callable[['GroupEngine'], None] = crash
@@ -242,6 +244,7 @@
             status = self.faults.fails_with
             return web.Response(status=status, headers=headers, text='failed')
         if self.is_plain:
+            await asyncio.sleep(self.answer_delay_s)
             text = f'answer of {self.engine_id}'
             return web.Response(headers=headers, text=text)
         return await self._stream(request, headers)
