Leave out routers whose row in the store names no address

What was seen: one row of the table `nodes` whose key is no address ended the process, at every router that read it, and again after each restart. Cause: the key is taken as a router's address, and sending a notice there raises an error that no code expects in a task of the supervisor.

Addresses that a datagram can't be sent to are no longer added to the routers.

--- a/primroserudder/fleet/membership/peeraddresses.py
+++ b/primroserudder/fleet/membership/peeraddresses.py
@@ -1,9 +1,11 @@
 """Addresses of the other routers, and their order within a domain."""
 
+import ipaddress
 from collections import defaultdict
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 
+MAX_PORT = 65_535
 OrderKey = tuple[float, str]
 
 
@@ -37,9 +39,18 @@
     _earlier: Sequence[str] | None = None
 
     def add(self, peers_by_address: Mapping[str, Peer]) -> None:
-        """Add routers that were read from the store or sent a notice."""
+        """Add routers that were read from the store or sent a notice.
+
+        Explanation
+        ===========
+        What is no address is left out: a datagram can't be sent there.
+        """
         before = len(self._peers_by_address)
-        self._peers_by_address.update(peers_by_address)
+        self._peers_by_address.update(
+            (address, peer)
+            for address, peer in peers_by_address.items()
+            if is_address(address)
+        )
         self._peers_by_address.pop(self.own_address, None)
         if len(self._peers_by_address) != before:
             self._earlier = None
@@ -86,3 +97,19 @@
             if domain != self.failure_domain:
                 addresses_by_domain[domain].append(address)
         return addresses_by_domain
+
+
+def is_address(text: str) -> bool:
+    """Return whether a text is an IPv4 address and a port.
+
+    Examples
+    ========
+    >>> is_address('10.1.0.7:7946'), is_address('10.1.0.7'), is_address('a:1')
+    (True, False, False)
+    """
+    host, _, port = text.rpartition(':')
+    try:
+        ipaddress.IPv4Address(host)
+    except ValueError:
+        return False
+    return port.isascii() and port.isdigit() and 0 < int(port) <= MAX_PORT
