--- a/primroserudder/fleet/tests/test_stop_endings.py
+++ b/primroserudder/fleet/tests/test_stop_endings.py
@@ -8,13 +8,15 @@
 import pytest
 
 from ...testing.configchanges import with_route
-from ...testing.platformsite import PlatformSite, platform_site
+from ...testing.platformsite import GRACE_S, PlatformSite, platform_site
 from ...testing.rawcaller import RawCaller, RawResponse, head, raw_caller
 from .. import router as router_module
 from ..router import Router
 
 LOOKUP = '/lookups/1'
 NOTICE_S = 0.3
+# Requests are worked on for this long after a stop began.
+WORK_S = 0.6
 
 
 @asynccontextmanager
@@ -23,6 +25,7 @@
 ) -> AsyncIterator[PlatformSite]:
     """Run a site whose routers stop soon after the notice."""
     monkeypatch.setattr(router_module, 'DRAIN_NOTICE_S', NOTICE_S)
+    monkeypatch.setattr(router_module, 'EXIT_RESERVE_S', GRACE_S - WORK_S)
     async with platform_site(engines=engines, plain=1) as site:
         directory = site.routers[0].view.directory
         pools = 1 + bool(engines)
@@ -118,15 +121,13 @@
 async def test_request_that_waits_for_a_slot_at_the_end_is_refused_as_not_run(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    # The grace period of 2 s ends 0.6 s after the stop began; the request
-    # may wait for 0.5 s.
-    monkeypatch.setattr(router_module, 'EXIT_RESERVE_S', 1.4)
     async with _serving_site(monkeypatch) as site:
         router = site.routers[0]
         await _set_route(site, 'lookups', SloMs=4000, TimeoutMs=4000)
         router.in_flight_counts.running_by_engine['i-0'] = 100
         async with raw_caller(site) as caller:
             stopping = asyncio.ensure_future(_stop(router))
+            # It may wait for 0.5 s, which is longer than the work goes on.
             await asyncio.sleep(0.25)
             caller.request('one', LOOKUP)
             response = await _response(caller)
