--- a/primroserudder/standins/enginecrash.py
+++ b/primroserudder/standins/enginecrash.py
@@ -3,6 +3,8 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from aiohttp import web
+
 from .groupmember import GroupMember
 
 if TYPE_CHECKING:
@@ -18,6 +20,21 @@
     loop.call_later(engine.restart_s, _start_again, engine)
 
 
+def crash_with_connections(engine: 'GroupEngine') -> None:
+    """End an engine's process, and with it all its running requests."""
+    if not engine.is_down:
+        engine.end_process(engine)
+    for running in tuple(engine.running_by_id.values()):
+        abort(running)
+
+
+def abort(request: web.Request) -> web.Response:
+    """Reset the connection without a response."""
+    if request.transport is not None:
+        request.transport.abort()
+    return web.Response()
+
+
 def _start_again(engine: 'GroupEngine') -> None:
     engine.born += 1
     engine.member = GroupMember(
--- a/primroserudder/standins/groupengine.py
+++ b/primroserudder/standins/groupengine.py
@@ -16,13 +16,14 @@
 import orjson
 from aiohttp import web
 
-from .enginecrash import crash
+from .enginecrash import abort, crash, crash_with_connections
 from .groupmember import GroupMember
 from .tablestore import TableStore
 
 Json = Mapping[str, object]
 
 ATTEMPT_ID = 'X-Primroserudder-Attempt-Id'
+PROMPT = 'X-Primroserudder-Prefix-Hash'
 SEAL = 'X-Primroserudder-Response-Seal'
 NOT_EXECUTED = 'X-Primroserudder-Not-Executed'
 LEAVING = 'Server-Leaving'
@@ -52,6 +53,11 @@
         """Return the attempt id that the caller sent, or an empty string."""
         return self.headers.get(ATTEMPT_ID, '')
 
+    @property
+    def shared_parts(self) -> tuple[str, ...]:
+        """Return the ids of the prompt's parts, except the last one."""
+        return shared_parts(self.headers)
+
 
 @dataclass(slots=True)
 class EngineFaults:
@@ -74,6 +80,11 @@
     # Requests with these bodies end the engine's process.
     crashing_bodies: set[bytes] = field(default_factory=set)
     crashes_silently: bool = False
+    # Prompts with these parts end the process before the answer begins. The
+    # last part of a prompt is the request's own and never counts.
+    crashing_parts: set[str] = field(default_factory=set)
+    # Time for which such a prompt is read before the process ends.
+    crashing_after_s: float = 0.02
 
 
 @dataclass(slots=True)
@@ -101,6 +112,7 @@
     refused: int = 0
     crashes: int = 0
     is_down: bool = False
+    running_by_id: dict[int, web.Request] = field(default_factory=dict)
     member: GroupMember = field(init=False)
 
     def __post_init__(self) -> None:
@@ -186,7 +198,7 @@
     async def _serve(self, request: web.Request) -> web.StreamResponse:
         body = await request.read()
         if self.is_down:
-            return _abort(request)
+            return abort(request)
         refusal = self._refusal(request)
         if refusal is not None:
             self.refused += 1
@@ -206,8 +218,9 @@
             self.end_process(self)
             if self.faults.crashes_silently:
                 await asyncio.sleep(HANG_S)
-            return _abort(request)
+            return abort(request)
         self.running += 1
+        self.running_by_id[id(request)] = request
         try:
             return await self._answer(request)
         except asyncio.CancelledError:
@@ -215,6 +228,7 @@
             raise
         finally:
             self.running -= 1
+            self.running_by_id.pop(id(request))
 
     def _refusal(self, request: web.Request) -> web.Response | None:
         expected = request.headers.get('X-Primroserudder-Expect-Instance')
@@ -241,6 +255,12 @@
         if self.faults.fails_with:
             status = self.faults.fails_with
             return web.Response(status=status, headers=headers, text='failed')
+        if not self.faults.crashing_parts.isdisjoint(
+            shared_parts(request.headers)
+        ):
+            await asyncio.sleep(self.faults.crashing_after_s)
+            crash_with_connections(self)
+            return abort(request)
         if self.is_plain:
             text = f'answer of {self.engine_id}'
             return web.Response(headers=headers, text=text)
@@ -280,15 +300,20 @@
         return response
 
 
-def _leaving_field(faults: EngineFaults) -> Mapping[str, str]:
-    return {LEAVING: '1'} if faults.announces_leaving else {}
+def shared_parts(headers: Mapping[str, str]) -> tuple[str, ...]:
+    """Return the ids of a prompt's parts, except the last one.
+
+    Examples
+    ========
+    >>> shared_parts({PROMPT: '5c:800,91:410,e4:250'})
+    ('5c', '91')
+    """
+    entries = headers.get(PROMPT, '').split(',')
+    return tuple(entry.partition(':')[0] for entry in entries[:-1])
 
 
-def _abort(request: web.Request) -> web.Response:
-    """Reset the connection without a response."""
-    if request.transport is not None:
-        request.transport.abort()
-    return web.Response()
+def _leaving_field(faults: EngineFaults) -> Mapping[str, str]:
+    return {LEAVING: '1'} if faults.announces_leaving else {}
 
 
 def event(number: int) -> bytes:
