Decode the shared parts of a prompt as suspects

A request names the parts of its prompt in order; any but the last, which is its own or its session's, may be shared and may crash engines in requests no two alike. The ids are decoded at the border: malformed entries are skipped, number and length are bounded, since callers choose them. Nothing uses them yet.

--- a/primroserudder/fleet/call.py
+++ b/primroserudder/fleet/call.py
@@ -11,6 +11,7 @@
 from .directorynames import pool_name
 from .retries import RetryState
 from .routes import Destination
+from .suspects import suspects_of
 
 
 @dataclass(slots=True, eq=False)
@@ -24,7 +25,8 @@
     received. ``tried_engines`` holds the ids of the engines of all earlier
     attempts. ``digest`` names the content: path, workspace and body,
     which stay the same when a caller sends a request again under another id
-    or key.
+    or key. ``suspects`` holds the keys of all that may crash engines: the
+    digest, and the shared parts of the prompt.
     """
 
     method: str
@@ -40,6 +42,7 @@
     last_event_id: str = ''
     tried_engines: set[str] = field(default_factory=set)
     digest: str = field(init=False)
+    suspects: tuple[str, ...] = field(init=False)
 
     def __post_init__(self) -> None:
         """Compute the digest of the content."""
@@ -47,6 +50,7 @@
         hasher.update(self.destination.workspace.name.encode())
         hasher.update(self.body)
         self.digest = hasher.hexdigest()
+        self.suspects = suspects_of(self.digest, self.metadata.shared_parts)
 
     @property
     def remaining_s(self) -> float:
--- a/primroserudder/platform/headers.py
+++ b/primroserudder/platform/headers.py
@@ -10,6 +10,8 @@
 
 Headers = CIMultiDictProxy[str]
 MILLISECONDS_PER_SECOND = 1000
+MAX_PROMPT_PARTS = 32
+MAX_PART_ID_LENGTH = 200
 
 # Hop-by-hop fields (RFC 9110, section 7.6.1) and others that concern only one
 # connection.
@@ -50,7 +52,9 @@
     ===========
     The caller supplies the token counts: ``answer_tokens`` is an upper
     bound, ``expected_answer_tokens`` an estimate. A missing count is zero.
-    ``deadline_s`` is the time left in seconds.
+    ``deadline_s`` is the time left in seconds. ``shared_parts`` holds the ids
+    of the prompt's parts in order, without the last one, which belongs to the
+    request itself or to its session.
     """
 
     attempt_id: str
@@ -61,6 +65,7 @@
     answer_tokens: int
     expected_answer_tokens: int
     last_event_id: str
+    shared_parts: tuple[str, ...] = ()
 
 
 def read_request(headers: Headers) -> RequestMetadata:
@@ -79,6 +84,7 @@
         answer_tokens=answer,
         expected_answer_tokens=hint,
         last_event_id=headers.get(names.LAST_EVENT_ID, ''),
+        shared_parts=_shared_parts(headers.get(names.PREFIX_HASH, '')),
     )
 
 
@@ -165,6 +171,36 @@
     return key.strip() if scheme.lower() == 'bearer' else ''
 
 
+def _shared_parts(text: str) -> tuple[str, ...]:
+    """Return the ids of a prompt's parts, without the last entry.
+
+    Explanation
+    ===========
+    Entries that are malformed or beyond the maximum are skipped.
+
+    Examples
+    ========
+    >>> _shared_parts('5c1e07a2:800,91bd3f06:410,e4402b7d:250')
+    ('5c1e07a2', '91bd3f06')
+    >>> _shared_parts('5c:800, :7,91,92:many,93:5,93:5,e4:250')
+    ('5c', '93')
+    >>> _shared_parts('e4:250'), _shared_parts('')
+    ((), ())
+    """
+    entries = text.rpartition(',')[0].split(',', MAX_PROMPT_PARTS)
+    pairs = (entry.partition(':') for entry in entries[:MAX_PROMPT_PARTS])
+    ids = (
+        part_id.strip()
+        for part_id, _, tokens in pairs
+        if tokens.strip().isdecimal()
+    )
+    return tuple(
+        dict.fromkeys(
+            part_id for part_id in ids if 0 < len(part_id) <= MAX_PART_ID_LENGTH
+        )
+    )
+
+
 def _numbers(text: str) -> tuple[int, int]:
     """Return the first two integers of a list; zero if one is missing.
 
