Refuse the part of prompts that crashes engines

What callers saw: requests with one part in their prompts, no two alike, ended engine after engine; waiting and retried ones were sent on. Cause: strikes were counted by digest of path, workspace and body alone.

The change: each run that ends as a strike counts for all suspects of the request, its content and each shared part; a whole answer completes them all. One crash strikes all that ran there, so crashes are explained away (fleet/explaining.py): the suspect with most unexplained crashes is convicted first, from three on, and explains them; the strikes of others on the same incarnations count no longer, also those that arrive later. Of suspects with the same crashes the one that fewer requests carry is convicted. The verdict depends on the strikes, whatever their order, and is judged anew only when a suspect with three strikes changes; a request looks its suspects up in a dict.

A part that at least half of the admitted requests carry is never convicted (from 50 requests on): under it engines end for any reason, and refusing it would refuse most of the service while nothing could complete to acquit it.

All strikes of an incarnation lapse together, so that no bystander outlives what explains it. A void strike that another VM still tells is told void again, before others. Notices put suspects by unexplained strikes and parts before contents; rows of the store are kept from two unexplained strikes on.

--- /dev/null
+++ b/primroserudder/fleet/explaining.py
@@ -0,0 +1,78 @@
+"""Decides which suspects explain the crashes of engines.
+
+Explanation
+===========
+A crash, the end of one incarnation of an engine, has one cause, but strikes
+all that ran there. The suspect with most unexplained crashes is convicted
+first, and explains all crashes under it; the others keep the rest. Of several
+with the same crashes the rarest is convicted, so that refusing it costs the
+fewest sound callers.
+"""
+
+from collections.abc import Callable, Collection, Mapping
+from dataclasses import dataclass, field
+
+STRIKES_TO_QUARANTINE = 3
+Incarnation = tuple[str, int]
+
+
+@dataclass(frozen=True, slots=True)
+class Verdict:
+    """The convicted suspects and the crashes that they explain."""
+
+    crashes_by_convict: Mapping[str, Collection[Incarnation]] = field(
+        default_factory=dict,
+    )
+    explained: frozenset[Incarnation] = frozenset()
+
+
+def judge(
+    crashes_by_suspect: Mapping[str, frozenset[Incarnation]],
+    rarity: Callable[[str], tuple[float, bool, str]],
+) -> Verdict:
+    """Return the verdict on suspects, the same for any order of strikes.
+
+    Parameters
+    ==========
+    rarity : Callable
+        Returns a sort key of a suspect; of equals the lowest is convicted.
+
+    Examples
+    ========
+    >>> guilty = frozenset({('a', 1), ('b', 1), ('c', 1), ('d', 1)})
+    >>> bystander = guilty - {('d', 1)}
+    >>> verdict = judge(
+    ...     {'part.b': bystander, 'part.g': guilty}, lambda key: (1, False, key)
+    ... )
+    >>> sorted(verdict.crashes_by_convict)
+    ['part.g']
+    """
+    left = dict(crashes_by_suspect)
+    convicts: dict[str, Collection[Incarnation]] = {}
+    explained: frozenset[Incarnation] = frozenset()
+    while True:
+        left = _unexplained(left, explained)
+        if not left:
+            return Verdict(convicts, explained)
+        most = max(map(len, left.values()))
+        convict = min(
+            (key for key, crashes in left.items() if len(crashes) == most),
+            key=rarity,
+        )
+        convicts[convict] = crashes_by_suspect[convict]
+        explained |= left.pop(convict)
+
+
+def _unexplained(
+    crashes_by_suspect: Mapping[str, frozenset[Incarnation]],
+    explained: frozenset[Incarnation],
+) -> dict[str, frozenset[Incarnation]]:
+    """Return the suspects that still have enough crashes, with these."""
+    unexplained = {
+        key: crashes - explained for key, crashes in crashes_by_suspect.items()
+    }
+    return {
+        key: crashes
+        for key, crashes in unexplained.items()
+        if len(crashes) >= STRIKES_TO_QUARANTINE
+    }
--- a/primroserudder/fleet/quarantine.py
+++ b/primroserudder/fleet/quarantine.py
@@ -1,4 +1,4 @@
-"""Refuses contents that crashed several engines.
+"""Refuses contents and parts of prompts that crashed several engines.
 
 Explanation
 ===========
@@ -12,7 +12,7 @@
 
 import asyncio
 from collections import deque
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Callable, Collection, Iterable, Mapping
 from dataclasses import dataclass, field
 
 from ..errors import Ran, RudderError
@@ -25,31 +25,32 @@
 from .model import Target
 from .retries import Ending
 from .strikes import STRIKE_LIFETIME_S, Strike, StrikeRegistry
+from .suspectlog import SuspectLog
 
 SETTLE_INTERVAL_S = 0.25
 MAX_SUSPICIONS = 5000
 
 
 class Quarantined(RudderError):
-    """Requests with the same content crashed several engines."""
+    """Requests with the same content or part crashed several engines."""
 
     code = 'quarantined'
     status = 503
     ran = Ran.NO
-    default_remedy = 'change the request; its content seems to crash engines'
+    default_remedy = 'change what is named; it seems to crash engines'
 
 
 @dataclass(frozen=True, slots=True)
 class _Suspicion:
     """A run without a response on an engine that may have ended."""
 
-    strike: Strike
+    strikes: tuple[Strike, ...]
     noted_at: float
 
 
 @dataclass(slots=True)
 class Quarantine:
-    """Counts the crashes of each content and refuses those with too many.
+    """Counts the crashes of each suspect and refuses those with too many.
 
     Parameters
     ==========
@@ -70,63 +71,66 @@
     list_current_since: Callable[[], float | None]
     list_expiry_s: float
     strikes: StrikeRegistry = field(init=False)
+    notes: SuspectLog = field(init=False)
     _suspicions: deque[_Suspicion] = field(
         default_factory=lambda: deque(maxlen=MAX_SUSPICIONS),
     )
 
     def __post_init__(self) -> None:
-        """Create the registry, which knows no strikes yet."""
+        """Create the registry, which knows no strikes yet, and its log."""
         self.strikes = StrikeRegistry(self.clock)
+        self.notes = SuspectLog(self.clock, self.log, self.metrics)
 
     def check(self, call: Call) -> None:
-        """Raise ``Quarantined`` if a request's content must not run."""
-        if self.strikes.is_quarantined(call.digest):
-            raise Quarantined(
-                f'content {call.digest} crashed several engines',
-                retry_after=STRIKE_LIFETIME_S,
-            )
-
-    def note_send(self, call: Call, target: Target) -> None:
-        """Log that a content with strikes is sent to an engine."""
-        count = self.strikes.count(call.digest)
-        if not count:
+        """Raise ``Quarantined`` if a request must not run."""
+        convicts = filter(self.strikes.is_quarantined, call.suspects)
+        convict = next(convicts, None)
+        if convict is None:
             return
-        self.metrics.count('sends_of_struck_content', strikes=str(count))
-        self.log.note(
-            'send_of_struck_content',
-            content=call.digest,
-            request=call.metadata.attempt_id,
-            engine=target.engine_id,
-            group=target.group,
-            strikes=count,
+        self.notes.note_refusal(call, convict)
+        raise Quarantined(
+            f'{convict} crashed several engines',
+            retry_after=STRIKE_LIFETIME_S,
         )
 
+    def note_arrival(self, call: Call) -> None:
+        """Count the parts of a request that is not refused."""
+        self.strikes.part_counts.note(call.suspects[1:])
+
+    def note_send(self, call: Call, target: Target) -> None:
+        """Log that a suspect with strikes is sent to an engine."""
+        suspect = max(call.suspects, key=self.strikes.count)
+        count = self.strikes.count(suspect)
+        if count:
+            self.notes.note_send(call, target, suspect, count)
+
     def note_outcome(
         self, call: Call, target: Target, outcome: AttemptResult
     ) -> None:
-        """Record what the result of an attempt says about its content."""
+        """Record what the result of an attempt says about its suspects."""
         if outcome.ending is Ending.DELIVERED:
-            if self.strikes.complete(call.digest):
-                self.log.note('strikes_cleared', content=call.digest)
+            for suspect in call.suspects:
+                if self.strikes.complete(suspect):
+                    self.log.note('strikes_cleared', suspect=suspect)
         elif outcome.may_have_crashed:
-            self._strike(_strike(call, target), outcome.reason)
+            self._strike_all(_strikes(call, target), outcome.reason)
         elif outcome.ending in {Ending.UNKNOWN, Ending.CUT}:
             self.note_abandoned(call, target)
 
     def note_abandoned(self, call: Call, target: Target) -> None:
-        """Suspect a content whose run ended without a response."""
+        """Suspect all that a run without a response held."""
         engine = self.directory.engines_by_id.get(target.engine_id)
         if engine is not None and engine.is_draining:
             # It leaves the list soon, whatever it runs.
             return
-        strike = _strike(call, target)
-        reason = self._reason_of_end(strike)
+        strikes = _strikes(call, target)
+        reason = self._reason_of_end(strikes[0])
         if reason:
             # A retry must not wait for the next round.
-            self._strike(strike, reason)
+            self._strike_all(strikes, reason)
         else:
             now = self.clock.monotonic()
-            self._suspicions.append(_Suspicion(strike, now))
+            self._suspicions.append(_Suspicion(strikes, now))
 
     def merge(
         self,
@@ -139,6 +143,14 @@
         if merged:
             self.log.note('strikes_merged', source=source, strikes=merged)
 
+    def dump(self) -> Mapping[str, list[str]]:
+        """Return the crashes of each convicted suspect, for operators."""
+        convicts = self.strikes.verdict.crashes_by_convict
+        return {
+            convict: [f'{engine}@{born}' for engine, born in sorted(crashes)]
+            for convict, crashes in convicts.items()
+        }
+
     async def run(self) -> None:
         """Settle suspicions and strikes until cancelled."""
         while True:
@@ -152,15 +164,16 @@
         if current_since is not None:
             self._settle_strikes(current_since)
         self.strikes.drop_expired()
+        self.notes.note_verdict(self.strikes.verdict)
 
     def _settle_suspicions(self) -> None:
         oldest = self.clock.monotonic() - self.list_expiry_s
         suspicions = tuple(self._suspicions)
         self._suspicions.clear()
         for suspicion in suspicions:
-            reason = self._reason_of_end(suspicion.strike)
+            reason = self._reason_of_end(suspicion.strikes[0])
             if reason:
-                self._strike(suspicion.strike, reason)
+                self._strike_all(suspicion.strikes, reason)
             elif suspicion.noted_at > oldest:
                 self._suspicions.append(suspicion)
 
@@ -191,19 +204,22 @@
         engine = self.directory.engines_by_id.get(strike.engine_id)
         return engine is not None and engine.born_ms == strike.born_ms
 
-    def _strike(self, strike: Strike, reason: str) -> None:
-        if not self.strikes.add(strike, is_own=True):
-            return
-        self.metrics.count('strikes')
-        self.log.note(
-            'strike',
-            content=strike.digest,
-            engine=strike.engine_id,
-            born=strike.born_ms,
-            reason=reason,
-            count=self.strikes.count(strike.digest),
-        )
-
-
-def _strike(call: Call, target: Target) -> Strike:
-    return Strike(call.digest, target.engine_id, target.born_ms)
+    def _strike_all(self, strikes: Iterable[Strike], reason: str) -> None:
+        for strike in strikes:
+            if self.strikes.add(strike, is_own=True):
+                self.metrics.count('strikes')
+                self.log.note(
+                    'strike',
+                    suspect=strike.digest,
+                    engine=strike.engine_id,
+                    born=strike.born_ms,
+                    reason=reason,
+                    count=self.strikes.count(strike.digest),
+                )
+
+
+def _strikes(call: Call, target: Target) -> tuple[Strike, ...]:
+    return tuple(
+        Strike(suspect, target.engine_id, target.born_ms)
+        for suspect in call.suspects
+    )
--- a/primroserudder/fleet/serving.py
+++ b/primroserudder/fleet/serving.py
@@ -79,6 +79,7 @@
         budget = self.budgets.for_service(call.destination.service.name)
         budget.record_request(self.clock.monotonic())
         self.quarantine.check(call)
+        self.quarantine.note_arrival(call)
         try:
             async with asyncio.timeout_at(call.deadline_at):
                 return await self._serve(call, sink)
@@ -118,7 +119,7 @@
             await asyncio.sleep(RETRY_PAUSE_S)
 
     def _check_before_send(self, call: Call, target: Target) -> None:
-        """Refuse a content that was quarantined since the request arrived."""
+        """Refuse a request that was quarantined since it arrived."""
         try:
             self.quarantine.check(call)
         except Quarantined as error:
--- a/primroserudder/fleet/strikes.py
+++ b/primroserudder/fleet/strikes.py
@@ -1,11 +1,14 @@
-"""Counts the engines that ended while they ran a digest.
+"""Counts the engines that ended while they ran a suspect.
 
 Explanation
 ===========
 A request may crash each engine that runs it and be sent again under another
-id, to any VM. Strikes are therefore counted by digest. Each names one
-incarnation of an engine, so that all VMs can merge them in any order. A strike
-is void for good once the content completed or the engine proved to be alive.
+id, to any VM; or a part of prompts may do so in requests no two alike. Strikes
+are therefore counted by suspect: by the digest of a content, and by part.
+Each names one incarnation of an engine, so that all VMs can merge them in any
+order. A strike is void for good once the suspect completed or the engine
+proved to be alive, and does not count while a convicted suspect explains the
+engine's end.
 """
 
 import itertools
@@ -14,25 +17,28 @@
 from dataclasses import dataclass, field
 
 from ..process.clock import Clock
+from .explaining import STRIKES_TO_QUARANTINE, Incarnation, Verdict, judge
+from .partcounts import PartCounts
+from .suspects import is_part
 
-STRIKES_TO_QUARANTINE = 3
 STRIKE_LIFETIME_S = 600.0
-# A content that completed this recently does not crash engines: those that
+# A suspect that completed this recently does not crash engines: those that
 # end while they run it have another cause, such as a failure of their rack.
 COMPLETION_LIFETIME_S = 10.0
-MAX_CONTENTS = 5000
+MAX_SUSPECTS = 5000
+MAX_COMPLETIONS = 20_000
 MAX_VOID_STRIKES = 5000
 MAX_SHARED_STRIKES = 40
 
 
 @dataclass(frozen=True, slots=True, order=True)
 class Strike:
-    """An engine's incarnation that ended while it ran a digest.
+    """An engine's incarnation that ended while it ran a suspect.
 
     Parameters
     ==========
     digest : str
-        Names the content, see ``Call.digest``.
+        Key of the suspect, a content or a part, see ``Call.suspects``.
     born_ms : int
         Start time of the engine, which tells its incarnations apart.
 
@@ -51,6 +57,11 @@
         """Return the id that names the strike to other VMs."""
         return f'{self.digest}={self.engine_id}@{self.born_ms}'
 
+    @property
+    def incarnation(self) -> Incarnation:
+        """Return the engine's incarnation that ended."""
+        return self.engine_id, self.born_ms
+
 
 def parse_strike(strike_id: str) -> Strike | None:
     """Return the strike with an id, or ``None`` if it is no valid id.
@@ -80,7 +91,7 @@
 
 @dataclass(slots=True)
 class StrikeRegistry:
-    """The strikes of each digest, and those that are void.
+    """The strikes of each suspect, those that are void, and the verdict.
 
     Examples
     ========
@@ -101,16 +112,44 @@
     )
     void_since: OrderedDict[Strike, float] = field(default_factory=OrderedDict)
     _completed_at: OrderedDict[str, float] = field(default_factory=OrderedDict)
+    part_counts: PartCounts = field(default_factory=PartCounts)
+    _often_struck: set[str] = field(default_factory=set)
+    _verdict: Verdict | None = None
     _shared: tuple[str, ...] | None = None
 
+    @property
+    def verdict(self) -> Verdict:
+        """Return the convicted suspects, judged anew if strikes changed."""
+        if self._verdict is None:
+            self._verdict = judge(
+                {
+                    key: frozenset(
+                        strike.incarnation
+                        for strike in self.records_by_digest[key]
+                    )
+                    for key in self._often_struck
+                    if not self.part_counts.is_common(key)
+                },
+                self.part_counts.rarity,
+            )
+        return self._verdict
+
     def is_quarantined(self, digest: str) -> bool:
-        """Return whether a content must not run again."""
-        return self.count(digest) >= STRIKES_TO_QUARANTINE
+        """Return whether requests with a suspect must not run again."""
+        return digest in self.verdict.crashes_by_convict
 
     def count(self, digest: str) -> int:
-        """Return the number of strikes of a digest."""
+        """Return the number of strikes of a suspect."""
         return len(self.records_by_digest.get(digest, ()))
 
+    def weight(self, digest: str) -> int:
+        """Return the number of strikes that no other suspect explains."""
+        records = self.records_by_digest.get(digest, {})
+        if self.is_quarantined(digest):
+            return len(records)
+        explained = self.verdict.explained
+        return sum(strike.incarnation not in explained for strike in records)
+
     def records(self) -> Iterator[tuple[Strike, StrikeRecord]]:
         """Yield all strikes."""
         for records in self.records_by_digest.values():
@@ -133,7 +172,7 @@
         records[strike] = StrikeRecord(now - age_s, is_own)
         self.records_by_digest[strike.digest] = records
         self.records_by_digest.move_to_end(strike.digest)
-        self._shared = None
+        self._note_change(strike.digest)
         self._limit_size()
         return True
 
@@ -144,13 +183,13 @@
         records.pop(strike, None)
         if not records:
             self.records_by_digest.pop(strike.digest, None)
-        self._shared = None
+        self._note_change(strike.digest)
 
     def complete(self, digest: str) -> bool:
-        """Record that a content completed; return whether it had strikes."""
+        """Record that a suspect completed; return whether it had strikes."""
         self._completed_at[digest] = self.clock.monotonic()
         self._completed_at.move_to_end(digest)
-        if len(self._completed_at) > MAX_CONTENTS:
+        if len(self._completed_at) > MAX_COMPLETIONS:
             self._completed_at.popitem(last=False)
         strikes = tuple(self.records_by_digest.get(digest, ()))
         for strike in strikes:
@@ -164,30 +203,31 @@
         for void_strike in _parse_all(void_ids):
             if void_strike not in self.void_since:
                 self.void(void_strike)
-        return [
-            strike.strike_id
-            for strike in _parse_all(strike_ids)
-            if self.add(strike)
-        ]
+        strikes = tuple(_parse_all(strike_ids))
+        for known_void in self.void_since.keys() & strikes:
+            # The other VM does not know it, so it is told first again.
+            self.void_since.move_to_end(known_void)
+        return [strike.strike_id for strike in strikes if self.add(strike)]
 
     def shared(self) -> tuple[str, ...]:
         """Return the ids of the strikes to report to the other VMs.
 
         Explanation
         ===========
-        Contents with more strikes come first: after the loss of many engines
-        most contents have a single one.
+        Suspects with more unexplained strikes come first, and parts before
+        contents: after the loss of many engines most contents have a single
+        one.
         """
         if self._shared is None:
             most_struck = sorted(
-                reversed(self.records_by_digest.values()),
-                key=len,
+                reversed(self.records_by_digest),
+                key=lambda key: (self.weight(key), is_part(key)),
                 reverse=True,
             )[:MAX_SHARED_STRIKES]
             self._shared = tuple(
                 strike.strike_id
-                for records in most_struck
-                for strike in records
+                for key in most_struck
+                for strike in self.records_by_digest[key]
             )[:MAX_SHARED_STRIKES]
         return self._shared
 
@@ -197,16 +237,39 @@
         return tuple(strike.strike_id for strike in latest)
 
     def drop_expired(self) -> None:
-        """Drop the strikes that are older than their lifetime."""
+        """Drop the strikes that are older than their lifetime.
+
+        Explanation
+        ===========
+        All strikes of an incarnation lapse together, so that none outlives
+        the one that explains it.
+        """
         oldest = self.clock.monotonic() - STRIKE_LIFETIME_S
-        expired = [
-            strike
+        lapsed = {
+            strike.incarnation
             for strike, record in self.records()
             if record.known_at <= oldest
+        }
+        if not lapsed:
+            return
+        expired = [
+            strike
+            for strike, _ in self.records()
+            if strike.incarnation in lapsed
         ]
         for strike in expired:
             self.void(strike)
 
+    def _note_change(self, digest: str) -> None:
+        """Forget what follows from strikes, of which some changed."""
+        self._shared = None
+        if self.count(digest) >= STRIKES_TO_QUARANTINE:
+            self._often_struck.add(digest)
+            self._verdict = None
+        elif digest in self._often_struck:
+            self._often_struck.discard(digest)
+            self._verdict = None
+
     def _note_void(self, strike: Strike) -> None:
         self.void_since[strike] = self.clock.monotonic()
         if len(self.void_since) > MAX_VOID_STRIKES:
@@ -214,7 +277,7 @@
 
     def _limit_size(self) -> None:
         """Drop the oldest content with one strike if there are too many."""
-        if len(self.records_by_digest) <= MAX_CONTENTS:
+        if len(self.records_by_digest) <= MAX_SUSPECTS:
             return
         oldest = next(iter(self.records_by_digest))
         single = (
@@ -222,7 +285,9 @@
             for digest, records in self.records_by_digest.items()
             if len(records) == 1
         )
-        self.records_by_digest.pop(next(single, oldest))
+        dropped = next(single, oldest)
+        self.records_by_digest.pop(dropped)
+        self._note_change(dropped)
 
 
 def _parse_all(strike_ids: Iterable[str]) -> Iterator[Strike]:
--- a/primroserudder/fleet/strikestore.py
+++ b/primroserudder/fleet/strikestore.py
@@ -3,10 +3,11 @@
 Explanation
 ===========
 VMs keep nothing when they end, and notices do not reach all of them. The
-strikes of a content that has at least two are therefore rows of the store as
-well, which all routers follow. A row is written by the VM that saw the crash,
-or else by another VM that knows of it; its key is the strike's id, so that
-writing it again is harmless. A strike that is void has no row.
+strikes of a suspect that has at least two, which no other suspect explains,
+are therefore rows of the store as well, which all routers follow. A row is
+written by the VM that saw the crash, or else by another VM that knows of it;
+its key is the strike's id, so that writing it again is harmless. A strike that
+is void has no row.
 """
 
 import asyncio
@@ -82,14 +83,19 @@
 
     def _missing(self) -> Iterator[Write]:
         """Yield the rows of known strikes that the table lacks."""
-        for records in self.strikes.records_by_digest.values():
-            if len(records) < MIN_STRIKES_TO_KEEP:
+        for digest, records in self.strikes.records_by_digest.items():
+            if not self._is_kept(digest):
                 continue
             for strike, record in records.items():
                 key = STRIKES_PREFIX + strike.strike_id
                 if self._is_missing(key, record):
                     yield Write(key, {'struck_s': self._struck_s(record)})
 
+    def _is_kept(self, digest: str) -> bool:
+        if self.strikes.count(digest) < MIN_STRIKES_TO_KEEP:
+            return False
+        return self.strikes.weight(digest) >= MIN_STRIKES_TO_KEEP
+
     def _is_missing(self, key: str, record: StrikeRecord) -> bool:
         if self.table.rows.is_stored(key):
             return False
--- /dev/null
+++ b/primroserudder/fleet/tests/test_explaining.py
@@ -0,0 +1,148 @@
+"""Tests that crashes are explained by their cause, not by bystanders."""
+
+import random
+from collections.abc import Iterable
+
+import pytest
+
+from ...testing.fleetdata import ManualClock
+from ..partcounts import MIN_REQUESTS_TO_JUDGE
+from ..strikes import (
+    COMPLETION_LIFETIME_S,
+    MAX_SHARED_STRIKES,
+    STRIKE_LIFETIME_S,
+    Strike,
+    StrikeRegistry,
+)
+
+GUILTY = 'part.91bd3f06'
+BYSTANDER = 'part.a1'
+FIRST = 'part.5c1e07a2'
+SUSPECTS = (GUILTY, BYSTANDER, FIRST)
+
+
+def _strikes(engine_ids: Iterable[str], key: str = GUILTY) -> list[Strike]:
+    return [Strike(key, engine_id, 1) for engine_id in engine_ids]
+
+
+def _registry(strikes: Iterable[Strike] = ()) -> StrikeRegistry:
+    registry = StrikeRegistry(ManualClock())
+    for strike in strikes:
+        registry.add(strike)
+    return registry
+
+
+def _convicts(registry: StrikeRegistry) -> set[str]:
+    return {key for key in SUSPECTS if registry.is_quarantined(key)}
+
+
+@pytest.mark.parametrize('seed', range(20))
+def test_verdict_does_not_depend_on_the_order_of_strikes(seed: int) -> None:
+    strikes = [
+        *_strikes('abcd'),
+        *_strikes('abc', BYSTANDER),
+        *_strikes('bcd', FIRST),
+    ]
+    random.Random(seed).shuffle(strikes)
+    assert _convicts(_registry(strikes)) == {GUILTY}
+
+
+def test_bystander_struck_late_on_explained_crashes_is_not_convicted() -> None:
+    registry = _registry(_strikes('abcd'))
+    assert _convicts(registry) == {GUILTY}
+    registry.merge(strike.strike_id for strike in _strikes('abcd', BYSTANDER))
+    assert _convicts(registry) == {GUILTY}
+
+
+def test_two_causes_are_both_convicted() -> None:
+    # Either also ran beside the other where one of them ended an engine.
+    registry = _registry([*_strikes('abcde'), *_strikes('efgh', BYSTANDER)])
+    assert _convicts(registry) == {GUILTY, BYSTANDER}
+
+
+def test_bystander_is_convicted_by_crashes_that_nothing_explains() -> None:
+    registry = _registry([*_strikes('abcdef'), *_strikes('abgh', BYSTANDER)])
+    assert _convicts(registry) == {GUILTY}
+    registry.add(Strike(BYSTANDER, 'i', 1))
+    assert _convicts(registry) == {GUILTY, BYSTANDER}
+
+
+def test_of_parts_with_the_same_crashes_the_rarer_is_convicted() -> None:
+    registry = StrikeRegistry(ManualClock())
+    for _ in range(MIN_REQUESTS_TO_JUDGE // 2):
+        registry.part_counts.note((FIRST,))
+    registry.part_counts.note((FIRST, GUILTY))
+    for strike in (*_strikes('abc', FIRST), *_strikes('abc')):
+        registry.add(strike)
+    assert _convicts(registry) == {GUILTY}
+
+
+def test_part_that_most_requests_carry_is_not_convicted() -> None:
+    # All engines end while nothing completes: refusing it would refuse all.
+    registry = StrikeRegistry(ManualClock())
+    for _ in range(MIN_REQUESTS_TO_JUDGE):
+        registry.part_counts.note((FIRST,))
+    for strike in _strikes('abcdef', FIRST):
+        registry.add(strike)
+    assert not _convicts(registry)
+
+
+def test_part_is_convicted_beside_a_common_one_with_more_strikes() -> None:
+    registry = StrikeRegistry(ManualClock())
+    for _ in range(MIN_REQUESTS_TO_JUDGE):
+        registry.part_counts.note((FIRST,))
+    for strike in (*_strikes('abcdefg', FIRST), *_strikes('abc')):
+        registry.add(strike)
+    assert _convicts(registry) == {GUILTY}
+
+
+def test_convicted_part_that_completes_is_acquitted_everywhere() -> None:
+    first, second = (_registry(_strikes('abc')) for _ in range(2))
+    first.complete(GUILTY)
+    second.merge((), first.shared_void())
+    assert not _convicts(first)
+    assert not _convicts(second)
+
+
+def test_bystander_does_not_take_the_place_of_a_part_that_lapses() -> None:
+    registry = _registry(_strikes('abc'))
+    clock = registry.clock
+    assert isinstance(clock, ManualClock)
+    clock.advance(2)
+    for strike in _strikes('abc', BYSTANDER):
+        registry.add(strike)
+    clock.advance(STRIKE_LIFETIME_S - 2)
+    registry.drop_expired()
+    assert not _convicts(registry)
+
+
+def test_void_strike_that_another_vm_still_tells_is_told_void_again() -> None:
+    registry = StrikeRegistry(ManualClock())
+    registry.complete(FIRST)
+    for strike in _strikes('abc', FIRST):
+        registry.add(strike)
+    for number in range(2 * MAX_SHARED_STRIKES):
+        registry.void(Strike(f'content-{number}', 'x', 1))
+    other = _registry(_strikes('abc', FIRST))
+    assert _convicts(other) == {FIRST}
+    registry.merge(other.shared())
+    other.merge((), registry.shared_void())
+    assert not _convicts(other)
+
+
+def test_parts_are_shared_before_contents_with_one_strike() -> None:
+    registry = _registry(_strikes('a'))
+    for number in range(3 * MAX_SHARED_STRIKES):
+        registry.add(Strike(f'content-{number}', 'a', 1))
+    assert registry.shared()[0] == f'{GUILTY}=a@1'
+
+
+def test_part_that_completed_long_ago_is_convicted() -> None:
+    registry = StrikeRegistry(ManualClock())
+    registry.complete(GUILTY)
+    clock = registry.clock
+    assert isinstance(clock, ManualClock)
+    clock.advance(COMPLETION_LIFETIME_S)
+    for strike in _strikes('abc'):
+        registry.add(strike)
+    assert _convicts(registry) == {GUILTY}
