Tell neighbours at once that a told strike is void

What callers would see: a VM that was told strikes goes on to refuse a suspect that completed elsewhere. The outbox remembered strikes and void strikes in one set, so a void strike that had been told as a strike before counted as sent, and came by turns only after all others.

Evidence: membership/tests/test_link.py, both tests red before (has_unsent is false for a void strike that was told; the second for a missing name, as the memory of what was sent grew without bound and could not be asked).

The outbox keeps two sets, and forgets what is no longer told.

--- a/primroserudder/fleet/membership/link.py
+++ b/primroserudder/fleet/membership/link.py
@@ -23,7 +23,8 @@
     _loads_sent_at: float = float('-inf')
     _facts: Facts | None = None
     _loads_by_part: dict[int, LoadPart] = field(default_factory=dict)
-    _strikes: set[str] = field(default_factory=set)
+    _struck: set[str] = field(default_factory=set)
+    _void: set[str] = field(default_factory=set)
     _turns: 'itertools.count[int]' = field(default_factory=itertools.count)
 
     def due_parts(
@@ -43,12 +44,22 @@
 
     def next_strikes(self, known: Strikes) -> Strikes:
         """Return some strikes for the next notice, unsent ones first."""
-        return Strikes(self._pick(known.struck), self._pick(known.void))
+        self._struck.intersection_update(known.struck)
+        self._void.intersection_update(known.void)
+        return Strikes(
+            self._pick(known.struck, self._struck),
+            self._pick(known.void, self._void),
+        )
 
     def has_unsent(self, known: Strikes) -> bool:
         """Return whether there are strikes that were never sent."""
-        ids = itertools.chain(known.struck, known.void)
-        return any(strike not in self._strikes for strike in ids)
+        has_struck = not self._struck.issuperset(known.struck)
+        return has_struck or not self._void.issuperset(known.void)
+
+    @property
+    def remembered_strikes(self) -> int:
+        """Return how many strikes are known to have been sent."""
+        return len(self._struck) + len(self._void)
 
     def is_overdue(self, now: float) -> bool:
         """Return whether the neighbour must hear of this VM again."""
@@ -60,7 +71,8 @@
         """Record that a notice was sent."""
         self.sent_at = now
         self._facts = facts
-        self._strikes.update(strikes.struck, strikes.void)
+        self._struck.update(strikes.struck)
+        self._void.update(strikes.void)
         if load is not None:
             self._loads_sent_at = now
             self._loads_by_part[load.number] = load
@@ -74,8 +86,8 @@
         age_ms = sent.claim_age_ms + (now - self.sent_at) * MS_PER_S
         return facts.claim_age_ms < age_ms - CLAIM_FRESHNESS_MS
 
-    def _pick(self, ids: Sequence[str]) -> tuple[str, ...]:
-        unsent = [strike for strike in ids if strike not in self._strikes]
+    def _pick(self, ids: Sequence[str], sent: set[str]) -> tuple[str, ...]:
+        unsent = [strike for strike in ids if strike not in sent]
         if unsent or len(ids) <= MAX_STRIKES:
             return tuple((unsent or ids)[:MAX_STRIKES])
         first = next(self._turns) * MAX_STRIKES
