Answer malformed messages at the inner ports without a traceback

What was seen: a query for a table with a field that is no number was answered 500, and it, as well as any malformed request at the ports for readiness, metrics and tables, wrote a traceback to standard error, which is not limited. A wait without a bound was accepted, and a request for a table went on after its router had left.

All ports now use the connections of the callers' port: malformed requests are counted and logged as decisions, and a handler ends with its connection. A malformed query is refused with a typed 400.

--- a/primroserudder/fleet/callerport.py
+++ b/primroserudder/fleet/callerport.py
@@ -7,7 +7,7 @@
 
 from aiohttp import web
 
-from .callerconnection import CallerServer
+from .httpserver import HttpServer
 
 LISTEN_BACKLOG = 1024
 SHUTDOWN_TIMEOUT_S = 0.05
@@ -28,7 +28,7 @@
         The connections whose requests are being served.
     """
 
-    server: CallerServer
+    server: HttpServer
     busy: Collection[web.RequestHandler]
     runner: web.ServerRunner = field(init=False)
     _listening: socket.socket | None = None
--- a/primroserudder/fleet/callerconnection.py
+++ b/primroserudder/fleet/httpserver.py
@@ -1,4 +1,4 @@
-"""Connections of callers, on top of aiohttp's server.
+"""Connections of callers and other routers, on top of aiohttp's server.
 
 Explanation
 ===========
@@ -72,15 +72,15 @@
         return ConnectionFailed('an unexpected error ended the connection')
 
 
-class CallerConnection(web.RequestHandler):
-    """One caller's connection."""
+class HttpConnection(web.RequestHandler):
+    """One connection."""
 
-    __slots__ = ('_last_body', 'caller_server')
+    __slots__ = ('_last_body', 'http_server')
 
-    def __init__(self, server: 'CallerServer', **options: object) -> None:
+    def __init__(self, server: 'HttpServer', **options: object) -> None:
         """Begin without a request."""
         super().__init__(server, **options)  # type: ignore[arg-type]
-        self.caller_server = server
+        self.http_server = server
         self._last_body: StreamReader | None = None
 
     def data_received(self, octets: bytes) -> None:
@@ -107,7 +107,7 @@
         ConnectionError
             A response has begun already.
         """
-        error = self.caller_server.errors.note(exc)
+        error = self.http_server.errors.note(exc)
         if request.writer.output_size:
             raise ConnectionError('a response has begun') from exc
         response = error_response(error, '')
@@ -118,7 +118,7 @@
         """Note an error that aiohttp would write a traceback for."""
         error = details.get('exc_info')
         known = error if isinstance(error, BaseException) else None
-        self.caller_server.errors.note(known)
+        self.http_server.errors.note(known)
 
     def _fail_unfinished_body(self) -> None:
         # A message can't begin within a body, so it is the parser's error.
@@ -128,7 +128,7 @@
 
     def _process_keepalive(self) -> None:
         now = self._loop.time()
-        longer_s = self.caller_server.idle_s() - self._keepalive_timeout
+        longer_s = self.http_server.idle_s() - self._keepalive_timeout
         left_s = self._next_keepalive_close_time + max(longer_s, 0) - now
         if left_s > 0:
             # The configuration may change the limit before the next check.
@@ -139,8 +139,8 @@
         super()._process_keepalive()
 
 
-class CallerServer(web.Server):
-    """Makes the connections of callers."""
+class HttpServer(web.Server):
+    """Makes the connections of a port."""
 
     def __init__(
         self,
@@ -161,6 +161,6 @@
         self.errors = errors
         self.idle_s = idle_s
 
-    def __call__(self) -> CallerConnection:
+    def __call__(self) -> HttpConnection:
         """Return a new connection."""
-        return CallerConnection(self, loop=self._loop, **self._kwargs)
+        return HttpConnection(self, loop=self._loop, **self._kwargs)
--- a/primroserudder/fleet/ports.py
+++ b/primroserudder/fleet/ports.py
@@ -1,7 +1,7 @@
 """Ports of a router for callers, health checks, operators and routers."""
 
 import asyncio
-from collections.abc import Callable, Mapping
+from collections.abc import Awaitable, Callable, Mapping
 from dataclasses import dataclass, field
 from http import HTTPStatus
 
@@ -11,7 +11,7 @@
 from ..errors import RudderError
 from ..platform.names import READY_PATH
 from ..process.metrics import Metrics
-from .callerconnection import CallerServer, ConnectionErrors
+from .httpserver import HttpServer, ConnectionErrors
 from .callerport import LISTEN_BACKLOG, CallerPort
 from .callers import CallerHandler
 from .settings import RouterSettings
@@ -20,6 +20,9 @@
 CLOSE_POLL_S = 0.05
 
 
+Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+
+
 class PortTaken(RudderError):
     """A configured port can't be opened."""
 
@@ -48,11 +51,7 @@
 
     def __post_init__(self) -> None:
         """Prepare the port of callers."""
-        server = CallerServer(
-            self.handler.serve_request,
-            ConnectionErrors(self.handler.log, self.metrics),
-            self._idle_s,
-        )
+        server = self._server(self.handler.serve_request)
         self.caller_port = CallerPort(server, self.handler.busy_connections)
 
     async def open(self) -> None:
@@ -63,12 +62,12 @@
         PortTaken
             A port can't be opened.
         """
-        internal_server = web.Server(self._serve_internal, access_log=None)
+        internal_server = self._server(self._serve_internal)
         settings = self.settings
         metrics = f'{settings.ip}:{settings.metrics_port}'
         await self._listen_for_callers(settings.callers)
         await self._listen(internal_server, settings.readiness, metrics)
-        table_server = web.Server(self.relay.answer, access_log=None)
+        table_server = self._server(self.relay.answer)
         await self._listen(table_server, settings.exchange_endpoint)
 
     async def close_to_callers(self) -> None:
@@ -92,6 +91,10 @@
         while self.handler.in_flight and loop.time() < exit_at:
             await asyncio.sleep(CLOSE_POLL_S)
 
+    def _server(self, serve: Handler) -> HttpServer:
+        errors = ConnectionErrors(self.handler.log, self.metrics)
+        return HttpServer(serve, errors, self._idle_s)
+
     async def _listen_for_callers(self, address: str) -> None:
         host, _, port = address.rpartition(':')
         self._runners.append(self.caller_port.runner)
--- a/primroserudder/fleet/tablerelay.py
+++ b/primroserudder/fleet/tablerelay.py
@@ -7,13 +7,17 @@
 
 from aiohttp import web
 
+from ..errors import Ran, RudderError
 from ..process.clock import Clock
 from ..process.loops import cancel_on_exit
 from ..process.tablepages import StoreVersion
 from ..process.tables import TableFollower
+from .errorresponse import error_response
 from .relaymessages import PATH, encode_table
 
 CHECK_INTERVAL_S = 0.1
+# The longest that another router may wait for a change.
+MAX_WAIT_S = 60.0
 CATCH_UP_INTERVAL_S = 0.02
 # After a relay switches to another source, it waits this long for its data.
 CATCH_UP_TIMEOUT_S = 0.3
@@ -22,6 +26,15 @@
 STALENESS_LIMIT_S = 0.4
 
 
+class MalformedQuery(RudderError):
+    """A query for a table can't be read."""
+
+    code = 'malformed_query'
+    status = 400
+    ran = Ran.NO
+    default_remedy = 'send whole numbers as era and since, and seconds as wait'
+
+
 @dataclass(slots=True)
 class TableRelay:
     """Serves the tables that this VM follows to other routers."""
@@ -35,19 +48,18 @@
 
         Explanation
         ===========
-        Answers 404 for an unknown table, and 503 while this VM's own copy is
-        out of date. The ``wait`` parameter is in seconds; ``since`` is a
-        revision of the era in ``era``.
+        Answers 404 for an unknown table, 400 for a malformed query, and 503
+        while this VM's own copy is out of date. The ``wait`` parameter is in
+        seconds; ``since`` is a revision of the era in ``era``.
         """
         table = request.path.removeprefix(f'{PATH}/')
         follower = self.followers_by_table.get(table)
         if follower is None:
             return web.Response(status=HTTPStatus.NOT_FOUND)
-        since = StoreVersion(
-            int(request.query.get('era', '0')),
-            int(request.query.get('since', '0')),
-        )
-        wait_s = float(request.query.get('wait', '0'))
+        try:
+            since, wait_s = _read_query(request.query)
+        except MalformedQuery as error:
+            return error_response(error, '')
         await self._catch_up(follower)
         waiting = asyncio.ensure_future(follower.wait_for_change(since, wait_s))
         async with cancel_on_exit(waiting):
@@ -73,3 +85,23 @@
             follower.is_reachable
             and age_s < follower.wait_s + STALENESS_LIMIT_S
         )
+
+
+def _read_query(query: Mapping[str, str]) -> tuple[StoreVersion, float]:
+    """Return the version that a router has, and how long it waits.
+
+    Raises
+    ======
+    MalformedQuery
+        A field is no number, or the wait is out of range.
+    """
+    try:
+        since = StoreVersion(
+            int(query.get('era', '0')), int(query.get('since', '0'))
+        )
+        wait_s = float(query.get('wait', '0'))
+    except ValueError as error:
+        raise MalformedQuery('a field of the query is no number') from error
+    if not 0 <= wait_s <= MAX_WAIT_S:
+        raise MalformedQuery(f'wait is not within 0 and {MAX_WAIT_S} s')
+    return since, wait_s
--- a/primroserudder/fleet/tests/test_caller_port.py
+++ b/primroserudder/fleet/tests/test_caller_port.py
@@ -9,7 +9,7 @@
 from ...testing.configchanges import with_route
 from ...testing.platformsite import PlatformSite, configuration, platform_site
 from ...testing.rawcaller import RawCaller, RawResponse, head, raw_caller
-from .. import callerconnection
+from .. import httpserver
 
 LONG_BODY = b'x' * 1_000_000
 LOOKUP = '/lookups/1'
@@ -269,7 +269,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     # Callers use a connection again after up to four fifths of the limit.
-    monkeypatch.setattr(callerconnection, 'MIN_KEEPALIVE_S', 0.2)
+    monkeypatch.setattr(httpserver, 'MIN_KEEPALIVE_S', 0.2)
     async with platform_site(engines=0, plain=1) as site:
         await _wait_until_serving(site)
         async with raw_caller(site) as caller:
--- a/primroserudder/fleet/tests/test_malformed_messages.py
+++ b/primroserudder/fleet/tests/test_malformed_messages.py
@@ -53,6 +53,62 @@
     await site.until(lambda: len(directory.targets_by_pool()) == 2)
 
 
+async def _exchange(address: str, octets: bytes) -> bytes:
+    host, _, port = address.rpartition(':')
+    reader, writer = await asyncio.open_connection(host, int(port))
+    writer.write(octets)
+    async with asyncio.timeout(5):
+        received = await reader.readuntil(b'\r\n')
+    writer.close()
+    return received
+
+
+@pytest.mark.parametrize(
+    'query',
+    [
+        'since=many',
+        'era=-',
+        'wait=x',
+        'wait=nan',
+        'wait=inf',
+        'wait=-1',
+        'wait=1e400',
+    ],
+)
+async def test_table_relay_refuses_malformed_queries_with_400(
+    query: str, _exits: list[int], caplog: pytest.LogCaptureFixture
+) -> None:
+    async with platform_site(engines=2, plain=1) as site:
+        await _wait_until_serving(site)
+        router = site.routers[0]
+        target = f'GET /tables/servers?{query} HTTP/1.1\r\nHost: x\r\n\r\n'
+        received = await _exchange(
+            router.settings.exchange_endpoint, target.encode()
+        )
+        assert b' 400 ' in received
+        assert not any(record.exc_info for record in caplog.records)
+        await _check_serving(site, _exits)
+
+
+@pytest.mark.parametrize(
+    'octets',
+    [b'\x00\xff\r\n\r\n', b'GET / HTTP/1.1\r\nHost x\r\n\r\n'],
+    ids=['line', 'field'],
+)
+async def test_malformed_requests_harm_no_inner_port(
+    octets: bytes, _exits: list[int], caplog: pytest.LogCaptureFixture
+) -> None:
+    async with platform_site(engines=2, plain=1) as site:
+        await _wait_until_serving(site)
+        settings = site.routers[0].settings
+        for address in (settings.readiness, settings.exchange_endpoint):
+            assert b' 400 ' in await _exchange(address, octets)
+        ready = b'GET /api/readyz HTTP/1.1\r\nHost: x\r\n\r\n'
+        assert b' 200 ' in await _exchange(settings.readiness, ready)
+        await _check_serving(site, _exits)
+        assert not any(record.exc_info for record in caplog.records)
+
+
 def _odd_datagrams(sample: bytes) -> Iterator[bytes]:
     rng = random.Random(1)
     yield from (b'', b'\x00', b'{}', b'[]', b'null', b'\xff' * 1400)
