Read a response without copying it for each piece

A response over the size limit, and any large one, was copied for each piece that arrived, and its reader let twice the limit into its buffer: one endless response took 34 MB and, in a trial on loopback, 1.3 s of a busy core to reach the limit of 16 MiB.

Evidence: fleet/tests/test_attempt.py, red before in both cases of test_endless_response_takes_little_more_memory_than_the_limit (33.8 MB against a bound of 25.2 MB).

Change: the attempt reads with read_bounded, which keeps one buffer that grows in place. The limit and what it means for the attempt stay.

--- a/primroserudder/fleet/attempt.py
+++ b/primroserudder/fleet/attempt.py
@@ -8,6 +8,7 @@
 from multidict import CIMultiDict
 from yarl import URL
 
+from ..platform import BodyTooLong, read_bounded
 from ..platform import headers as wire
 from ..platform.signals import EngineSignals, engine_signals
 from .call import Call
@@ -187,14 +188,10 @@
         is_success: bool,
     ) -> AttemptResult:
         framing = Framing.of(response)
-        body = await response.content.read(MAX_RESPONSE_BYTES)
-        while not response.content.at_eof():
-            if len(body) >= MAX_RESPONSE_BYTES:
-                return self._broken_result(
-                    f'response exceeds {MAX_RESPONSE_BYTES} bytes',
-                    may_have_crashed=False,
-                )
-            body += await response.content.read(MAX_RESPONSE_BYTES)
+        try:
+            body = await read_bounded(response, MAX_RESPONSE_BYTES)
+        except BodyTooLong as error:
+            return self._broken_result(str(error), may_have_crashed=False)
         if not await framing.is_complete():
             return self._broken_result(
                 'connection failed before a response of unknown length ended'
--- a/primroserudder/fleet/tests/test_attempt.py
+++ b/primroserudder/fleet/tests/test_attempt.py
@@ -3,6 +3,7 @@
 import asyncio
 import socket
 import struct
+import tracemalloc
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
@@ -12,6 +13,8 @@
 
 from ...platform import open_session
 from ...testing.fleetdata import call, route
+from ...testing.rawattempts import raw_attempt
+from ...testing.rawpeer import floods
 from .. import attempt as attempt_module
 from ..attempt import Attempt, AttemptResult, StreamSink
 from ..events import Event
@@ -229,3 +232,21 @@
     result = await _attempt(script, is_stream=False)
     assert result.ending is Ending.UNKNOWN
     assert not result.may_have_crashed
+
+
+@pytest.mark.parametrize(
+    'framing', [b'\r\n', b'Content-Length: 9999999999\r\n\r\n']
+)
+async def test_endless_response_takes_little_more_memory_than_the_limit(
+    framing: bytes,
+) -> None:
+    script = floods(_with_head(framing), b'x')
+    tracemalloc.start()
+    outcome = await raw_attempt(script, deadline_s=60)
+    _, peak_bytes = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    assert outcome.result.ending is Ending.UNKNOWN
+    assert not outcome.result.may_have_crashed
+    assert outcome.peer.sent_bytes < 2 * attempt_module.MAX_RESPONSE_BYTES
+    # The buffer of the body grows by an eighth at a time.
+    assert peak_bytes < 1.5 * attempt_module.MAX_RESPONSE_BYTES
--- a/primroserudder/platform/__init__.py
+++ b/primroserudder/platform/__init__.py
@@ -8,7 +8,7 @@
 names.
 """
 
-from .boundedbody import read_bounded
+from .boundedbody import BodyTooLong, read_bounded
 from .configuration import UnreadableConfiguration, decode_configuration
 from .enginelist import (
     EngineReport,
@@ -22,6 +22,7 @@
 
 __all__ = (
     'ORDER_TIMEOUT_S',
+    'BodyTooLong',
     'EngineOrders',
     'EngineReport',
     'OrderOutcome',
