Take an unreadable answer of the store as one that never came

A row without a table, key or version, a revision that is no number, pages that claim more rows but bring none, or an era of thousands of digits ended the router's process: the tasks that follow tables handle a store that is not available, and the supervisor ends the process on any other error. Pages that repeat themselves kept a read going without end, with more memory for each.

Evidence: platform/tests/test_endless_answers.py, red before in 5 of 7 cases of test_unreadable_answer_means_that_the_store_is_unavailable (KeyError, ValueError, IndexError), in test_unreadable_changes_mean_that_the_store_is_unavailable (KeyError), test_unreadable_era_is_no_era (ValueError) and test_pages_without_end_mean_that_the_store_is_unavailable (still running after 20 s).

Ruled out: bodies that are no JSON or nested too deeply, and unreadable reports; tests hold that these were and are handled.

Change: such an answer raises PlatformUnavailable, an unreadable era counts as none, and each page of a table must go on after the one before.

--- a/primroserudder/platform/store.py
+++ b/primroserudder/platform/store.py
@@ -42,6 +42,8 @@
 # A page of rows has 1 MB at most; the changes of a large table take some MB.
 MAX_ANSWER_BYTES = 16_777_216
 PAGE_ROWS = 500
+# The era counts restores, so a longer number is no era.
+MAX_ERA_DIGITS = 18
 # Appended to the last key of a page, this gives the next possible key, at
 # which the next page starts.
 _KEY_SUCCESSOR = '\x00'
@@ -118,7 +120,8 @@
         Raises
         ======
         PlatformUnavailable
-            The store failed, or came back from a copy between the calls.
+            The store failed, came back from a copy between the calls, or
+            answered with pages that don't go on.
         """
         query = {'Table': table, 'part': '', 'Limit': str(PAGE_ROWS)}
         page = await self._get(names.ROWS_PATH, query)
@@ -126,9 +129,10 @@
         revision = revision_of(page.fields)
         rows = list(decode_rows(page.fields))
         while page.fields.get('HasMore'):
-            query['Source'] = split_key(rows[-1].key)[1] + _KEY_SUCCESSOR
+            last_key = rows[-1].key if rows else ''
+            query['Source'] = split_key(last_key)[1] + _KEY_SUCCESSOR
             page = await self._get(names.ROWS_PATH, query)
-            rows.extend(decode_rows(page.fields))
+            rows.extend(_rows_after(last_key, page))
         if page.era != era:
             raise PlatformUnavailable(
                 'the store came back from a copy while a table was read'
@@ -253,12 +257,26 @@
     async def _reply(self, answer: aiohttp.ClientResponse) -> _Reply:
         """Read a response and note the store's era, which never falls."""
         era_text = answer.headers.get(names.STORE_ERA, '')
-        era = int(era_text) if era_text.isdecimal() else self.era
+        is_era = era_text.isdecimal() and len(era_text) <= MAX_ERA_DIGITS
+        era = int(era_text) if is_era else self.era
         self.era = max(self.era, era)
         body = await read_bounded(answer, MAX_ANSWER_BYTES)
         return _Reply(answer.status, body, era)
 
 
+def _rows_after(last_key: str, page: _Answer) -> Sequence[Row]:
+    """Return the rows of a page, which must go on after the last key."""
+    rows = decode_rows(page.fields)
+    if rows and rows[0].key > last_key:
+        return rows
+    if not rows and not page.fields.get('HasMore'):
+        # The rest was removed since the page before.
+        return ()
+    raise PlatformUnavailable(
+        'a page of the store has no rows after those of the page before'
+    )
+
+
 def _check_read(status: int) -> None:
     if status == HTTPStatus.GONE:
         raise HistoryLost('the store no longer has the requested changes')
--- a/primroserudder/platform/storeformat.py
+++ b/primroserudder/platform/storeformat.py
@@ -54,17 +54,41 @@
 
 
 def decode_rows(payload: Json) -> Sequence[Row]:
-    """Return the rows of a response."""
+    """Return the rows of a response.
+
+    Raises
+    ======
+    PlatformUnavailable
+        A row has no key or no version.
+    """
     return [_decode_row(raw) for raw in _raw_rows(payload)]
 
 
 def _decode_row(raw: Json) -> Row:
-    key = f'{raw["Table"]}/{raw["Key"]}'
     return Row(
-        key, int(str(raw['RowVersion'])), _decode_fields(raw.get('Value'))
+        _row_key(raw),
+        _integer(raw.get('RowVersion')),
+        _decode_fields(raw.get('Value')),
     )
 
 
+def _row_key(raw: Json) -> str:
+    table = raw.get('Table')
+    name = raw.get('Key')
+    if isinstance(table, str) and isinstance(name, str):
+        return f'{table}/{name}'
+    raise PlatformUnavailable('a row in the response of the store has no key')
+
+
+def _integer(field: object) -> int:
+    try:
+        return int(str(field))
+    except ValueError as error:
+        raise PlatformUnavailable(
+            'a version in the response of the store is no integer'
+        ) from error
+
+
 def _decode_fields(encoded: object) -> Json:
     """Return a row's fields; empty if another writer left invalid JSON."""
     try:
@@ -75,20 +99,32 @@
 
 
 def _decode_change(raw: Json) -> Change:
-    key = f'{raw["Table"]}/{raw["Key"]}'
     if raw.get('Deleted'):
-        return Change(key, None)
-    return Change(key, _decode_row(raw))
+        return Change(_row_key(raw), None)
+    row = _decode_row(raw)
+    return Change(row.key, row)
 
 
 def decode_changes(payload: Json) -> Sequence[Change]:
-    """Return the changed rows of a response, in order."""
+    """Return the changed rows of a response, in order.
+
+    Raises
+    ======
+    PlatformUnavailable
+        A row has no key or no version.
+    """
     return [_decode_change(raw) for raw in _raw_rows(payload)]
 
 
 def revision_of(payload: Json) -> int:
-    """Return the store's revision as of a response."""
-    return int(str(payload.get('RowVersion', 0)))
+    """Return the store's revision as of a response.
+
+    Raises
+    ======
+    PlatformUnavailable
+        The revision is not an integer.
+    """
+    return _integer(payload.get('RowVersion', 0))
 
 
 def server_time_s(payload: Json) -> float | None:
--- a/primroserudder/platform/tests/test_endless_answers.py
+++ b/primroserudder/platform/tests/test_endless_answers.py
@@ -13,7 +13,8 @@
 )
 from ...process.tablepages import StoreVersion
 from ...testing.fleetdata import engine, formation
-from ...testing.rawpeer import RawPeer, Script, floods, raw_peer
+from ...testing.rawpeer import RawPeer, Script, answers, floods, raw_peer
+from .. import names
 from ..orders import EngineOrders, OrderOutcome
 from ..store import MAX_ANSWER_BYTES, PlatformStore
 
@@ -98,3 +99,60 @@
         with pytest.raises(OutcomeUnknown):
             await store.commit(Transaction((), (write,)))
         assert peer.sent_bytes < MAX_ANSWER_BYTES + BUFFERED_BYTES
+
+
+def _answer(body: bytes, fields: bytes = b'') -> Script:
+    return answers(
+        b'%s%sContent-Length: %d\r\n\r\n%s' % (OK_HEAD, fields, len(body), body)
+    )
+
+
+@pytest.mark.parametrize(
+    'body',
+    [
+        b'{"Rows":[{"Key":"one"}]}',
+        b'{"Rows":[{"Table":"things","Key":"one","RowVersion":"x"}]}',
+        b'{"Rows":[{"Table":"things","Key":"one"}]}',
+        b'{"Rows":[],"RowVersion":"x"}',
+        b'{"Rows":[],"RowVersion":1,"HasMore":true}',
+        b'{"Rows":[],"RowVersion":1e400}',
+        b'[' * 100_000,
+    ],
+)
+async def test_unreadable_answer_means_that_the_store_is_unavailable(
+    body: bytes,
+) -> None:
+    async with _store(_answer(body)) as (_, store):
+        with pytest.raises(PlatformUnavailable):
+            await store.read_table('things')
+
+
+async def test_unreadable_changes_mean_that_the_store_is_unavailable() -> None:
+    body = b'{"Rows":[{"Key":"one"}],"RowVersion":7}'
+    async with _store(_answer(body)) as (_, store):
+        with pytest.raises(PlatformUnavailable):
+            await store.changes('things', StoreVersion(0, 1), 1)
+
+
+async def test_pages_without_end_mean_that_the_store_is_unavailable() -> None:
+    row = b'{"Table":"things","Key":"one","RowVersion":1}'
+    body = b'{"Rows":[%s],"RowVersion":1,"HasMore":true}' % row
+    async with _store(_answer(body)) as (_, store):
+        with pytest.raises(PlatformUnavailable):
+            await store.read_table('things')
+
+
+async def test_unreadable_era_is_no_era() -> None:
+    era = b'%s: %s\r\n' % (names.STORE_ERA.encode(), b'9' * 5000)
+    async with _store(_answer(b'{"RowVersion":1}', era)) as (_, store):
+        page = await store.read_table('things')
+        assert (page.revision, page.era) == (1, 0)
+
+
+@pytest.mark.parametrize(
+    'body', [b'', b'null', b'[]', b'{"group":7}', b'[' * 100_000, b'{"born":']
+)
+async def test_unreadable_report_is_no_report(body: bytes) -> None:
+    async with _orders(_answer(body)) as (peer, orders):
+        asked = engine('i-1', address=peer.address)
+        assert await orders.report(asked) is None
--- a/primroserudder/testing/rawpeer.py
+++ b/primroserudder/testing/rawpeer.py
@@ -147,6 +147,11 @@
     return partial(_send_pieces, pieces, then)
 
 
+def answers(response: bytes) -> Script:
+    """Return a script that gives each request the same response."""
+    return partial(_answer_all, response)
+
+
 def floods(first: bytes, repeated: bytes) -> Script:
     """Return a script that sends bytes, then others until the client closes."""
     return partial(_flood, first, repeated)
@@ -170,6 +175,12 @@
     await then(connection)
 
 
+async def _answer_all(response: bytes, connection: RawConnection) -> None:
+    while True:
+        await connection.send(response)
+        await connection.read_request()
+
+
 async def _flood(
     first: bytes,
     repeated: bytes,
