Search comments for the next field at once

Empty events without end took a core for 0.75 s (a trial on loopback) until the bound on an event ended them, as each was looked at by itself.

Change: the splitter first searches the first line of a field, and only from there the end of the event; both searches go over the bytes once, in C. The same trial takes 0.05 s, and the longest pause of other tasks fell from 0.1 to 0.01 s. What counts as an event is the same; the tests of fleet/tests/test_events.py hold before and after.

--- a/primroserudder/fleet/events.py
+++ b/primroserudder/fleet/events.py
@@ -53,18 +53,15 @@
     """
 
     _buffer: bytearray = field(default_factory=bytearray)
-    # Where the first line begins that may belong to the next event.
-    _lines_start: int = 0
-    # No end of an event begins before this position.
+    # Bytes before this position need not be searched again.
     _searched: int = 0
+    _has_field: bool = False
 
     @property
     def has_partial_event(self) -> bool:
         """Return whether the rest is an incomplete event or line."""
-        rest = self._buffer[self._lines_start :]
-        if not rest:
-            return False
-        return bool(_FIELD_LINE.search(rest)) or not rest.endswith(b'\n')
+        ends_line = self._buffer.endswith(b'\n') or not self._buffer
+        return self._has_field or not ends_line
 
     def rest(self) -> bytes:
         """Return the bytes after the last complete event."""
@@ -86,19 +83,29 @@
             yield Event(event_bytes, event_id(event_bytes))
             start = end
         self._buffer = self._buffer[start:]
-        self._lines_start -= start
-        self._searched = max(0, len(self._buffer) - _MAX_END_BYTES + 1)
+        self._searched -= start
         _check_length(len(self._buffer))
 
     def _event_ends(self) -> Iterator[int]:
         """Yield where events end, past comments and empty lines alone."""
-        found = _EVENT_END.search(self._buffer, self._searched)
-        while found:
-            end = found.end()
-            if _FIELD_LINE.search(self._buffer, self._lines_start, end):
-                yield end
-            self._lines_start = end
-            found = _EVENT_END.search(self._buffer, end)
+        while self._find_field():
+            found = _EVENT_END.search(self._buffer, self._searched)
+            if found is None:
+                # An end may have begun with the last bytes.
+                unsearched = len(self._buffer) - _MAX_END_BYTES + 1
+                self._searched = max(self._searched, unsearched)
+                return
+            self._has_field = False
+            self._searched = found.end()
+            yield self._searched
+
+    def _find_field(self) -> bool:
+        """Return whether a field of the next event was found."""
+        if not self._has_field:
+            found = _FIELD_LINE.search(self._buffer, self._searched)
+            self._has_field = found is not None
+            self._searched = found.start() if found else len(self._buffer)
+        return self._has_field
 
 
 def _check_length(octets: int) -> None:
