Add engines that send without end to the fault soak

An engine answers with garbage, empty lines, interim responses, header lines, an event or a chunk's extension without end, in turn.

--- a/primroserudder/faultsoak/plan.py
+++ b/primroserudder/faultsoak/plan.py
@@ -1,13 +1,15 @@
 """Plans the faults of a seed: their times, kinds, targets and durations."""
 
 import enum
+import operator
 import random
-from collections.abc import Callable, Coroutine, Iterator
+from collections.abc import Callable, Coroutine, Iterator, Sequence
 from dataclasses import dataclass
 
 from .options import SoakOptions
 
 MEAN_BETWEEN_FAULTS_S = 0.5
+MEAN_BETWEEN_LATER_KINDS_S = 4.0
 # Some faults follow the previous one closely, so that both overlap.
 BURST_SHARE = 0.3
 BURST_GAP_S = 0.05
@@ -55,6 +57,7 @@
     CONFIGURATION_CHANGED = 'configuration changed'
     STORE_RESTORED = 'store restored from a copy'
     CONTENT_CRASHES = 'content crashes engines'
+    ENGINE_NEVER_ENDS = 'engine sends without end'
 
 
 @dataclass(frozen=True, slots=True)
@@ -70,18 +73,39 @@
 FaultInjector = Callable[[PlannedFault], Coroutine[object, object, None]]
 
 
+# Kinds that came later are drawn by themselves, so that a seed keeps the
+# faults that it had without them.
+_LATER_KINDS = (FaultKind.ENGINE_NEVER_ENDS,)
+_FIRST_KINDS = tuple(kind for kind in FaultKind if kind not in _LATER_KINDS)
+
+
 def plan_faults(options: SoakOptions) -> list[PlannedFault]:
     """Return the faults of a seed, ordered by start time."""
-    rng = random.Random(options.seed)
-    return list(_draw_faults(rng, options.seconds))
+    first = _draw_faults(
+        random.Random(options.seed),
+        options.seconds,
+        _FIRST_KINDS,
+        MEAN_BETWEEN_FAULTS_S,
+    )
+    later = _draw_faults(
+        random.Random(f'{options.seed} later kinds'),
+        options.seconds,
+        _LATER_KINDS,
+        MEAN_BETWEEN_LATER_KINDS_S,
+    )
+    return sorted((*first, *later), key=operator.attrgetter('at_s'))
 
 
-def _draw_faults(rng: random.Random, seconds: float) -> Iterator[PlannedFault]:
-    kinds = tuple(FaultKind)
+def _draw_faults(
+    rng: random.Random,
+    seconds: float,
+    kinds: Sequence[FaultKind],
+    mean_between_s: float,
+) -> Iterator[PlannedFault]:
     now = float(0)
     while True:
         is_burst = rng.random() < BURST_SHARE
-        mean_s = BURST_GAP_S if is_burst else MEAN_BETWEEN_FAULTS_S
+        mean_s = BURST_GAP_S if is_burst else mean_between_s
         now += rng.expovariate(1 / mean_s)
         if now > seconds:
             return
--- a/primroserudder/faultsoak/standinfaults.py
+++ b/primroserudder/faultsoak/standinfaults.py
@@ -96,6 +96,9 @@
             FaultKind.ENGINE_FAILS: self._engine_injector(
                 'fails_with', FAILED_STATUS
             ),
+            FaultKind.ENGINE_NEVER_ENDS: self._engine_injector(
+                'never_ends', True
+            ),
         }
 
     async def _crash(self, fault: PlannedFault) -> None:
--- a/primroserudder/standins/groupengine.py
+++ b/primroserudder/standins/groupengine.py
@@ -16,6 +16,7 @@
 import orjson
 from aiohttp import web
 
+from .endless import send_without_end
 from .enginecrash import crash
 from .groupmember import GroupMember
 from .tablestore import TableStore
@@ -66,6 +67,7 @@
     # Whether responses say that the engine leaves; its entry doesn't.
     announces_leaving: bool = False
     never_answers: bool = False
+    never_ends: bool = False
     omits_seal: bool = False
     fails_with: int = 0
     ignores_orders: bool = False
@@ -232,6 +234,8 @@
     async def _answer(self, request: web.Request) -> web.StreamResponse:
         if self.faults.never_answers:
             await asyncio.sleep(HANG_S)
+        if self.faults.never_ends:
+            return await send_without_end(request, len(self.received_requests))
         headers = {
             ATTEMPT_ID: request.headers.get(ATTEMPT_ID, ''),
             **_leaving_field(self.faults),
