Don't send the rest of a request that was given up

A request with a long body to an engine that reads slowly was sent to its end after the caller had left, its deadline had passed or its group was lost: closing a connection flushes what is buffered first. The engine could run it then, and the connection and the body stayed in memory for as long as the engine did not read.

Evidence: platform/tests/test_responsehandler.py, red before in test_rest_of_a_request_is_sent_only_if_it_was_answered[no response]: all 16 MiB arrived after the call had timed out.

Change: a connection with unsent bytes and no complete response is aborted. A peer that answers before it has read a long body still gets the rest of that body, which the second case of the test holds.

--- a/primroserudder/platform/responsehandler.py
+++ b/primroserudder/platform/responsehandler.py
@@ -180,6 +180,22 @@
                 aiohttp.ClientPayloadError(f'invalid body: {errors[0]!r}')
             )
 
+    def close(self) -> None:
+        """Close the connection.
+
+        Explanation
+        ===========
+        If the request is not sent completely and has no complete response,
+        it was given up, and the rest of it is not sent. A peer that answered
+        early gets the rest.
+        """
+        transport = self.transport
+        is_unsent = transport is not None and transport.get_write_buffer_size()
+        if is_unsent and not self._progress.is_whole:
+            self.abort()
+        else:
+            super().close()
+
     def _drop_extra_bytes(self) -> None:
         """Leave a connection whose bytes no longer belong to a response."""
         self._progress.has_failed = True
--- a/primroserudder/platform/tests/test_responsehandler.py
+++ b/primroserudder/platform/tests/test_responsehandler.py
@@ -1,6 +1,7 @@
 """Responses that break the protocol, or go on without end."""
 
 import asyncio
+import contextlib
 import itertools
 
 import pytest
@@ -9,6 +10,7 @@
 from ...testing.rawattempts import CHUNKED_HEAD, EVENTS, HEAD, raw_attempt
 from ...testing.rawpeer import (
     PIECE_INTERVAL_S,
+    RawConnection,
     Script,
     closes,
     floods,
@@ -202,3 +204,30 @@
     assert b''.join(parts) == octets
     ends = set(itertools.accumulate(map(len, parts)))
     assert len(HEAD) + len(b'\r\n') in ends
+
+
+@pytest.mark.parametrize('response', [b'', WITH_LENGTH])
+async def test_rest_of_a_request_is_sent_only_if_it_was_answered(
+    response: bytes,
+) -> None:
+    body = bytes(16_777_216)
+    is_over = asyncio.Event()
+    received: list[int] = []
+
+    async def read_late(connection: RawConnection) -> None:
+        await connection.send(response)
+        await is_over.wait()
+        try:
+            received.append(len(await connection.reader.read(-1)))
+        except OSError:
+            received.append(0)
+
+    async with raw_peer(read_late) as peer, open_session(0.3) as session:
+        url = f'http://{peer.address}/'
+        with contextlib.suppress(TimeoutError):
+            async with session.post(url, data=body) as answer:
+                await answer.read()
+        is_over.set()
+        while not received:
+            await asyncio.sleep(PIECE_INTERVAL_S)
+    assert (received[0] == len(body)) == bool(response)
