--- a/primroserudder/platform/tests/test_responsehandler.py
+++ b/primroserudder/platform/tests/test_responsehandler.py
@@ -1,6 +1,8 @@
 """Responses that break the protocol, or go on without end."""
 
 import asyncio
+import contextlib
+import itertools
 
 import pytest
 
@@ -8,6 +10,7 @@
 from ...testing.rawattempts import CHUNKED_HEAD, EVENTS, HEAD, raw_attempt
 from ...testing.rawpeer import (
     PIECE_INTERVAL_S,
+    RawConnection,
     Script,
     closes,
     floods,
@@ -15,7 +18,7 @@
     sends,
     stays_silent,
 )
-from ..responsehandler import MAX_BYTES_WITHOUT_BODY
+from ..responsehandler import MAX_BYTES_WITHOUT_BODY, ResponseProgress
 from ..session import open_session
 
 FIRST_CHUNK = b'%x\r\n%s\r\n' % (len(EVENTS), EVENTS)
@@ -178,3 +181,53 @@
                 assert await response.read() == EVENTS
             await asyncio.sleep(3 * PIECE_INTERVAL_S)
         assert peer.connections == 3
+
+
+@pytest.mark.parametrize('repeated', [b'\r\n', b'\r\n ', b'\n'])
+def test_endless_empty_lines_are_not_parsed_one_by_one(
+    repeated: bytes,
+) -> None:
+    # Each part costs a call of the parser, all before other tasks run.
+    parts = list(ResponseProgress().parts(repeated * 30_000))
+    assert parts == [repeated * 30_000]
+
+
+@pytest.mark.parametrize('size', [1, 2, 3, 4, 5, 50, 1000])
+def test_parts_end_where_a_head_ends_however_it_arrives(size: int) -> None:
+    octets = b''.join((HEAD, b'\r\n', EVENTS))
+    progress = ResponseProgress()
+    parts = [
+        part
+        for at in range(0, len(octets), size)
+        for part in progress.parts(octets[at : at + size])
+    ]
+    assert b''.join(parts) == octets
+    ends = set(itertools.accumulate(map(len, parts)))
+    assert len(HEAD) + len(b'\r\n') in ends
+
+
+@pytest.mark.parametrize('response', [b'', WITH_LENGTH])
+async def test_rest_of_a_request_is_sent_only_if_it_was_answered(
+    response: bytes,
+) -> None:
+    body = bytes(16_777_216)
+    is_over = asyncio.Event()
+    received: list[int] = []
+
+    async def read_late(connection: RawConnection) -> None:
+        await connection.send(response)
+        await is_over.wait()
+        try:
+            received.append(len(await connection.reader.read(-1)))
+        except OSError:
+            received.append(0)
+
+    async with raw_peer(read_late) as peer, open_session(0.3) as session:
+        url = f'http://{peer.address}/'
+        with contextlib.suppress(TimeoutError):
+            async with session.post(url, data=body) as answer:
+                await answer.read()
+        is_over.set()
+        while not received:
+            await asyncio.sleep(PIECE_INTERVAL_S)
+    assert (received[0] == len(body)) == bool(response)
