Count whole answers, not arrivals, to tell common parts

What callers would see: many requests with a crashing part that arrive at once, before its third crash, make it a common part, and it is never stopped.

Evidence: test_part_in_most_requests_of_late_is_stopped, 100 such requests at once, red before (further ones reach engines: 502 beside 503).

Parts of whole answers are counted instead: a part that crashes engines has none, so it is never common and goes first among suspects with the same crashes. A content goes before an unanswered part: refusing it costs nobody else, and the part shows itself by the next crash.

--- a/primroserudder/fleet/partcounts.py
+++ b/primroserudder/fleet/partcounts.py
@@ -1,4 +1,10 @@
-"""Counts how many requests carry each part of prompts."""
+"""Counts how many requests with each part of prompts were answered.
+
+Explanation
+===========
+Only whole answers count: a part that crashes engines has none, however many
+requests carry it.
+"""
 
 from collections import Counter
 from collections.abc import Iterable
@@ -6,15 +12,15 @@
 
 from .suspects import is_part
 
-MAX_REQUESTS = 1000
+MAX_ANSWERS = 1000
 MAX_PARTS = 4096
-MIN_REQUESTS_TO_JUDGE = 50
+MIN_ANSWERS_TO_JUDGE = 50
 COMMON_SHARE = 0.5
 
 
 @dataclass(slots=True)
 class PartCounts:
-    """Requests of late, by part; all counts are halved now and then.
+    """Answers of late, by part; all counts are halved now and then.
 
     Examples
     ========
@@ -25,39 +31,38 @@
     (True, False)
     """
 
-    requests: float = 0
+    answers: float = 0
     count_by_part: Counter[str] = field(default_factory=Counter)
 
     def note(self, parts: Iterable[str]) -> None:
-        """Count a request that is admitted with some parts."""
+        """Count a whole answer to a request with some parts."""
         known = tuple(parts)
         if not known:
             return
-        self.requests += 1
+        self.answers += 1
         self.count_by_part.update(known)
         is_full = len(self.count_by_part) > MAX_PARTS
-        if is_full or self.requests > MAX_REQUESTS:
+        if is_full or self.answers > MAX_ANSWERS:
             self._halve()
 
     def is_common(self, part: str) -> bool:
-        """Return whether at least half of the requests carry a part."""
-        if self.requests < MIN_REQUESTS_TO_JUDGE:
+        """Return whether at least half of the answers were to a part."""
+        if self.answers < MIN_ANSWERS_TO_JUDGE:
             return False
-        return self.count_by_part[part] >= COMMON_SHARE * self.requests
+        return self.count_by_part[part] >= COMMON_SHARE * self.answers
 
     def rarity(self, suspect: str) -> tuple[float, bool, str]:
-        """Return a sort key that is lowest for a suspect of few requests.
+        """Return a sort key that is lowest for what few sound requests hold.
 
         Explanation
         ===========
-        A content counts as one request's own. A part that no other request
-        carries covers it as well, and sorts first.
+        A content is one request's own. It sorts before parts without an
+        answer, which other requests may carry.
         """
-        requests = max(self.count_by_part[suspect], 1)
-        return requests, not is_part(suspect), suspect
+        return self.count_by_part[suspect], is_part(suspect), suspect
 
     def _halve(self) -> None:
-        self.requests /= 2
+        self.answers /= 2
         self.count_by_part = Counter(
             {
                 part: count // 2
--- a/primroserudder/fleet/quarantine.py
+++ b/primroserudder/fleet/quarantine.py
@@ -93,10 +93,6 @@
             retry_after=STRIKE_LIFETIME_S,
         )
 
-    def note_arrival(self, call: Call) -> None:
-        """Count the parts of a request that is not refused."""
-        self.strikes.part_counts.note(call.suspects[1:])
-
     def note_send(self, call: Call, target: Target) -> None:
         """Log that a suspect with strikes is sent to an engine."""
         suspect = max(call.suspects, key=self.strikes.count)
@@ -109,6 +105,7 @@
     ) -> None:
         """Record what the result of an attempt says about its suspects."""
         if outcome.ending is Ending.DELIVERED:
+            self.strikes.part_counts.note(call.suspects[1:])
             for suspect in call.suspects:
                 if self.strikes.complete(suspect):
                     self.log.note('strikes_cleared', suspect=suspect)
--- a/primroserudder/fleet/serving.py
+++ b/primroserudder/fleet/serving.py
@@ -79,7 +79,6 @@
         budget = self.budgets.for_service(call.destination.service.name)
         budget.record_request(self.clock.monotonic())
         self.quarantine.check(call)
-        self.quarantine.note_arrival(call)
         try:
             async with asyncio.timeout_at(call.deadline_at):
                 return await self._serve(call, sink)
--- a/primroserudder/fleet/tests/test_crashing_part.py
+++ b/primroserudder/fleet/tests/test_crashing_part.py
@@ -171,6 +171,21 @@
         assert set(statuses) == {503}
 
 
+async def test_part_in_most_requests_of_late_is_stopped() -> None:
+    # They arrive at once, and wait: no crash was seen before they did.
+    engines = 4
+    async with platform_site(plain=engines) as site:
+        await _wait_until_serving(site)
+        callers = PromptCallers(site, PLAIN_PATH)
+        _crash_on(site, CRASHING_PART)
+        for engine in site.engines_by_id.values():
+            engine.faults.crashing_after_s = 0.3
+        await asyncio.gather(*(callers.send_crashing(1) for _ in range(100)))
+        assert _crashes(site) <= MAX_CRASHES + engines
+        await _wait_until_serving(site)
+        assert set(await callers.send_crashing(SENDS)) == {503}
+
+
 def _convict(site: PlatformSite, part: str, router: int = 0) -> None:
     """Report the part's crashes as another VM does."""
     quarantine = site.routers[router].server.quarantine
