Play parts of prompts that crash engines in the fault soak

Requests no two alike, with one such part and the callers' own first part, go to all routers in turn. Checked on both sides: how many reach engines later than 3 s after the fifth crash, and that from 6 s after it at most half of the callers' own requests are refused as quarantined.

The check of sound requests is shown by its unit test only.

--- a/primroserudder/faultsoak/callers.py
+++ b/primroserudder/faultsoak/callers.py
@@ -17,6 +17,9 @@
 # This share of requests is cancelled by the caller, often during the response.
 CANCELLED_SHARE = 0.08
 MAX_CANCEL_DELAY_S = 0.15
+FIRST_PART = '5c1e07a2'
+SOUND_PROMPT = f'{FIRST_PART}:800,a1:410,e4402b7d:250'
+QUARANTINED = b'"code":"quarantined"'
 
 
 class RequestKind(enum.Enum):
@@ -56,6 +59,10 @@
         is_complete = self.ending is Ending.ANSWERED
         return is_complete and self.status == HTTPStatus.OK
 
+    def is_quarantined(self) -> bool:
+        """Return whether the request was refused for what it holds."""
+        return QUARANTINED in self.body
+
 
 @dataclass(slots=True)
 class _Answer:
@@ -131,6 +138,7 @@
         'Authorization': f'Bearer {KEY}',
         names.ATTEMPT_ID: request_id,
         names.MODEL: 'small',
+        names.PREFIX_HASH: SOUND_PROMPT,
         names.DEADLINE_MS: str(round(REQUEST_TIMEOUT_S * 1000)),
     }
     try:
--- a/primroserudder/faultsoak/crashingcontents.py
+++ b/primroserudder/faultsoak/crashingcontents.py
@@ -93,7 +93,9 @@
             return
 
 
-def late_arrivals(arrivals: list[float]) -> list[float]:
+def late_arrivals(
+    arrivals: list[float], crashes_to_know: int = CRASHES_TO_KNOW
+) -> list[float]:
     """Return the arrivals at engines later than all VMs must know.
 
     Examples
@@ -101,7 +103,7 @@
     >>> late_arrivals([0, 1, 2, 4, 5.5])
     [5.5]
     """
-    if len(arrivals) < CRASHES_TO_KNOW:
+    if len(arrivals) < crashes_to_know:
         return []
-    known_at = arrivals[CRASHES_TO_KNOW - 1] + NOTICE_S
+    known_at = arrivals[crashes_to_know - 1] + NOTICE_S
     return [arrival for arrival in arrivals if arrival > known_at]
--- a/primroserudder/faultsoak/faults.py
+++ b/primroserudder/faultsoak/faults.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 
 from .crashingcontents import CrashingContents
+from .crashingparts import CrashingParts
 from .linkfaults import LinkFaults
 from .plan import FaultInjector, FaultKind, PlannedFault
 from .routerfaults import RouterFaults
@@ -21,11 +22,13 @@
     injected: Counter[FaultKind] = field(default_factory=Counter)
     links: LinkFaults = field(init=False)
     crashing: CrashingContents = field(init=False)
+    crashing_parts: CrashingParts = field(init=False)
 
     def __post_init__(self) -> None:
         """Create the faults whose record the checks need."""
         self.links = LinkFaults(self.site)
         self.crashing = CrashingContents(self.site)
+        self.crashing_parts = CrashingParts(self.site)
 
     async def inject(self, plan: Sequence[PlannedFault]) -> None:
         """Inject all faults; return when the last one is over."""
@@ -45,4 +48,5 @@
             **StoreFaults(self.site).by_kind(),
             **EngineFaults(self.site).by_kind(),
             **self.crashing.by_kind(),
+            **self.crashing_parts.by_kind(),
         }
--- a/primroserudder/faultsoak/plan.py
+++ b/primroserudder/faultsoak/plan.py
@@ -55,6 +55,7 @@
     CONFIGURATION_CHANGED = 'configuration changed'
     STORE_RESTORED = 'store restored from a copy'
     CONTENT_CRASHES = 'content crashes engines'
+    PART_CRASHES = 'part of prompts crashes engines'
 
 
 @dataclass(frozen=True, slots=True)
--- a/primroserudder/faultsoak/soak.py
+++ b/primroserudder/faultsoak/soak.py
@@ -213,6 +213,7 @@
             for violation in check_versions(versions):
                 yield f'{incarnation}: {violation}'
         yield from faults.crashing.violations()
+        yield from faults.crashing_parts.violations(self.exchanges)
         yield from site.group_checker.violations
         yield from self._tracebacks()
 
