--- a/primroserudder/faultsoak/plan.py
+++ b/primroserudder/faultsoak/plan.py
@@ -58,6 +58,7 @@
     STORE_RESTORED = 'store restored from a copy'
     CONTENT_CRASHES = 'content crashes engines'
     ENGINE_NEVER_ENDS = 'engine sends without end'
+    PART_CRASHES = 'part of prompts crashes engines'
 
 
 @dataclass(frozen=True, slots=True)
@@ -75,7 +76,7 @@
 
 # Kinds that came later are drawn by themselves, so that a seed keeps the
 # faults that it had without them.
-_LATER_KINDS = (FaultKind.ENGINE_NEVER_ENDS,)
+_LATER_KINDS = (FaultKind.ENGINE_NEVER_ENDS, FaultKind.PART_CRASHES)
 _FIRST_KINDS = tuple(kind for kind in FaultKind if kind not in _LATER_KINDS)
 
 
--- a/primroserudder/faultsoak/soak.py
+++ b/primroserudder/faultsoak/soak.py
@@ -221,10 +221,14 @@
             for violation in check_versions(versions):
                 yield f'{incarnation}: {violation}'
         yield from sorted(self.request_violations)
-        yield from faults.crashing.violations()
+        yield from self._check_crashes(faults)
         yield from site.group_checker.violations
         yield from self._tracebacks()
 
+    def _check_crashes(self, faults: FaultRunner) -> Iterator[str]:
+        yield from faults.crashing.violations()
+        yield from faults.crashing_parts.violations(self.exchanges)
+
     def _tracebacks(self) -> Iterator[str]:
         for path in sorted(self.options.folder.glob('*.log')):
             if TRACEBACK in path.read_text(errors='replace'):
--- a/primroserudder/fleet/serving.py
+++ b/primroserudder/fleet/serving.py
@@ -78,7 +78,6 @@
         """
         self.charger.record_request(call)
         self.quarantine.check(call)
-        self.quarantine.note_arrival(call)
         try:
             async with asyncio.timeout_at(call.deadline_at):
                 return await self._serve(call, sink)
