Count a silence from its own start, also in a drain or after another one

Found in review. A member that fell silent while another drained, or after a silence that had ended, closed the head at once, or sent the members of a silent head away: the time of a silence was counted from the moment at which the group began to dissolve. Streams that can't move lost their callers' connections.

The progress now records since when a member is silent, and forgets it once all answer. 1.2 s, since the silence may have begun some 0.3 to 0.6 s before.

--- a/primroserudder/fleet/group_lifecycle.py
+++ b/primroserudder/fleet/group_lifecycle.py
@@ -28,7 +28,7 @@
 MAX_CLOSING_S = 8.0
 # An engine that does not answer probes may be silent for about a second and go
 # on, so that its group's streams that can't move wait for it this long.
-MAX_SILENCE_S = 0.9
+MAX_SILENCE_S = 1.2
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,8 +49,7 @@
 
 AT_ONCE = CloseTimes()
 ON_DRAIN = CloseTimes(STREAMS_MOVE_AFTER_S, MAX_CLOSING_S)
-ON_SILENCE = CloseTimes(end_after_s=MAX_SILENCE_S)
-AFTER_SILENCE = CloseTimes(end_after_s=MAX_CLOSING_S)
+ON_SILENCE = CloseTimes(end_after_s=MAX_CLOSING_S)
 
 
 @dataclass(slots=True)
@@ -64,7 +63,8 @@
     true by default. Times are monotonic and in seconds: ``first_left_at`` is
     that of the first acknowledged order to leave, and since
     ``no_member_listed_since`` no listed member has reported the group.
-    ``close_times`` depend on the reason why the group dissolves.
+    ``close_times`` depend on the reason why the group dissolves, and since
+    ``silent_since`` a member does not answer probes.
     """
 
     formation: Formation
@@ -73,6 +73,7 @@
     is_open_ordered: bool = True
     is_dissolving: bool = False
     close_times: CloseTimes = AT_ONCE
+    silent_since: float | None = None
     dissolving_since: float = 0
     is_close_answered: bool = False
     has_head_left: bool = False
@@ -102,7 +103,21 @@
 
     def may_finish_streams(self, now: float) -> bool:
         """Return whether the head may still finish the streams it runs."""
-        return now - self.dissolving_since < self.close_times.end_after_s
+        is_silent_long = (
+            self.silent_since is not None
+            and now - self.silent_since >= MAX_SILENCE_S
+        )
+        dissolving_s = now - self.dissolving_since
+        return not is_silent_long and (
+            dissolving_s < self.close_times.end_after_s
+        )
+
+    def note_silence(self, now: float, *, is_silent: bool) -> None:
+        """Record whether a member does not answer probes."""
+        if not is_silent:
+            self.silent_since = None
+        elif self.silent_since is None:
+            self.silent_since = now
 
     def note_remaining(
         self,
@@ -162,6 +177,10 @@
     Marks the group as dissolving if a member was lost or drains, or if the
     head is broken.
     """
+    members = progress.formation.members
+    progress.note_silence(
+        snapshot.now, is_silent=not snapshot.unreachable.isdisjoint(members)
+    )
     if progress.is_dissolving:
         progress.close_times = _close_times(progress, snapshot)
     else:
@@ -205,13 +224,10 @@
     progress: GroupProgress, snapshot: EngineSnapshot
 ) -> CloseTimes:
     """Return the times of a dissolving group by what its members do now."""
-    is_loss = _lost_members(progress, snapshot)
+    is_loss = bool(_lost_members(progress, snapshot))
     if progress.close_times is AT_ONCE or is_loss:
         return AT_ONCE
-    if snapshot.unreachable.isdisjoint(progress.formation.members):
-        is_drain = progress.close_times is ON_DRAIN
-        return ON_DRAIN if is_drain else AFTER_SILENCE
-    return ON_SILENCE
+    return progress.close_times if progress.silent_since is None else ON_SILENCE
 
 
 def _lost_members(
