Note an event as sent before the wait for a slow caller

An attempt that was cancelled while the caller took an event slowly had written the event but not noted it: the next attempt resumed one event too early, and the caller got it twice.

--- a/primroserudder/fleet/attempt.py
+++ b/primroserudder/fleet/attempt.py
@@ -237,8 +237,9 @@
         self.activity.events += 1
         if not self.sink.is_started:
             await self._start_stream(response)
-        await self.sink.send_event(event)
+        # A cancelled send may have written the event already.
         self.call.last_event_id = event.event_id or self.call.last_event_id
+        await self.sink.send_event(event)
 
     async def _start_stream(self, response: aiohttp.ClientResponse) -> None:
         self.sink.is_started = True
