Forget that a group was lost once its streams were told

The mark of a lost group was never taken back. If the next lease holder found the group sound and kept it, each new stream there was moved away and charged to the retry budget. A group that is still broken is reported again with each notice.

--- a/primroserudder/fleet/health.py
+++ b/primroserudder/fleet/health.py
@@ -135,8 +135,18 @@
         )
 
     def lost_event(self, group: str) -> asyncio.Event:
-        """Return an event that is set once a group is reported broken."""
-        return self._lost_event(short_key(group))
+        """Return an event that is set once a group is reported broken.
+
+        Explanation
+        ===========
+        Earlier reports don't count: the next lease holder may have found the
+        group sound. A group that is still broken is reported again and again.
+        """
+        group_key = short_key(group)
+        event = self.lost_event_by_group.get(group_key)
+        if event is not None and event.is_set():
+            self.lost_event_by_group.pop(group_key)
+        return self._lost_event(group_key)
 
     def mark_groups_lost(self, group_keys: Iterable[int]) -> None:
         """Set the lost events of broken groups, which ends their streams."""
--- a/primroserudder/fleet/tests/test_load_decisions.py
+++ b/primroserudder/fleet/tests/test_load_decisions.py
@@ -21,6 +21,7 @@
 from ..demand import DemandMeter, initial_groups
 from ..directory import Directory
 from ..health import TargetHealth
+from ..membership import short_key
 from ..model import Engine, EngineSpec, GroupState, ModelSpec
 from ..retries import Ending
 from ..silent_heads import SILENT_START_S, SILENT_STREAM_S, silent_heads
@@ -183,3 +184,12 @@
     assert running.is_set()
     assert not health.unreachable_event('a').is_set()
     assert not health.is_usable(target('a', domain='fd-2'))
+
+
+def test_group_that_is_no_longer_reported_broken_keeps_its_streams() -> None:
+    """The next lease holder may find the group sound and go on with it."""
+    health = TargetHealth(ManualClock())
+    name = formation().name
+    health.mark_groups_lost([short_key(name)])
+    health.mark_groups_lost([])
+    assert not health.lost_event(name).is_set()
