Secure a slot elsewhere before a stream leaves a silent engine

A stream left its engine when any other target was healthy, though none had a free slot; it then waited in the queue until its deadline and was aborted. An engine that had once refused the request no longer counted as another one, so that a stream of a dead engine hung. The strike for the silence could itself quarantine the request just moved. And a stream that may not move noted no strike at all while its engine was gone, so that other copies of a crashing content ran on.

A stream that wants to leave now waits in the pool's queue, with the rank of a retry, while its attempt goes on; with the slot in hand and the retry paid it leaves in the same step. A slot that is not used after all is released however the request ends. The loss is noted as a strike or suspicion when it is seen, whether or not the stream leaves, and a request that is quarantined by then stays where it is.

The queues of pools have a module of their own, which the server and the moves share.

--- a/primroserudder/fleet/attemptrunner.py
+++ b/primroserudder/fleet/attemptrunner.py
@@ -111,11 +111,17 @@
         Returns whether it moves because its head is unreachable.
         """
         call, target = attempt.call, attempt.target
+        is_noted = False
         while True:
             is_unreachable = await self._wait_for_loss(target, running)
             if running.done():
                 return False
-            if self.moves.try_permit(call, target):
+            if is_unreachable or not is_noted:
+                is_noted = True
+                self.moves.note_loss(
+                    call, target, is_unreachable=is_unreachable
+                )
+            if await self.moves.try_reserve(call, target, running):
                 return is_unreachable
             await asyncio.wait((running,), timeout=MOVE_RETRY_INTERVAL_S)
 
--- a/primroserudder/fleet/call.py
+++ b/primroserudder/fleet/call.py
@@ -1,6 +1,8 @@
 """A caller's request while it is served."""
 
 import asyncio
+from collections.abc import Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass, field
 
 import xxhash
@@ -9,6 +11,7 @@
 from ..platform.headers import RequestMetadata
 from ..request.dispatch import DispatchRecord
 from .directorynames import pool_name
+from .model import Target
 from .retries import RetryState
 from .routes import Destination
 from .suspects import suspects_of
@@ -26,7 +29,9 @@
     attempts. ``digest`` names the content: path, workspace and body,
     which stay the same when a caller sends a request again under another id
     or key. ``suspects`` holds the keys of all that may crash engines: the
-    digest, and the shared parts of the prompt.
+    digest, and the shared parts of the prompt. ``reserved_target`` has a slot
+    for the next attempt; ``is_leaving_attempt`` is true while a running
+    attempt looks for one.
     """
 
     method: str
@@ -41,6 +46,8 @@
     dispatch: DispatchRecord
     last_event_id: str = ''
     tried_engines: set[str] = field(default_factory=set)
+    reserved_target: Target | None = None
+    is_leaving_attempt: bool = False
     digest: str = field(init=False)
     suspects: tuple[str, ...] = field(init=False)
 
@@ -52,6 +59,21 @@
         self.digest = hasher.hexdigest()
         self.suspects = suspects_of(self.digest, self.metadata.shared_parts)
 
+    @contextmanager
+    def leaving_attempt(self) -> Iterator[None]:
+        """Mark the request as one that looks for another attempt."""
+        self.is_leaving_attempt = True
+        try:
+            yield
+        finally:
+            self.is_leaving_attempt = False
+
+    def take_reserved_target(self) -> Target | None:
+        """Return the reserved target, if any, which is then no longer so."""
+        target = self.reserved_target
+        self.reserved_target = None
+        return target
+
     @property
     def remaining_s(self) -> float:
         """Return the seconds left until the deadline."""
--- a/primroserudder/fleet/quarantine.py
+++ b/primroserudder/fleet/quarantine.py
@@ -29,6 +29,7 @@
 
 SETTLE_INTERVAL_S = 0.25
 MAX_SUSPICIONS = 5000
+NO_ANSWER = 'the engine does not answer probes'
 
 
 class Quarantined(RudderError):
@@ -93,6 +94,10 @@
             retry_after=STRIKE_LIFETIME_S,
         )
 
+    def is_refused(self, call: Call) -> bool:
+        """Return whether a request must not run again."""
+        return any(map(self.strikes.is_quarantined, call.suspects))
+
     def note_send(self, call: Call, target: Target) -> None:
         """Log that a suspect with strikes is sent to an engine."""
         suspect = max(call.suspects, key=self.strikes.count)
@@ -114,17 +119,25 @@
         elif outcome.ending in {Ending.UNKNOWN, Ending.CUT}:
             self.note_abandoned(call, target)
 
-    def note_abandoned(self, call: Call, target: Target) -> None:
-        """Suspect all that a run without a response held."""
+    def note_abandoned(
+        self, call: Call, target: Target, reason: str = ''
+    ) -> None:
+        """Suspect all that a run without a response held.
+
+        Parameters
+        ==========
+        reason : str
+            By what the engine seems to have ended, empty if that is unknown.
+        """
         engine = self.directory.engines_by_id.get(target.engine_id)
         if engine is not None and engine.is_draining:
             # It leaves the list soon, whatever it runs.
             return
         strikes = _strikes(call, target)
-        reason = self._reason_of_end(strikes[0])
-        if reason:
+        known_reason = reason or self._reason_of_end(strikes[0])
+        if known_reason:
             # A retry must not wait for the next round.
-            self._strike_all(strikes, reason)
+            self._strike_all(strikes, known_reason)
         else:
             now = self.clock.monotonic()
             self._suspicions.append(_Suspicion(strikes, now))
@@ -194,7 +207,7 @@
         if not self._is_listed(strike):
             return 'the engine ended without a response'
         if strike.engine_id in self.unreachable():
-            return 'the engine does not answer probes'
+            return NO_ANSWER
         return ''
 
     def _is_listed(self, strike: Strike) -> bool:
--- a/primroserudder/fleet/router.py
+++ b/primroserudder/fleet/router.py
@@ -274,7 +274,7 @@
         )
 
     def _on_view_change(self) -> None:
-        self.server.grant_free_slots()
+        self.server.slots.grant_free_slots()
         self.control_plane.reconciler.wake.set()
 
     def _relay_candidates(self) -> Sequence[str]:
--- a/primroserudder/fleet/serverassembly.py
+++ b/primroserudder/fleet/serverassembly.py
@@ -14,6 +14,7 @@
 from .retries import RetryBudgets
 from .serving import Server
 from .site_view import SiteView
+from .slotqueues import SlotQueues
 from .streammoves import RetryCharger, StreamMoves
 from .target_selector import TargetSelector
 
@@ -55,6 +56,7 @@
         context.clock,
         peers.count,
     )
+    slots = SlotQueues(in_flight_counts, context.clock)
     return Server(
         selector,
         AttemptRunner(
@@ -62,10 +64,10 @@
             health,
             quarantine,
             EngineSignalHandler(view.directory, health, context.log),
-            StreamMoves(selector, charger),
+            StreamMoves(selector, charger, slots, quarantine),
         ),
         context.clock,
-        in_flight_counts,
+        slots,
         health,
         quarantine,
         context.log,
--- a/primroserudder/fleet/serving.py
+++ b/primroserudder/fleet/serving.py
@@ -3,7 +3,8 @@
 import asyncio
 from collections.abc import Iterator
 from contextlib import contextmanager
-from dataclasses import dataclass, field
+from dataclasses import dataclass
+from functools import partial
 
 from ..errors import Ran, RudderError
 from ..process.clock import Clock
@@ -13,13 +14,13 @@
 from .attemptrunner import AttemptRunner
 from .call import Call
 from .health import TargetHealth
-from .membership import InFlightCounts
 from .model import Target
 from .quarantine import Quarantine, Quarantined
 from .retries import NEVER_RUN, Ending, Step
+from .slotqueues import SlotQueues
 from .streammoves import RetryCharger
 from .target_selector import TargetSelector
-from .waitqueue import RETRY_AFTER_NO_GROUP_S, NoFreeSlot, WaitQueue, max_wait_s
+from .waitqueue import RETRY_AFTER_NO_GROUP_S, NoFreeSlot, max_wait_s
 
 # A pause before each retry, so that a momentary fault of an engine or a
 # connection does not use up all tries of a request.
@@ -60,13 +61,12 @@
     selector: TargetSelector
     runner: AttemptRunner
     clock: Clock
-    in_flight_counts: InFlightCounts
+    slots: SlotQueues
     health: TargetHealth
     quarantine: Quarantine
     log: DecisionLog
     metrics: Metrics
     charger: RetryCharger
-    queues_by_pool: dict[str, WaitQueue] = field(default_factory=dict)
 
     async def serve(self, call: Call, sink: StreamSink) -> AttemptResult:
         """Serve a request and return the result of its last attempt.
@@ -85,11 +85,8 @@
             raise self._timeout_error(call) from error
         except NoFreeSlot as error:
             raise self._no_slot_error(call, error) from None
-
-    def grant_free_slots(self) -> None:
-        """Assign free slots to waiting requests, in all pools."""
-        for queue in self.queues_by_pool.values():
-            queue.grant_free_slots()
+        finally:
+            self.slots.release_reserved(call)
 
     def _timeout_error(self, call: Call) -> RudderError:
         if call.dispatch.ran is Ran.NO:
@@ -130,14 +127,16 @@
         try:
             self.quarantine.check(call)
         except Quarantined as error:
-            self._queue(call.pool).release(target)
+            self.slots.release(call, target)
             if call.dispatch.ran is Ran.NO:
                 raise call.dispatch.close(error) from None
             raise call.dispatch.close(MayHaveRun(str(error))) from error
         self.quarantine.note_send(call, target)
 
     async def _acquire_slot(self, call: Call) -> Target:
-        queue = self._queue(call.pool)
+        reserved = call.take_reserved_target()
+        if reserved is not None:
+            return reserved
         route = call.destination.route
         has_run = bool(call.retry_state.runs)
         wait_s = max_wait_s(route.objective_s, call.age_s, call.remaining_s)
@@ -155,9 +154,8 @@
                 'all engines of the pool want no requests now',
                 retry_after=back_off_s,
             )
-        rank = (0 if has_run else 1, float(call.destination.priority))
-        return await queue.acquire(
-            lambda: self.selector.find(call), rank, wait_s
+        return await self.slots.acquire(
+            call, partial(self.selector.find, call), wait_s
         )
 
     async def _attempt(
@@ -175,7 +173,7 @@
         try:
             yield
         finally:
-            self._queue(call.pool).release(target)
+            self.slots.release(call, target)
 
     def _record_outcome(
         self,
@@ -231,13 +229,6 @@
             last_event=call.last_event_id,
         )
 
-    def _queue(self, pool: str) -> WaitQueue:
-        queue = self.queues_by_pool.get(pool)
-        if queue is None:
-            queue = WaitQueue(pool, self.in_flight_counts, self.clock)
-            self.queues_by_pool[pool] = queue
-        return queue
-
 
 def _step_without_retry(ending: Ending, call: Call) -> Step:
     if ending is Ending.FAILED:
--- /dev/null
+++ b/primroserudder/fleet/slotqueues.py
@@ -0,0 +1,58 @@
+"""The queues of requests that wait for slots, one for each pool."""
+
+from dataclasses import dataclass, field
+
+from ..process.clock import Clock
+from .call import Call
+from .membership import InFlightCounts
+from .model import Target
+from .waitqueue import FindTarget, WaitQueue
+
+
+@dataclass(slots=True)
+class SlotQueues:
+    """Gives slots of engines to requests, and takes them back."""
+
+    in_flight_counts: InFlightCounts
+    clock: Clock
+    queues_by_pool: dict[str, WaitQueue] = field(default_factory=dict)
+
+    async def acquire(
+        self, call: Call, find: FindTarget, max_wait_s: float
+    ) -> Target:
+        """Return a target with a slot for a request.
+
+        Explanation
+        ===========
+        Requests that may have run go first.
+
+        Raises
+        ======
+        NoFreeSlot
+            No slot became free within ``max_wait_s``.
+        """
+        has_run = call.retry_state.runs or call.is_leaving_attempt
+        rank = (0 if has_run else 1, float(call.destination.priority))
+        return await self._queue(call.pool).acquire(find, rank, max_wait_s)
+
+    def release(self, call: Call, target: Target) -> None:
+        """Release a request's slot and assign it to the next request."""
+        self._queue(call.pool).release(target)
+
+    def release_reserved(self, call: Call) -> None:
+        """Release the slot that a request reserved and did not use."""
+        target = call.take_reserved_target()
+        if target is not None:
+            self.release(call, target)
+
+    def grant_free_slots(self) -> None:
+        """Assign free slots to waiting requests, in all pools."""
+        for queue in self.queues_by_pool.values():
+            queue.grant_free_slots()
+
+    def _queue(self, pool: str) -> WaitQueue:
+        queue = self.queues_by_pool.get(pool)
+        if queue is None:
+            queue = WaitQueue(pool, self.in_flight_counts, self.clock)
+            self.queues_by_pool[pool] = queue
+        return queue
--- a/primroserudder/fleet/streammoves.py
+++ b/primroserudder/fleet/streammoves.py
@@ -3,20 +3,30 @@
 Explanation
 ===========
 An engine that is silent, or whose group is reported broken, may go on a moment
-later. A stream is therefore ended only if another attempt is certain to be
-allowed: the route permits one, another target exists, and the retry budget was
+later. A stream is therefore ended only once another attempt is secured: the
+route permits one, a slot elsewhere is reserved, and the retry budget was
 charged for it. A stream that can't move waits for its engine.
 """
 
+import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 
 from ..process.clock import Clock
+from ..process.loops import cancel_on_exit
+from .attempt import AttemptResult
 from .call import Call
 from .model import Target
+from .quarantine import NO_ANSWER, Quarantine
 from .retries import RetryBudget, RetryBudgets
+from .slotqueues import SlotQueues
 from .target_selector import TargetSelector
 
+# A stream that finds no slot within this time looks again a moment later, if
+# its target still seems lost.
+SLOT_WAIT_S = 0.25
+
 
 @dataclass(slots=True)
 class RetryCharger:
@@ -46,21 +56,59 @@
 
 @dataclass(slots=True)
 class StreamMoves:
-    """Permits streams to leave a target that seems to be lost."""
+    """Lets streams leave a target that seems to be lost."""
 
     selector: TargetSelector
     charger: RetryCharger
+    slots: SlotQueues
+    quarantine: Quarantine
+
+    def note_loss(
+        self, call: Call, target: Target, *, is_unreachable: bool
+    ) -> None:
+        """Note that a stream's target seems lost, whether or not it leaves."""
+        reason = NO_ANSWER if is_unreachable else ''
+        self.quarantine.note_abandoned(call, target, reason)
 
-    def try_permit(self, call: Call, target: Target) -> bool:
-        """Return whether a stream may leave its target for another attempt.
+    async def try_reserve(
+        self, call: Call, target: Target, running: asyncio.Task[AttemptResult]
+    ) -> bool:
+        """Reserve what a stream needs for another attempt.
 
         Explanation
         ===========
-        The retry is paid for at once: the streams of a lost engine end
-        together, and each of them must be able to go on.
+        Returns whether it has a slot elsewhere and its retry is paid for. The
+        streams of a lost engine end together, and each must be able to go on.
         """
-        return (
-            call.retry_state.may_leave_attempt(call.remaining_s)
-            and self.selector.has_alternative(call, target)
-            and self.charger.try_pay(call)
-        )
+        if not self._may_leave(call):
+            return False
+        chosen = await self._wait_for_slot(call, target, running)
+        if chosen is None:
+            return False
+        is_allowed = not running.done() and self._may_leave(call)
+        if not is_allowed or not self.charger.try_pay(call):
+            self.slots.release(call, chosen)
+            return False
+        call.reserved_target = chosen
+        return True
+
+    def _may_leave(self, call: Call) -> bool:
+        is_retry_allowed = call.retry_state.may_leave_attempt(call.remaining_s)
+        return is_retry_allowed and not self.quarantine.is_refused(call)
+
+    async def _wait_for_slot(
+        self, call: Call, target: Target, running: asyncio.Task[AttemptResult]
+    ) -> Target | None:
+        """Return a target with a slot, ``None`` if none is free in time."""
+        find = partial(self.selector.find, call, target.engine_id)
+        with call.leaving_attempt():
+            slot = asyncio.ensure_future(
+                self.slots.acquire(call, find, SLOT_WAIT_S)
+            )
+            async with cancel_on_exit(slot):
+                await asyncio.wait(
+                    (running, slot), return_when=asyncio.FIRST_COMPLETED
+                )
+        if slot.cancelled() or slot.exception() is not None:
+            return None
+        return slot.result()
--- a/primroserudder/fleet/target_selector.py
+++ b/primroserudder/fleet/target_selector.py
@@ -53,9 +53,14 @@
         targets = self._pool(call).targets
         return any(_is_intact(target, broken) for target in targets)
 
-    def find(self, call: Call) -> Target | None:
+    def find(self, call: Call, leaving: str = '') -> Target | None:
         """Return a target with a free slot, ``None`` if there is none.
 
+        Parameters
+        ==========
+        leaving : str
+            Id of an engine that the request leaves, empty if there is none.
+
         Explanation
         ===========
         Engines that the request has tried are used again only if no other one
@@ -65,22 +70,16 @@
         pool = self._pool(call)
         broken = self.broken_groups()
         cut_off = self._cut_off_domains(pool, broken)
-        tried = call.tried_engines
+        tried = {leaving, *call.tried_engines}
         untried = _UsableTargets(self.health, broken, cut_off, tried)
         chosen = self.balancer.choose(pool, untried)
-        if chosen is None and tried:
-            any_usable = _UsableTargets(self.health, broken, cut_off)
+        if chosen is None and call.tried_engines:
+            any_usable = _UsableTargets(
+                self.health, broken, cut_off, (leaving,)
+            )
             chosen = self.balancer.choose(pool, any_usable)
         return chosen
 
-    def has_alternative(self, call: Call, target: Target) -> bool:
-        """Return whether a request may go to another target than this one."""
-        pool = self._pool(call)
-        broken = self.broken_groups()
-        excluded = {target.engine_id, *call.tried_engines}
-        is_usable = _UsableTargets(self.health, broken, (), excluded)
-        return any(map(is_usable, pool.targets))
-
     def back_off_s(self, call: Call) -> float:
         """Return for how long no target wants a request, in seconds."""
         if not self.health.backing_off_until:
--- a/primroserudder/fleet/tests/test_site.py
+++ b/primroserudder/fleet/tests/test_site.py
@@ -323,9 +323,9 @@
         pending = asyncio.ensure_future(_response_body(site, '/refunds/1'))
         server = site.routers[0].server
         await site.until(
-            lambda: bool(server.in_flight_counts.running_by_engine)
+            lambda: bool(server.slots.in_flight_counts.running_by_engine)
         )
-        busy_engines = set(server.in_flight_counts.running_by_engine)
+        busy_engines = set(server.slots.in_flight_counts.running_by_engine)
         assert not busy_engines.intersection(server.runner.streams_by_head)
         await pending
 
