Say quarantined, cleared and attribution of crashes in place of court terms

Names only: a newcomer had to learn convict, acquit and verdict beside the words quarantine and strike. explaining:Verdict -> Attribution, judge -> attribute, crashes_by_convict -> crashes_by_cause; strikes:verdict -> attribution; suspectlog:note_verdict -> note_attribution; the log lines suspect_convicted and suspect_acquitted -> suspect_quarantined and suspect_cleared; the metric convictions -> quarantines; the state's convicted -> quarantined.

--- a/primroserudder/fleet/explaining.py
+++ b/primroserudder/fleet/explaining.py
@@ -3,9 +3,9 @@
 Explanation
 ===========
 A crash, the end of one incarnation of an engine, has one cause, but strikes
-all that ran there. The suspect with most unexplained crashes is convicted
+all that ran there. The suspect with most unexplained crashes is quarantined
 first, and explains all crashes under it; the others keep the rest. Of several
-with the same crashes the rarest is convicted, so that refusing it costs the
+with the same crashes the rarest is quarantined, so that refusing it costs the
 fewest sound callers.
 """
 
@@ -17,50 +17,51 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Verdict:
-    """The convicted suspects and the crashes that they explain."""
+class Attribution:
+    """The quarantined suspects and the crashes that they explain."""
 
-    crashes_by_convict: Mapping[str, Collection[Incarnation]] = field(
+    crashes_by_cause: Mapping[str, Collection[Incarnation]] = field(
         default_factory=dict,
     )
     explained: frozenset[Incarnation] = frozenset()
 
 
-def judge(
+def attribute(
     crashes_by_suspect: Mapping[str, frozenset[Incarnation]],
     rarity: Callable[[str], tuple[float, bool, str]],
-) -> Verdict:
-    """Return the verdict on suspects, the same for any order of strikes.
+) -> Attribution:
+    """Attribute crashes to suspects, the same for any order of strikes.
 
     Parameters
     ==========
     rarity : Callable
-        Returns a sort key of a suspect; of equals the lowest is convicted.
+        Returns a sort key of a suspect; of equals the lowest is quarantined.
 
     Examples
     ========
-    >>> guilty = frozenset({('a', 1), ('b', 1), ('c', 1), ('d', 1)})
-    >>> bystander = guilty - {('d', 1)}
-    >>> verdict = judge(
-    ...     {'part.b': bystander, 'part.g': guilty}, lambda key: (1, False, key)
+    >>> crashing = frozenset({('a', 1), ('b', 1), ('c', 1), ('d', 1)})
+    >>> bystander = crashing - {('d', 1)}
+    >>> attribution = attribute(
+    ...     {'part.b': bystander, 'part.g': crashing},
+    ...     lambda key: (1, False, key),
     ... )
-    >>> sorted(verdict.crashes_by_convict)
+    >>> sorted(attribution.crashes_by_cause)
     ['part.g']
     """
     left = dict(crashes_by_suspect)
-    convicts: dict[str, Collection[Incarnation]] = {}
+    causes: dict[str, Collection[Incarnation]] = {}
     explained: frozenset[Incarnation] = frozenset()
     while True:
         left = _unexplained(left, explained)
         if not left:
-            return Verdict(convicts, explained)
+            return Attribution(causes, explained)
         most = max(map(len, left.values()))
-        convict = min(
+        cause = min(
             (key for key, crashes in left.items() if len(crashes) == most),
             key=rarity,
         )
-        convicts[convict] = crashes_by_suspect[convict]
-        explained |= left.pop(convict)
+        causes[cause] = crashes_by_suspect[cause]
+        explained |= left.pop(cause)
 
 
 def _unexplained(
--- a/primroserudder/fleet/partcounts.py
+++ b/primroserudder/fleet/partcounts.py
@@ -14,7 +14,7 @@
 
 MAX_ANSWERS = 1000
 MAX_PARTS = 4096
-MIN_ANSWERS_TO_JUDGE = 50
+MIN_ANSWERS_TO_COMPARE = 50
 COMMON_SHARE = 0.5
 
 
@@ -47,7 +47,7 @@
 
     def is_common(self, part: str) -> bool:
         """Return whether at least half of the answers were to a part."""
-        if self.answers < MIN_ANSWERS_TO_JUDGE:
+        if self.answers < MIN_ANSWERS_TO_COMPARE:
             return False
         return self.count_by_part[part] >= COMMON_SHARE * self.answers
 
--- a/primroserudder/fleet/quarantine.py
+++ b/primroserudder/fleet/quarantine.py
@@ -84,13 +84,13 @@
 
     def check(self, call: Call) -> None:
         """Raise ``Quarantined`` if a request must not run."""
-        convicts = filter(self.strikes.is_quarantined, call.suspects)
-        convict = next(convicts, None)
-        if convict is None:
+        causes = filter(self.strikes.is_quarantined, call.suspects)
+        cause = next(causes, None)
+        if cause is None:
             return
-        self.notes.note_refusal(call, convict)
+        self.notes.note_refusal(call, cause)
         raise Quarantined(
-            f'{convict} crashed several engines',
+            f'{cause} crashed several engines',
             retry_after=STRIKE_LIFETIME_S,
         )
 
@@ -154,11 +154,11 @@
             self.log.note('strikes_merged', source=source, strikes=merged)
 
     def dump(self) -> Mapping[str, list[str]]:
-        """Return the crashes of each convicted suspect, for operators."""
-        convicts = self.strikes.verdict.crashes_by_convict
+        """Return the crashes of each quarantined suspect, for operators."""
+        causes = self.strikes.attribution.crashes_by_cause
         return {
-            convict: [f'{engine}@{born}' for engine, born in sorted(crashes)]
-            for convict, crashes in convicts.items()
+            cause: [f'{engine}@{born}' for engine, born in sorted(crashes)]
+            for cause, crashes in causes.items()
         }
 
     async def run(self) -> None:
@@ -174,7 +174,7 @@
         if current_since is not None:
             self._settle_strikes(current_since)
         self.strikes.drop_expired()
-        self.notes.note_verdict(self.strikes.verdict)
+        self.notes.note_attribution(self.strikes.attribution)
 
     def _settle_suspicions(self) -> None:
         oldest = self.clock.monotonic() - self.list_expiry_s
--- a/primroserudder/fleet/router.py
+++ b/primroserudder/fleet/router.py
@@ -158,7 +158,7 @@
             'store_reachable': self.view.engines.is_reachable,
             'store_era': self.view.store_era(),
             'strikes': self.server.quarantine.strikes.shared(),
-            'convicted': self.server.quarantine.dump(),
+            'quarantined': self.server.quarantine.dump(),
             'lease_held': self.lease.is_held(),
             'groups': sorted(tenure.groups_by_name) if tenure else [],
             'log_lines_dropped': self.log.dropped,
--- a/primroserudder/fleet/strikes.py
+++ b/primroserudder/fleet/strikes.py
@@ -7,7 +7,7 @@
 are therefore counted by suspect: by the digest of a content, and by part.
 Each names one incarnation of an engine, so that all VMs can merge them in any
 order. A strike is void for good once the suspect completed or the engine
-proved to be alive, and does not count while a convicted suspect explains the
+proved to be alive, and does not count while a quarantined suspect explains the
 engine's end.
 """
 
@@ -17,7 +17,12 @@
 from dataclasses import dataclass, field
 
 from ..process.clock import Clock
-from .explaining import STRIKES_TO_QUARANTINE, Incarnation, Verdict, judge
+from .explaining import (
+    STRIKES_TO_QUARANTINE,
+    Incarnation,
+    Attribution,
+    attribute,
+)
 from .partcounts import PartCounts
 from .suspects import is_part
 
@@ -91,7 +96,7 @@
 
 @dataclass(slots=True)
 class StrikeRegistry:
-    """The strikes of each suspect, those that are void, and the verdict.
+    """The strikes of each suspect, those that are void, and the attribution.
 
     Examples
     ========
@@ -114,14 +119,14 @@
     _completed_at: OrderedDict[str, float] = field(default_factory=OrderedDict)
     part_counts: PartCounts = field(default_factory=PartCounts)
     _often_struck: set[str] = field(default_factory=set)
-    _verdict: Verdict | None = None
+    _attribution: Attribution | None = None
     _shared: tuple[str, ...] | None = None
 
     @property
-    def verdict(self) -> Verdict:
-        """Return the convicted suspects, judged anew if strikes changed."""
-        if self._verdict is None:
-            self._verdict = judge(
+    def attribution(self) -> Attribution:
+        """Return what explains the crashes, anew if strikes changed."""
+        if self._attribution is None:
+            self._attribution = attribute(
                 {
                     key: frozenset(
                         strike.incarnation
@@ -132,11 +137,11 @@
                 },
                 self.part_counts.rarity,
             )
-        return self._verdict
+        return self._attribution
 
     def is_quarantined(self, digest: str) -> bool:
         """Return whether requests with a suspect must not run again."""
-        return digest in self.verdict.crashes_by_convict
+        return digest in self.attribution.crashes_by_cause
 
     def count(self, digest: str) -> int:
         """Return the number of strikes of a suspect."""
@@ -147,7 +152,7 @@
         records = self.records_by_digest.get(digest, {})
         if self.is_quarantined(digest):
             return len(records)
-        explained = self.verdict.explained
+        explained = self.attribution.explained
         return sum(strike.incarnation not in explained for strike in records)
 
     def records(self) -> Iterator[tuple[Strike, StrikeRecord]]:
@@ -265,10 +270,10 @@
         self._shared = None
         if self.count(digest) >= STRIKES_TO_QUARANTINE:
             self._often_struck.add(digest)
-            self._verdict = None
+            self._attribution = None
         elif digest in self._often_struck:
             self._often_struck.discard(digest)
-            self._verdict = None
+            self._attribution = None
 
     def _note_void(self, strike: Strike) -> None:
         self.void_since[strike] = self.clock.monotonic()
--- a/primroserudder/fleet/suspectlog.py
+++ b/primroserudder/fleet/suspectlog.py
@@ -8,7 +8,7 @@
 from ..process.decisions import DecisionLog
 from ..process.metrics import Metrics
 from .call import Call
-from .explaining import Incarnation, Verdict
+from .explaining import Attribution, Incarnation
 from .model import Target
 
 # Lines on the sends or refusals of one suspect are at least this far apart:
@@ -20,25 +20,25 @@
 
 @dataclass(slots=True)
 class SuspectLog:
-    """Notes refusals, sends of struck suspects, and changes of the verdict."""
+    """Notes refusals, sends of struck suspects and newly quarantined ones."""
 
     clock: Clock
     log: DecisionLog
     metrics: Metrics
-    _convicts: Mapping[str, Collection[Incarnation]] = field(
+    _causes: Mapping[str, Collection[Incarnation]] = field(
         default_factory=dict,
     )
     _noted_at: OrderedDict[tuple[str, str], float] = field(
         default_factory=OrderedDict,
     )
 
-    def note_refusal(self, call: Call, convict: str) -> None:
+    def note_refusal(self, call: Call, cause: str) -> None:
         """Note that a request is refused."""
         self.metrics.count('quarantined_requests')
-        if self._is_due('refusal_for_crashes', convict):
+        if self._is_due('refusal_for_crashes', cause):
             self.log.note(
                 'refusal_for_crashes',
-                suspect=convict,
+                suspect=cause,
                 request=call.metadata.attempt_id,
             )
 
@@ -57,21 +57,21 @@
                 strikes=strikes,
             )
 
-    def note_verdict(self, verdict: Verdict) -> None:
-        """Note which suspects were convicted or acquitted since last time."""
-        convicts = verdict.crashes_by_convict
-        for convict in convicts.keys() - self._convicts.keys():
-            engines = sorted({engine for engine, _ in convicts[convict]})
-            self.metrics.count('convictions')
+    def note_attribution(self, attribution: Attribution) -> None:
+        """Note which suspects were quarantined or cleared since last time."""
+        causes = attribution.crashes_by_cause
+        for cause in causes.keys() - self._causes.keys():
+            engines = sorted({engine for engine, _ in causes[cause]})
+            self.metrics.count('quarantines')
             self.log.note(
-                'suspect_convicted',
-                suspect=convict,
-                crashes=len(convicts[convict]),
+                'suspect_quarantined',
+                suspect=cause,
+                crashes=len(causes[cause]),
                 engines=engines[:MAX_ENGINES_IN_LINE],
             )
-        for acquitted in self._convicts.keys() - convicts.keys():
-            self.log.note('suspect_acquitted', suspect=acquitted)
-        self._convicts = convicts
+        for cleared in self._causes.keys() - causes.keys():
+            self.log.note('suspect_cleared', suspect=cleared)
+        self._causes = causes
 
     def _is_due(self, decision: str, suspect: str) -> bool:
         """Return whether a line on a suspect is due, and take it as written."""
--- a/primroserudder/fleet/tests/test_crashing_part.py
+++ b/primroserudder/fleet/tests/test_crashing_part.py
@@ -186,13 +186,15 @@
         assert set(await callers.send_crashing(SENDS)) == {503}
 
 
-def _convict(site: PlatformSite, part: str, router: int = 0) -> None:
+def _quarantine(site: PlatformSite, part: str, router: int = 0) -> None:
     """Report the part's crashes as another VM does."""
     quarantine = site.routers[router].server.quarantine
     quarantine.merge('vm-9', [f'part.{part}={name}@1' for name in 'abc'])
 
 
-async def test_waiting_request_is_refused_once_its_part_is_convicted() -> None:
+async def test_waiting_request_is_refused_once_its_part_is_quarantined() -> (
+    None
+):
     async with platform_site(plain=1) as site:
         await _wait_until_serving(site)
         callers = PromptCallers(site, PLAIN_PATH)
@@ -205,14 +207,14 @@
         await site.until(lambda: counts.running(engine.engine_id) == SLOTS)
         waiting = asyncio.ensure_future(callers.send_crashing(1))
         await site.until(lambda: bool(counts.own_waiting()))
-        _convict(site, CRASHING_PART)
+        _quarantine(site, CRASHING_PART)
         for filler in fillers:
             filler.cancel()
         assert await waiting == [503]
         assert not _arrivals(site)
 
 
-async def test_request_is_not_retried_once_its_part_is_convicted() -> None:
+async def test_request_is_not_retried_once_its_part_is_quarantined() -> None:
     async with platform_site(engines=4, plain=2) as site:
         await _wait_until_serving(site)
         callers = PromptCallers(site, REPEATABLE_PATH)
@@ -220,14 +222,14 @@
             engine.faults.never_answers = True
         sent = asyncio.ensure_future(callers.send_crashing(1))
         await site.until(lambda: _arrivals(site) == 1)
-        _convict(site, CRASHING_PART)
+        _quarantine(site, CRASHING_PART)
         for engine in _plain_engines(site):
             crash_with_connections(engine)
         assert await sent == [502]
         assert _arrivals(site) == 1
 
 
-async def test_convicted_part_outlives_all_routers() -> None:
+async def test_quarantined_part_outlives_all_routers() -> None:
     async with platform_site(plain=4, routers=2) as site:
         await _wait_until_serving(site)
         callers = PromptCallers(site, PLAIN_PATH)
@@ -241,7 +243,7 @@
         assert crashes <= MAX_CRASHES
 
 
-async def test_convicted_part_outlives_a_restored_store_and_all_routers() -> (
+async def test_quarantined_part_outlives_a_restored_store_and_all_routers() -> (
     None
 ):
     async with platform_site(plain=4, routers=2) as site:
@@ -263,7 +265,7 @@
         assert crashes <= MAX_CRASHES
 
 
-async def test_convicted_part_reaches_routers_that_hear_no_notices() -> None:
+async def test_quarantined_part_reaches_routers_that_hear_no_notices() -> None:
     async with platform_site(plain=4, routers=2) as site:
         await _wait_until_serving(site)
         for router in site.routers:
@@ -355,7 +357,7 @@
     # The last part belongs to the request itself and is no suspect.
     async with platform_site() as site:
         await _wait_until_serving(site)
-        _convict(site, CRASHING_PART)
+        _quarantine(site, CRASHING_PART)
         async with site.request(
             '/notes/1',
             headers={
