Test that engines get no more than the limit that they name

Callers see nothing of it; an engine in need gets up to all of its usual requests although it named a limit.

--- a/primroserudder/standins/groupengine.py
+++ b/primroserudder/standins/groupengine.py
@@ -28,6 +28,7 @@
 SEAL = 'X-Primroserudder-Response-Seal'
 NOT_EXECUTED = 'X-Primroserudder-Not-Executed'
 LEAVING = 'Server-Leaving'
+LIMIT = 'Server-Limit'
 SERVICE = 'model'
 # Longer than any caller's timeout.
 HANG_S = 60
@@ -73,6 +74,8 @@
     retry_after: str = ''
     # Whether responses say that the engine leaves; its entry doesn't.
     announces_leaving: bool = False
+    # Requests a second that the engine says it takes, none if empty.
+    limit: str = ''
     never_answers: bool = False
     never_ends: bool = False
     omits_seal: bool = False
@@ -254,7 +257,7 @@
         if expected not in {None, self.engine_id}:
             return web.Response(status=HTTPStatus.MISDIRECTED_REQUEST)
         if self.faults.refuses or not (self.is_plain or self.is_open()):
-            headers = {NOT_EXECUTED: '1', **_leaving_field(self.faults)}
+            headers = {NOT_EXECUTED: '1', **_state_fields(self.faults)}
             if self.faults.retry_after:
                 headers['Retry-After'] = self.faults.retry_after
             return web.Response(
@@ -270,7 +273,7 @@
             return await send_without_end(request, len(self.received_requests))
         headers = {
             ATTEMPT_ID: request.headers.get(ATTEMPT_ID, ''),
-            **_leaving_field(self.faults),
+            **_state_fields(self.faults),
         }
         if not self.faults.omits_seal:
             headers[SEAL] = f'seal of {self.engine_id}'
@@ -338,8 +341,11 @@
     return tuple(entry.partition(':')[0] for entry in entries[:-1])
 
 
-def _leaving_field(faults: EngineFaults) -> Mapping[str, str]:
-    return {LEAVING: '1'} if faults.announces_leaving else {}
+def _state_fields(faults: EngineFaults) -> Mapping[str, str]:
+    """Return the fields in which an engine speaks of itself."""
+    leaving = {LEAVING: '1'} if faults.announces_leaving else {}
+    limit = {LIMIT: faults.limit} if faults.limit else {}
+    return {**leaving, **limit}
 
 
 def event(number: int) -> bytes:
