Keep all routers together to the limit that an engine names

Cause: nothing read the field. Ruled out by the tests: routers that each keep to the limit alone, and news that comes late; the excess was the same with one router and after the first second.

--- a/primroserudder/fleet/callers.py
+++ b/primroserudder/fleet/callers.py
@@ -19,7 +19,7 @@
 from .attempt import AttemptResult, StreamSink
 from .call import Call
 from .callerbody import discard_body, read_body
-from .cutoff import Cutoff, CutOff, stop_error
+from .cutoff import CutOff, Cutoff, stop_error
 from .model import Configuration
 from .requestendings import RequestEndings
 from .retries import Ending, RetryState
--- a/primroserudder/fleet/enginelimits/tests/test_limited_site.py
+++ b/primroserudder/fleet/enginelimits/tests/test_limited_site.py
@@ -9,9 +9,12 @@
 
 import asyncio
 
+import pytest
+
 from ....standins.groupengine import GroupEngine
 from ....testing.limitedload import SteadyLoad, most_received
 from ....testing.platformsite import PlatformSite, platform_site
+from ...router import Router
 
 LIMIT_PER_S = 4
 WINDOW_S = 2.0
@@ -19,6 +22,7 @@
 # A site may take this long to act on a limit that is named for the first time.
 REACTION_S = 1.0
 LOAD_S = 4.0
+AT_ONCE_S = 0.1
 
 
 async def _wait_until_serving(site: PlatformSite, pool: str) -> None:
@@ -56,3 +60,95 @@
         limited = site.heads()[0]
         received = await _most_received(site, limited, '/notes/1')
         assert LIMIT_PER_S <= received <= MOST_IN_WINDOW
+
+
+async def test_requests_over_all_limits_are_refused_at_once() -> None:
+    async with platform_site(plain=1) as site:
+        directory = site.routers[0].view.directory
+        await site.until(lambda: 'ledger/' in directory.targets_by_pool())
+        limited = site.engines_by_id['i-6']
+        limited.faults.limit = '0.2'
+        loop = asyncio.get_running_loop()
+        statuses = []
+        # The first answer names the limit; one request more fits in it.
+        for _ in range(2):
+            async with site.request('/refunds/1') as response:
+                statuses.append(response.status)
+        at_once_until = loop.time() + AT_ONCE_S
+        async with site.request('/refunds/1') as response:
+            assert response.status == 503
+            assert 1 < float(response.headers['Retry-After']) <= 5
+        assert loop.time() < at_once_until
+        assert statuses == [200, 200]
+        assert len(limited.received_requests) == 2
+
+
+async def test_limit_of_one_engine_refuses_nothing_that_others_take() -> None:
+    async with platform_site(routers=3) as site:
+        await _wait_until_serving(site, 'ledger/')
+        site.engines_by_id['i-7'].faults.limit = '0'
+        load = SteadyLoad(site, '/refunds/1', rate_per_s=40)
+        await load.run(2.0)
+        assert set(load.statuses) == {200}
+
+
+async def test_limit_holds_no_longer_than_the_engine_says_so() -> None:
+    async with platform_site(plain=1) as site:
+        directory = site.routers[0].view.directory
+        await site.until(lambda: 'ledger/' in directory.targets_by_pool())
+        limited = site.engines_by_id['i-6']
+        limited.faults.limit = '2'
+        await SteadyLoad(site, '/refunds/1', rate_per_s=20).run(0.5)
+        limited.faults.limit = ''
+        await asyncio.sleep(2.1)
+        load = SteadyLoad(site, '/refunds/1', rate_per_s=20)
+        await load.run(0.5)
+        assert set(load.statuses) == {200}
+
+
+async def test_limit_ends_with_the_incarnation() -> None:
+    async with platform_site(plain=1) as site:
+        directory = site.routers[0].view.directory
+        await site.until(lambda: 'ledger/' in directory.targets_by_pool())
+        limited = site.engines_by_id['i-6']
+        limited.faults.limit = '0.2'
+        await SteadyLoad(site, '/refunds/1', rate_per_s=20).run(0.3)
+        limited.faults.limit = ''
+        limited.born += 1
+        limited.register()
+        await site.until(
+            lambda: (
+                directory.targets_by_pool()['ledger/'][0].born_ms
+                == limited.born
+            )
+        )
+        load = SteadyLoad(site, '/refunds/1', rate_per_s=20)
+        await load.run(0.5)
+        assert set(load.statuses) == {200}
+
+
+async def test_router_that_starts_again_is_told_before_it_sends() -> None:
+    async with platform_site(plain=2, routers=2) as site:
+        await _wait_until_serving(site, 'ledger/')
+        site.engines_by_id['i-7'].faults.limit = '2'
+        await SteadyLoad(site, '/lookups/1', rate_per_s=40).run(1.0)
+        assert not site.routers[1].limits.registry.is_empty()
+        settings = site.routers[1].settings
+        await site.routers[1].close()
+        site.routers[1] = Router(settings)
+        await site.routers[1].start()
+        registry = site.routers[1].limits.registry
+        await site.until(lambda: bool(registry.rates_by_key()))
+        assert set(registry.rates_by_key().values()) == {2}
+
+
+@pytest.mark.parametrize('text', ['soon', '-3', 'nan', '1e400', ' '])
+async def test_malformed_limit_is_ignored(text: str) -> None:
+    async with platform_site(plain=1) as site:
+        directory = site.routers[0].view.directory
+        await site.until(lambda: 'ledger/' in directory.targets_by_pool())
+        site.engines_by_id['i-6'].faults.limit = text
+        load = SteadyLoad(site, '/refunds/1', rate_per_s=20)
+        await load.run(0.5)
+        assert set(load.statuses) == {200}
+        assert site.routers[0].limits.registry.is_empty()
--- a/primroserudder/fleet/membership/__init__.py
+++ b/primroserudder/fleet/membership/__init__.py
@@ -12,14 +12,18 @@
 from .exchange import Exchange
 from .in_flight import InFlightCounts
 from .keys import short_key
+from .limitreport import LimitReport
 from .nodes import NodeRegistry
-from .notice import Facts, Strikes
+from .notice import Facts, LimitNews, LoadPart, Strikes
 from .peeraddresses import Peer, PeerAddresses
 
 __all__ = [
     'Exchange',
     'Facts',
     'InFlightCounts',
+    'LimitNews',
+    'LimitReport',
+    'LoadPart',
     'NodeRegistry',
     'Peer',
     'PeerAddresses',
--- a/primroserudder/fleet/membership/exchange.py
+++ b/primroserudder/fleet/membership/exchange.py
@@ -173,6 +173,8 @@
     def _receive(self, source: str, notice: Notice, now: float) -> None:
         if not self.links.link(source).receive(notice, now):
             return
+        if notice.load is not None and notice.load.limits:
+            self.links.own_limits.merge(notice.load.limits)
         for listener in self.listeners:
             listener(source, notice.facts, notice.strikes)
 
--- a/primroserudder/fleet/membership/in_flight.py
+++ b/primroserudder/fleet/membership/in_flight.py
@@ -1,4 +1,4 @@
-"""Counts in-flight requests per engine over all VMs of the site.
+"""Counts the requests of all VMs of the site, by engine and by pool.
 
 Explanation
 ===========
@@ -11,6 +11,7 @@
 from dataclasses import dataclass, field
 
 from .keys import short_key
+from .notice import LoadPart
 
 Counts = Mapping[int, int]
 
@@ -29,6 +30,13 @@
         In-flight requests of the other VMs by the key of the engine.
     others_waiting : dict
         Waiting requests of the other VMs by the key of the pool.
+    others_sent : dict
+        Requests that the other VMs sent lately to engines with a limit, by
+        the key of the incarnation.
+    others_looks : dict
+        How often the other VMs looked lately for a place there, a second.
+    others_vms : int
+        How many other VMs report.
     changes : int
         Rises with each change of a count.
     """
@@ -37,6 +45,9 @@
     waiting_by_pool: Counter[str] = field(default_factory=Counter)
     others_running: dict[int, int] = field(default_factory=dict)
     others_waiting: dict[int, int] = field(default_factory=dict)
+    others_sent: dict[int, int] = field(default_factory=dict)
+    others_looks: dict[int, int] = field(default_factory=dict)
+    others_vms: int = 0
     changes: int = 0
 
     def begin(self, engine_id: str) -> None:
@@ -88,22 +99,21 @@
             if count
         }
 
-    def replace_running(self, before: Counts, now: Counts) -> None:
-        """Replace what some other VMs reported as running."""
-        self._replace(self.others_running, before, now)
-
-    def replace_waiting(self, before: Counts, now: Counts) -> None:
-        """Replace what some other VMs reported as waiting."""
-        self._replace(self.others_waiting, before, now)
-
-    def _replace(
-        self, sums: dict[int, int], before: Counts, now: Counts
-    ) -> None:
+    def replace(self, before: LoadPart, now: LoadPart) -> None:
+        """Replace what some other VMs reported."""
         if before == now:
             return
         self.changes += 1
-        add_counts(sums, before, -1)
-        add_counts(sums, now)
+        for sums, earlier, later in (
+            (self.others_running, before.running, now.running),
+            (self.others_waiting, before.waiting, now.waiting),
+            (self.others_sent, before.sent, now.sent),
+            (self.others_looks, before.looks, now.looks),
+        ):
+            if earlier != later:
+                add_counts(sums, earlier, -1)
+                add_counts(sums, later)
+        self.others_vms += now.vms - before.vms
 
 
 def add_counts(sums: dict[int, int], added: Counts, sign: int = 1) -> None:
--- a/primroserudder/fleet/membership/link.py
+++ b/primroserudder/fleet/membership/link.py
@@ -1,11 +1,12 @@
 """What a neighbour sent last, and what was sent to it."""
 
 import itertools
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Collection, Mapping, Sequence
 from dataclasses import dataclass, field
+from typing import TypeVar
 
-from .in_flight import Counts, InFlightCounts
-from .notice import Facts, LoadPart, Notice, Strikes
+from .in_flight import InFlightCounts, add_counts
+from .notice import Facts, LimitNews, LoadPart, Notice, Strikes
 
 UNCHANGED_RESEND_INTERVAL_S = 0.3
 # A lease claim that is fresher by this much is sent on before that.
@@ -13,6 +14,8 @@
 MS_PER_S = 1000
 KEYS_PER_PART = 100
 MAX_STRIKES = 6
+NO_LOAD = LoadPart(vms=0)
+Entry = TypeVar('Entry')
 
 
 @dataclass(slots=True)
@@ -105,9 +108,8 @@
     received_at: float = 0
     outbox: Outbox = field(default_factory=Outbox)
     _last: tuple[int, int] = (0, 0)
-    _running_by_part: dict[int, Counts] = field(default_factory=dict)
+    _load_by_part: dict[int, LoadPart] = field(default_factory=dict)
     _parts: int = 1
-    _waiting: Counts = field(default_factory=dict)
 
     def receive(self, notice: Notice, now: float) -> bool:
         """Take over a notice; return whether it is newer than the last."""
@@ -139,54 +141,80 @@
             facts.broken_groups,
         )
 
-    def running(self) -> Iterable[Counts]:
-        """Return the neighbour's counts of running requests, by part."""
-        return self._running_by_part.values()
-
-    def waiting(self) -> Counts:
-        """Return the neighbour's counts of waiting requests."""
-        return self._waiting
+    def loads(self) -> Collection[LoadPart]:
+        """Return the parts of the load that the neighbour reported."""
+        return self._load_by_part.values()
 
     def drop(self) -> None:
         """Take what the neighbour reported out of the sums."""
-        for running in self._running_by_part.values():
-            self.counts.replace_running(running, {})
-        self.counts.replace_waiting(self._waiting, {})
-        self._running_by_part = {}
-        self._waiting = {}
+        for load in self._load_by_part.values():
+            self.counts.replace(load, NO_LOAD)
+        self._load_by_part = {}
 
     def _receive_load(self, load: LoadPart) -> None:
         if load.total != self._parts:
             self.drop()
             self._parts = load.total
-        before = self._running_by_part.get(load.number, {})
-        self.counts.replace_running(before, load.running)
-        self._running_by_part[load.number] = load.running
-        if not load.number:
-            self.counts.replace_waiting(self._waiting, load.waiting)
-            self._waiting = load.waiting
-
-
-def load_parts(
-    running: Mapping[int, int], waiting: Mapping[int, int]
-) -> list[LoadPart]:
-    """Return counts in parts that each fit a notice.
-
-    Examples
-    ========
-    >>> [part.total for part in load_parts({1: 2}, {})]
-    [1]
-    >>> parts = load_parts(dict.fromkeys(range(150), 1), {})
-    >>> [(part.number, len(part.running)) for part in parts]
-    [(0, 75), (1, 75)]
-    """
-    total = 1
-    while total * KEYS_PER_PART < len(running):
-        total *= 2
-    running_by_part: list[dict[int, int]] = [{} for _ in range(total)]
-    for key, count in running.items():
-        running_by_part[key % total][key] = count
-    return [
-        LoadPart(number, total, part, {} if number else dict(waiting))
-        for number, part in enumerate(running_by_part)
-    ]
+        before = self._load_by_part.get(load.number, NO_LOAD)
+        self.counts.replace(before, load)
+        self._load_by_part[load.number] = load
+
+
+@dataclass(slots=True)
+class Load:
+    """Requests on one side of a link; the same keys as in a part."""
+
+    running: dict[int, int]
+    waiting: dict[int, int]
+    sent: dict[int, int]
+    looks: dict[int, int]
+    limits: Mapping[int, LimitNews]
+    vms: int = 1
+
+    def add(self, link: Link, sign: int = 1) -> None:
+        """Add what a neighbour reported, or take it away."""
+        for part in link.loads():
+            add_counts(self.running, part.running, sign)
+            add_counts(self.waiting, part.waiting, sign)
+            add_counts(self.sent, part.sent, sign)
+            add_counts(self.looks, part.looks, sign)
+            self.vms += sign * part.vms
+
+    def parts(self) -> list[LoadPart]:
+        """Return the load in parts that each fit a notice.
+
+        Examples
+        ========
+        >>> [part.total for part in Load({1: 2}, {}, {}, {}, {}).parts()]
+        [1]
+        >>> parts = Load(dict.fromkeys(range(150), 1), {}, {}, {}, {}).parts()
+        >>> [(part.number, len(part.running), part.vms) for part in parts]
+        [(0, 75, 1), (1, 75, 0)]
+        """
+        total = 1
+        size = sum(map(len, (self.running, self.sent, self.looks, self.limits)))
+        while total * KEYS_PER_PART < size:
+            total *= 2
+        return [
+            LoadPart(
+                number,
+                total,
+                _keys_of_part(self.running, number, total),
+                {} if number else self.waiting,
+                _keys_of_part(self.sent, number, total),
+                _keys_of_part(self.looks, number, total),
+                _keys_of_part(self.limits, number, total),
+                0 if number else self.vms,
+            )
+            for number in range(total)
+        ]
+
+
+def _keys_of_part(
+    by_key: Mapping[int, Entry], number: int, total: int
+) -> dict[int, Entry]:
+    if total == 1:
+        return dict(by_key)
+    return {
+        key: entry for key, entry in by_key.items() if key % total == number
+    }
--- a/primroserudder/fleet/membership/links.py
+++ b/primroserudder/fleet/membership/links.py
@@ -4,7 +4,8 @@
 from dataclasses import dataclass, field
 
 from .in_flight import InFlightCounts, add_counts
-from .link import Link, load_parts
+from .limitreport import LimitReport
+from .link import Link, Load
 from .notice import Facts, LoadPart, merge_facts
 
 # Requests that a lost parent reported are assumed to run for this long, since
@@ -24,6 +25,7 @@
 
     counts: InFlightCounts
     own_facts: Callable[[], Facts]
+    own_limits: LimitReport = field(default_factory=LimitReport)
     by_address: dict[str, Link] = field(default_factory=dict)
     _parent: str = ''
     _lost: Link | None = None
@@ -51,25 +53,22 @@
 
     def upward_parts(self, children: Iterable[str]) -> list[LoadPart]:
         """Return the load of this VM and its children."""
-        running = self.counts.own_running()
-        waiting = self.counts.own_waiting()
+        load = self._own_load()
         for link in self._links(children):
-            for part in link.running():
-                add_counts(running, part)
-            add_counts(waiting, link.waiting())
-        return load_parts(running, waiting)
+            load.add(link)
+        return load.parts()
 
     def downward_parts(self, child: str) -> list[LoadPart]:
         """Return the load of all VMs but those below a child."""
-        running = self.counts.own_running()
-        waiting = self.counts.own_waiting()
-        add_counts(running, self.counts.others_running)
-        add_counts(waiting, self.counts.others_waiting)
+        load = self._own_load()
+        add_counts(load.running, self.counts.others_running)
+        add_counts(load.waiting, self.counts.others_waiting)
+        add_counts(load.sent, self.counts.others_sent)
+        add_counts(load.looks, self.counts.others_looks)
+        load.vms += self.counts.others_vms
         for link in self._links((child,)):
-            for part in link.running():
-                add_counts(running, part, -1)
-            add_counts(waiting, link.waiting(), -1)
-        return load_parts(running, waiting)
+            load.add(link, -1)
+        return load.parts()
 
     def facts(self, sources: Iterable[str], now: float) -> Facts:
         """Return what this VM and some neighbours know together."""
@@ -81,6 +80,15 @@
         """Return what each neighbour knows."""
         return [link.facts for link in self.by_address.values()]
 
+    def _own_load(self) -> Load:
+        return Load(
+            self.counts.own_running(),
+            self.counts.own_waiting(),
+            self.own_limits.sent_by_key(),
+            self.own_limits.looks_by_key(),
+            self.own_limits.news(),
+        )
+
     def _links(self, addresses: Iterable[str]) -> Iterable[Link]:
         return [
             link
--- a/primroserudder/fleet/membership/notice.py
+++ b/primroserudder/fleet/membership/notice.py
@@ -15,10 +15,12 @@
     str, msgspec.Meta(pattern=rf'^((\d{{1,3}}\.){{3}}\d{{1,3}}:{_PORT})?$')
 ]
 MAX_COUNT = 1_000_000
+MAX_MILLI_RATE = 1_000_000_000
 KEYS = 4_294_967_296
 Rank = Annotated[int, msgspec.Meta(ge=0)]
 Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
 Key = Annotated[int, msgspec.Meta(ge=0, lt=KEYS)]
+MilliRate = Annotated[int, msgspec.Meta(ge=0, le=MAX_MILLI_RATE)]
 Speed = Annotated[float, msgspec.Meta(ge=0, le=MAX_COUNT)]
 # Lists longer than this are cut; a notice has room for each of them.
 MAX_LISTED = 50
@@ -87,21 +89,44 @@
     void: tuple[str, ...] = ()
 
 
+class LimitNews(msgspec.Struct, frozen=True, array_like=True):
+    """What an engine said of its limit, as a VM heard it.
+
+    Parameters
+    ==========
+    rate_milli : int or None
+        Requests that the engine takes in 1,000 s, ``None`` if any number.
+    age_s : int
+        How long ago the engine said so, in seconds, rounded up.
+    """
+
+    rate_milli: MilliRate | None = None
+    age_s: Count = 0
+
+
 class LoadPart(msgspec.Struct, frozen=True, array_like=True):
     """Part ``number`` of ``total`` of the requests on a side of a link.
 
     Explanation
     ===========
     ``running`` is the number of in-flight requests by the key of the engine,
-    ``waiting`` of queued requests by the key of the pool. Keys without
-    requests are left out. An engine is in the part given by its key modulo
-    ``total``; waiting requests are in the first part.
+    ``waiting`` of queued requests by the key of the pool. ``sent`` is the
+    number of requests that were sent lately to engines with a limit, by the
+    key of the incarnation, ``looks`` how often VMs looked for a place there.
+    Keys without requests are left out. ``limits`` are the limits that the
+    sender knows. An engine is in the part given by its key modulo ``total``;
+    waiting requests are in the first part, and so is the number of VMs on that
+    side, ``vms``.
     """
 
     number: Count = 0
     total: Annotated[int, msgspec.Meta(ge=1)] = 1
     running: dict[Key, Count] = {}
     waiting: dict[Key, Count] = {}
+    sent: dict[Key, Count] = {}
+    looks: dict[Key, Count] = {}
+    limits: dict[Key, LimitNews] = {}
+    vms: Count = 1
 
 
 class Notice(msgspec.Struct, frozen=True, array_like=True):
--- a/primroserudder/fleet/membership/tests/test_exchange.py
+++ b/primroserudder/fleet/membership/tests/test_exchange.py
@@ -12,6 +12,7 @@
     notice_network,
 )
 from ..bytebudget import LINK_SHARE
+from ..children import MAX_CHILDREN, MIN_CHILDREN
 from ..notice import (
     MAX_DATAGRAM_BYTES,
     Direction,
@@ -20,7 +21,6 @@
     Strikes,
     encode_notice,
 )
-from ..children import MAX_CHILDREN, MIN_CHILDREN
 from ..tree import PARENT_TIMEOUT_S, SETTLING_S
 
 BYTES_PER_S = LINK_SHARE * SLOW_LINK_MBPS * 1_000_000 / 8
--- a/primroserudder/fleet/ports.py
+++ b/primroserudder/fleet/ports.py
@@ -11,9 +11,9 @@
 from ..errors import RudderError
 from ..platform.names import READY_PATH
 from ..process.metrics import Metrics
-from .httpserver import HttpServer, ConnectionErrors
 from .callerport import LISTEN_BACKLOG, CallerPort
 from .callers import CallerHandler
+from .httpserver import ConnectionErrors, HttpServer
 from .settings import RouterSettings
 from .tablerelay import TableRelay
 
--- a/primroserudder/fleet/router.py
+++ b/primroserudder/fleet/router.py
@@ -17,10 +17,12 @@
     build_control_plane,
     build_lease,
 )
+from .enginelimits import LimitGate, LimitRegistry
 from .membership import (
     Exchange,
     Facts,
     InFlightCounts,
+    LimitReport,
     NodeRegistry,
     PeerAddresses,
     Strikes,
@@ -69,6 +71,7 @@
     tables: RelayedTableSource = field(init=False)
     lease: Lease = field(init=False)
     in_flight_counts: InFlightCounts = field(init=False)
+    limits: LimitGate = field(init=False)
     view: SiteView = field(init=False)
     server: Server = field(init=False)
     exchange: Exchange = field(init=False)
@@ -154,6 +157,7 @@
             'unreadable_notices': self.exchange.unreadable_datagrams,
             'places': self.pool_meter.dump(),
             'running': dict(self.in_flight_counts.running_by_engine),
+            'limits': self.limits.dump(),
             'peers': sorted(self.exchange.links.by_address),
             'store_reachable': self.view.engines.is_reachable,
             'store_era': self.view.store_era(),
@@ -198,6 +202,12 @@
         peers = PeerAddresses(
             settings.exchange_endpoint, settings.failure_domain, settings.speed
         )
+        self.limits = LimitGate(
+            LimitRegistry(self.clock),
+            self.in_flight_counts,
+            self.clock,
+            peers.count,
+        )
         self.exchange = build_exchange(
             settings.exchange_address,
             peers,
@@ -206,6 +216,12 @@
             settings.link_mbps,
             self._own_facts,
             self._own_strikes,
+            LimitReport(
+                self.limits.sent_by_key,
+                self.limits.looks_by_key,
+                self.limits.registry.news,
+                self.limits.registry.merge,
+            ),
         )
         self.exchange.listeners.append(self._on_facts)
         self.registry = NodeRegistry(
@@ -231,6 +247,7 @@
             self.view,
             self.in_flight_counts,
             peers,
+            self.limits,
             self._broken_groups,
             self.control_plane.reconciler.reachability.unreachable,
         )
--- a/primroserudder/fleet/servedrequest.py
+++ b/primroserudder/fleet/servedrequest.py
@@ -18,7 +18,6 @@
 from .events import Event
 from .requestendings import OpenRequest, RequestEnding
 
-
 # Closing a socket that lingers for zero seconds resets its connection.
 RESET = struct.pack('ii', 1, 0)
 
--- a/primroserudder/fleet/serverassembly.py
+++ b/primroserudder/fleet/serverassembly.py
@@ -8,6 +8,7 @@
 from .balancing import Balancer
 from .control_plane import RouterContext
 from .engine_signals import EngineSignalHandler
+from .enginelimits import LimitGate
 from .health import TargetHealth
 from .membership import InFlightCounts, PeerAddresses
 from .quarantine import Quarantine
@@ -26,6 +27,7 @@
     view: SiteView,
     in_flight_counts: InFlightCounts,
     peers: PeerAddresses,
+    limits: LimitGate,
     broken_groups: Callable[[], Collection[int]],
     unreachable: Callable[[], Collection[str]],
 ) -> Server:
@@ -47,6 +49,7 @@
         view.directory,
         Balancer(in_flight_counts.running),
         health,
+        limits,
         broken_groups,
     )
     charger = RetryCharger(
@@ -56,14 +59,16 @@
         context.clock,
         peers.count,
     )
-    slots = SlotQueues(in_flight_counts, context.clock)
+    slots = SlotQueues(in_flight_counts, context.clock, limits.note_send)
     return Server(
         selector,
         AttemptRunner(
             session,
             health,
             quarantine,
-            EngineSignalHandler(view.directory, health, context.log),
+            EngineSignalHandler(
+                view.directory, health, limits.registry, context.log
+            ),
             StreamMoves(selector, charger, slots, quarantine),
         ),
         context.clock,
--- a/primroserudder/fleet/serving.py
+++ b/primroserudder/fleet/serving.py
@@ -148,10 +148,10 @@
                 'no group serves the model',
                 retry_after=RETRY_AFTER_NO_GROUP_S,
             )
-        back_off_s = self.selector.back_off_s(call)
+        back_off_s = self.selector.back_off_s(call, self.slots.waiting(call))
         if back_off_s > max(wait_s, 0):
             raise NoFreeSlot(
-                'all engines of the pool want no requests now',
+                'all engines of the pool take no requests now',
                 retry_after=back_off_s,
             )
         return await self.slots.acquire(
--- a/primroserudder/fleet/slotqueues.py
+++ b/primroserudder/fleet/slotqueues.py
@@ -6,7 +6,7 @@
 from .call import Call
 from .membership import InFlightCounts
 from .model import Target
-from .waitqueue import FindTarget, WaitQueue
+from .waitqueue import FindTarget, NoteSend, WaitQueue
 
 
 @dataclass(slots=True)
@@ -15,6 +15,7 @@
 
     in_flight_counts: InFlightCounts
     clock: Clock
+    note_send: NoteSend
     queues_by_pool: dict[str, WaitQueue] = field(default_factory=dict)
 
     async def acquire(
@@ -35,6 +36,10 @@
         rank = (0 if has_run else 1, float(call.destination.priority))
         return await self._queue(call.pool).acquire(find, rank, max_wait_s)
 
+    def waiting(self, call: Call) -> int:
+        """Return how many requests of all VMs wait for a request's pool."""
+        return self.in_flight_counts.waiting(call.pool)
+
     def release(self, call: Call, target: Target) -> None:
         """Release a request's slot and assign it to the next request."""
         self._queue(call.pool).release(target)
@@ -53,6 +58,8 @@
     def _queue(self, pool: str) -> WaitQueue:
         queue = self.queues_by_pool.get(pool)
         if queue is None:
-            queue = WaitQueue(pool, self.in_flight_counts, self.clock)
+            queue = WaitQueue(
+                pool, self.in_flight_counts, self.clock, self.note_send
+            )
             self.queues_by_pool[pool] = queue
         return queue
--- a/primroserudder/fleet/strikes.py
+++ b/primroserudder/fleet/strikes.py
@@ -19,8 +19,8 @@
 from ..process.clock import Clock
 from .explaining import (
     STRIKES_TO_QUARANTINE,
-    Incarnation,
     Attribution,
+    Incarnation,
     attribute,
 )
 from .partcounts import PartCounts
--- a/primroserudder/fleet/target_selector.py
+++ b/primroserudder/fleet/target_selector.py
@@ -6,6 +6,7 @@
 from .balancing import Balancer, TargetPool, split_pool
 from .call import Call
 from .directory import Directory
+from .enginelimits import LimitGate
 from .health import TargetHealth
 from .membership import short_key
 from .model import Target
@@ -16,17 +17,22 @@
     """Tells which targets may get a request now."""
 
     health: TargetHealth
+    limits: LimitGate
     broken: Collection[int]
     cut_off: Collection[str]
     tried: Collection[str] = ()
 
     def __call__(self, target: Target) -> bool:
         """Return whether a target may get the request."""
-        return (
+        is_wanted = (
             target.engine_id not in self.tried
             and _is_intact(target, self.broken)
             and target.failure_domain not in self.cut_off
+        )
+        return (
+            is_wanted
             and self.health.is_usable(target)
+            and self.limits.may_send(target)
         )
 
 
@@ -44,6 +50,7 @@
     directory: Directory
     balancer: Balancer
     health: TargetHealth
+    limits: LimitGate
     broken_groups: Callable[[], Collection[int]]
     _pools: dict[str, TargetPool] = field(default_factory=dict)
 
@@ -71,28 +78,47 @@
         broken = self.broken_groups()
         cut_off = self._cut_off_domains(pool, broken)
         tried = {leaving, *call.tried_engines}
-        untried = _UsableTargets(self.health, broken, cut_off, tried)
+        untried = _UsableTargets(
+            self.health, self.limits, broken, cut_off, tried
+        )
         chosen = self.balancer.choose(pool, untried)
         if chosen is None and call.tried_engines:
             any_usable = _UsableTargets(
-                self.health, broken, cut_off, (leaving,)
+                self.health, self.limits, broken, cut_off, (leaving,)
             )
             chosen = self.balancer.choose(pool, any_usable)
         return chosen
 
-    def back_off_s(self, call: Call) -> float:
-        """Return for how long no target wants a request, in seconds."""
-        if not self.health.backing_off_until:
+    def back_off_s(self, call: Call, waiting: int) -> float:
+        """Return for how long no target takes a request, in seconds.
+
+        Parameters
+        ==========
+        waiting : int
+            How many requests wait for the same targets already.
+
+        Explanation
+        ===========
+        Targets ask for a pause, or are at the limits that they named.
+        """
+        has_limits = not self.limits.registry.is_empty()
+        if not self.health.backing_off_until and not has_limits:
             return 0
         broken = self.broken_groups()
-        return min(
-            (
-                self.health.back_off_s(target)
-                for target in self._pool(call).targets
-                if _is_intact(target, broken)
-            ),
-            default=0,
-        )
+        intact = [
+            target
+            for target in self._pool(call).targets
+            if _is_intact(target, broken)
+        ]
+        back_offs_s = [self.health.back_off_s(target) for target in intact]
+        ready = [
+            target
+            for target, back_off_s in zip(intact, back_offs_s, strict=True)
+            if not back_off_s
+        ]
+        if ready:
+            return self.limits.wait_s(ready, waiting)
+        return min(back_offs_s, default=0)
 
     def _pool(self, call: Call) -> TargetPool:
         """Return the pool of a request, split once for each list of targets."""
--- a/primroserudder/fleet/tests/test_waitqueue.py
+++ b/primroserudder/fleet/tests/test_waitqueue.py
@@ -6,7 +6,7 @@
 
 from ...process.clock import LoopClock
 from ...testing.fleetdata import target
-from ..membership import InFlightCounts, short_key
+from ..membership import InFlightCounts, LoadPart, short_key
 from ..model import Target
 from ..waitqueue import FindTarget, NoFreeSlot, WaitQueue, max_wait_s
 
@@ -92,7 +92,9 @@
 
 async def test_requests_of_other_vms_occupy_slots() -> None:
     queue = _queue()
-    queue.in_flight_counts.replace_running({}, {short_key('head'): 1})
+    queue.in_flight_counts.replace(
+        LoadPart(), LoadPart(running={short_key('head'): 1})
+    )
     with pytest.raises(NoFreeSlot):
         await queue.acquire(_finder(queue), (0,), 0)
 
--- a/primroserudder/fleet/waitqueue.py
+++ b/primroserudder/fleet/waitqueue.py
@@ -40,9 +40,14 @@
 
 
 FindTarget = Callable[[], Target | None]
+NoteSend = Callable[[Target], None]
 Rank = tuple[float, ...]
 
 
+def _ignore(_target: Target) -> None:
+    """Count nothing besides the request in flight."""
+
+
 @dataclass(slots=True)
 class Waiter:
     """A waiting request; requests with a smaller rank go first."""
@@ -57,11 +62,18 @@
 
 @dataclass(slots=True)
 class WaitQueue:
-    """Requests that wait on this VM for a slot of one pool."""
+    """Requests that wait on this VM for a slot of one pool.
+
+    Parameters
+    ==========
+    note_send : Callable
+        Counts a request for the limit of its target.
+    """
 
     pool: str
     in_flight_counts: InFlightCounts
     clock: Clock
+    note_send: NoteSend = _ignore
     _heap: list[QueueEntry] = field(
         default_factory=list,
     )
@@ -84,7 +96,7 @@
         if not self._heap:
             target = find()
             if target is not None:
-                self.in_flight_counts.begin(target.engine_id)
+                self._begin(target)
                 return target
         if max_wait_s <= 0:
             raise NoFreeSlot('no slot is free', retry_after=RETRY_AFTER_FULL_S)
@@ -107,11 +119,15 @@
             if target is None:
                 blocked.append(entry)
                 break
-            self.in_flight_counts.begin(target.engine_id)
+            self._begin(target)
             waiter.granted.set_result(target)
         for entry in blocked:
             heapq.heappush(self._heap, entry)
 
+    def _begin(self, target: Target) -> None:
+        self.in_flight_counts.begin(target.engine_id)
+        self.note_send(target)
+
     async def _wait(
         self,
         find: FindTarget,
