--- /dev/null
+++ b/primroserudder/fleet/forwarding/__init__.py
@@ -0,0 +1,1 @@
+"""Requests of routers that lost their links to the engines."""
