Forward requests of a router that reaches no engine to one that does

Cause: a router had no way to an engine but its own connections. Ruled out by the logs: that service came back within the cut, and that refusals went on after it. Also ruled out as the only remedy: to say that the VM isn't ready, which moves new connections after two seconds, kept ones never, and nothing once half of a domain says so.

The change: two engines in a row without a connection make a router probe four of the whole list on new connections; if none answers, it has lost its links. It then asks the other routers which reach engines, and sends its requests to those, by the load that the notices show. What was forwarded is not forwarded again; attempts left and the deadline go with it; each router charges its own retries; a refusal says whether the request ran. Streams move like those of a lost engine. The code that reads a request has a module of its own.

--- a/primroserudder/fleet/attempt.py
+++ b/primroserudder/fleet/attempt.py
@@ -13,6 +13,7 @@
 from ..platform.signals import EngineSignals, engine_signals
 from .call import Call
 from .events import Event, EventSplitter, EventTooLong
+from .forwarding.messages import headers_for_router
 from .framing import Framing
 from .model import RequestKind, Target
 from .retries import Ending
@@ -114,19 +115,13 @@
     async def run(self) -> AttemptResult:
         """Send the request and return how the attempt ended."""
         call = self.call
-        fields = wire.ForwardedFields(
-            self.target.engine_id,
-            call.destination.workspace.name,
-            call.remaining_s,
-            call.last_event_id,
-        )
         address = self.target.address
         url = URL(f'http://{address}{call.raw_path}', encoded=True)
         try:
             async with self.session.request(
                 call.method,
                 url,
-                headers=wire.request_headers_for_engine(call.headers, fields),
+                headers=self._headers(),
                 data=call.body or None,
                 allow_redirects=False,
                 timeout=aiohttp.ClientTimeout(
@@ -146,6 +141,23 @@
         except _TRANSPORT_ERRORS as error:
             return self._broken_result(type(error).__name__)
 
+    def _headers(self) -> CIMultiDict[str]:
+        call = self.call
+        if self.target.is_router:
+            return headers_for_router(
+                call.headers,
+                call.retry_state.attempts_left,
+                call.remaining_s,
+                call.last_event_id,
+            )
+        fields = wire.ForwardedFields(
+            self.target.engine_id,
+            call.destination.workspace.name,
+            call.remaining_s,
+            call.last_event_id,
+        )
+        return wire.request_headers_for_engine(call.headers, fields)
+
     def _broken_result(
         self, reason: str, *, may_have_crashed: bool = True
     ) -> AttemptResult:
@@ -175,6 +187,9 @@
         return await self._collect(response, is_success=is_success)
 
     def _note_signals(self, response: aiohttp.ClientResponse) -> None:
+        if self.target.is_router:
+            # They are those of an engine, which the other router notes.
+            return
         signals = engine_signals(
             response.status, response.headers, self.target.engine_id
         )
--- a/primroserudder/fleet/call.py
+++ b/primroserudder/fleet/call.py
@@ -31,7 +31,7 @@
     or key. ``suspects`` holds the keys of all that may crash engines: the
     digest, and the shared parts of the prompt. ``reserved_target`` has a slot
     for the next attempt; ``is_leaving_attempt`` is true while a running
-    attempt looks for one.
+    attempt looks for one. ``is_forwarded`` is true if another router sent it.
     """
 
     method: str
@@ -48,6 +48,7 @@
     tried_engines: set[str] = field(default_factory=set)
     reserved_target: Target | None = None
     is_leaving_attempt: bool = False
+    is_forwarded: bool = False
     digest: str = field(init=False)
     suspects: tuple[str, ...] = field(init=False)
 
--- a/primroserudder/fleet/callers.py
+++ b/primroserudder/fleet/callers.py
@@ -1,7 +1,6 @@
 """Handles callers' requests over HTTP."""
 
 import asyncio
-import random
 from collections import Counter
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
@@ -9,37 +8,23 @@
 
 from aiohttp import web
 
-from ..errors import Ran, RudderError
-from ..platform import headers as wire
+from ..errors import RudderError
 from ..platform.names import ATTEMPT_ID
 from ..process.decisions import DecisionLog
 from ..process.invariants import Invariants
 from ..process.metrics import Metrics
-from ..request.dispatch import DispatchRecord
 from .attempt import AttemptResult, StreamSink
 from .call import Call
-from .callerbody import discard_body, read_body
+from .callerbody import discard_body
 from .cutoff import CutOff, Cutoff, stop_error
 from .model import Configuration
 from .requestendings import RequestEndings
-from .retries import Ending, RetryState
-from .routes import find_destination, find_route
+from .requestreader import RequestReader
+from .retries import Ending
 from .servedrequest import CallerDisconnected, ServedRequest
 from .serving import Server
 from .unexpectederror import UnexpectedError, cause_fields
 
-FIRST_CONFIGURATION_RETRY_S = 0.5
-DEFAULT_DEADLINE_S = 30.0
-
-
-class NoConfiguration(RudderError):
-    """This VM has not received a configuration yet."""
-
-    code = 'no_configuration'
-    status = 503
-    ran = Ran.NO
-    default_remedy = 'retry the request after the delay in Retry-After'
-
 
 @dataclass(slots=True)
 class CallerHandler:
@@ -50,9 +35,9 @@
     log: DecisionLog
     metrics: Metrics
     on_request: Callable[[], None]
-    rng: random.Random = field(default_factory=random.Random)
     invariants: Invariants = field(init=False)
     endings: RequestEndings = field(init=False)
+    reader: RequestReader = field(init=False)
     cutoff: Cutoff = field(default_factory=Cutoff)
     is_closing: bool = False
     busy_connections: Counter[web.RequestHandler] = field(
@@ -63,6 +48,11 @@
         """Create the invariants, which count violations in the metrics."""
         self.invariants = Invariants(self.metrics)
         self.endings = RequestEndings(self.invariants, self.metrics)
+        self.reader = RequestReader(
+            self.configuration,
+            self.invariants,
+            self.server.selector.forwarder.reach,
+        )
 
     @property
     def in_flight(self) -> int:
@@ -72,7 +62,18 @@
     async def serve_request(
         self, request: web.BaseRequest
     ) -> web.StreamResponse:
-        """Serve one request and return its response, which is written."""
+        """Serve a caller's request; return its response, which is written."""
+        return await self._serve_request(request, None)
+
+    async def serve_forwarded(
+        self, request: web.BaseRequest, attempts_left: int
+    ) -> web.StreamResponse:
+        """Serve a request for another router, which reaches no engine."""
+        return await self._serve_request(request, attempts_left)
+
+    async def _serve_request(
+        self, request: web.BaseRequest, attempts_left: int | None
+    ) -> web.StreamResponse:
         self.on_request()
         attempt_id = request.headers.get(ATTEMPT_ID, '')
         with self._tracked_connection(request):
@@ -82,6 +83,7 @@
                     opened,
                     asyncio.get_running_loop().time(),
                     lambda: self.is_closing,
+                    attempts_left,
                 )
                 response = await self._serve_to_end(served)
             await discard_body(request.content)
@@ -118,7 +120,9 @@
         sink = StreamSink(stream.start, stream.send_event)
         try:
             async with self.cutoff.limited():
-                call = await self._read_request(served)
+                call = await self.reader.read(
+                    served, is_closing=self.is_closing
+                )
                 outcome = await self.server.serve(call, sink)
         except CutOff:
             return await self._refuse(served, stop_error(served.dispatch))
@@ -166,43 +170,6 @@
         self._log_refusal(served, error, held_s)
         return response
 
-    async def _read_request(self, served: ServedRequest) -> Call:
-        request = served.request
-        configuration = self.configuration()
-        if configuration is None:
-            raise NoConfiguration(
-                'no configuration has been received yet',
-                retry_after=FIRST_CONFIGURATION_RETRY_S,
-            )
-        metadata = wire.read_request(request.headers)
-        route = find_route(
-            configuration,
-            request.headers.get('Host', ''),
-            request.raw_path.partition('?')[0],
-        )
-        destination = find_destination(
-            configuration, route, metadata.api_key, self.rng
-        )
-        allowed_s = metadata.deadline_s or DEFAULT_DEADLINE_S
-        deadline_at = served.received_at + min(allowed_s, route.timeout_s)
-        body = await read_body(
-            request, configuration.limits.body_bytes, deadline_at
-        )
-        served.dispatch = DispatchRecord(self.invariants, metadata.attempt_id)
-        return Call(
-            method=request.method,
-            raw_path=request.raw_path,
-            headers=request.headers,
-            body=body,
-            metadata=metadata,
-            destination=destination,
-            received_at=served.received_at,
-            deadline_at=deadline_at,
-            retry_state=RetryState(route),
-            dispatch=served.dispatch,
-            last_event_id=metadata.last_event_id,
-        )
-
     def _log_refusal(
         self, served: ServedRequest, error: RudderError, held_s: float
     ) -> None:
--- /dev/null
+++ b/primroserudder/fleet/forwarding/assembly.py
@@ -0,0 +1,42 @@
+"""Builds the part of a router that forwards requests to other routers."""
+
+from collections.abc import Callable
+
+from ...platform import ORDER_TIMEOUT_S, EngineOrders, open_session
+from ..control_plane import RouterContext
+from ..directory import Directory
+from ..membership import PeerAddresses
+from .forwarder import Forwarder
+from .peers import ReachingPeers
+from .reach import EngineReach
+
+
+def build_forwarder(
+    context: RouterContext,
+    directory: Directory,
+    peers: PeerAddresses,
+    on_lost: Callable[[str], None],
+) -> Forwarder:
+    """Return the forwarder of a router, without starting it.
+
+    Parameters
+    ==========
+    on_lost : Callable
+        Takes the target id of a router that does not answer any more.
+    """
+    # Connections that were open before the links were lost prove nothing.
+    orders = EngineOrders(
+        open_session(ORDER_TIMEOUT_S, reuses_connections=False)
+    )
+    reach = EngineReach(orders, directory, context.clock, context.log)
+    return Forwarder(
+        reach,
+        ReachingPeers(
+            open_session(),
+            peers,
+            context.clock,
+            lambda: reach.is_in_doubt,
+            on_lost,
+        ),
+        context.settings.failure_domain,
+    )
--- /dev/null
+++ b/primroserudder/fleet/forwarding/messages.py
@@ -0,0 +1,66 @@
+"""What routers tell each other of a forwarded request."""
+
+from http import HTTPStatus
+
+from multidict import CIMultiDict, CIMultiDictProxy
+
+from ...platform import headers as wire
+from ...platform import names
+
+Headers = CIMultiDictProxy[str]
+
+# How many engines the request may still run on; marks it as forwarded.
+ATTEMPTS_LEFT = 'Rudder-Attempts-Left'
+REACH_PATH = '/reach'
+# Answers of a router on whether it takes requests of others; 200 if it does.
+CUT_OFF = HTTPStatus.SERVICE_UNAVAILABLE
+STOPPING = HTTPStatus.GONE
+MILLISECONDS_PER_SECOND = 1000
+
+
+def headers_for_router(
+    headers: Headers, attempts_left: int, remaining_s: float, last_event_id: str
+) -> CIMultiDict[str]:
+    """Return the header fields of a request that is forwarded.
+
+    Explanation
+    ===========
+    The other router checks the caller's key itself.
+    """
+    outgoing = wire.end_to_end_headers(headers, ())
+    outgoing[ATTEMPTS_LEFT] = str(attempts_left)
+    remaining_ms = max(1, int(remaining_s * MILLISECONDS_PER_SECOND))
+    outgoing[names.DEADLINE_MS] = str(remaining_ms)
+    if last_event_id:
+        outgoing[names.LAST_EVENT_ID] = last_event_id
+    return outgoing
+
+
+def forwarded_attempts(headers: Headers) -> int | None:
+    """Return how many attempts a request has left, ``None`` if not forwarded.
+
+    Examples
+    ========
+    >>> def read(text):
+    ...     return forwarded_attempts(CIMultiDictProxy(CIMultiDict(text)))
+    >>> read({'Rudder-Attempts-Left': '2'}), read({'Host': 'one.example'})
+    (2, None)
+    >>> read({'Rudder-Attempts-Left': 'many'})
+    1
+    """
+    text = headers.get(ATTEMPTS_LEFT)
+    if text is None:
+        return None
+    return max(1, int(text)) if text.isdecimal() else 1
+
+
+def headers_of_forwarded(headers: Headers) -> Headers:
+    """Return the fields of a forwarded request as its caller sent them."""
+    fields = CIMultiDict(headers)
+    fields.popall(ATTEMPTS_LEFT, None)
+    return CIMultiDictProxy(fields)
+
+
+def mark_not_run(headers: CIMultiDict[str]) -> None:
+    """State in a response to a router that the request has not run."""
+    headers[names.NOT_EXECUTED] = '1'
--- /dev/null
+++ b/primroserudder/fleet/forwarding/reach.py
@@ -0,0 +1,116 @@
+"""Finds out whether this VM has lost its links to all engines.
+
+Explanation
+===========
+Engines that refuse connections are nothing unusual; a whole failure domain may
+be dark. A VM that can connect to none of several engines drawn from the whole
+list has lost its own links. Connections that were open before prove nothing,
+since they may live on while new ones fail: each probe makes a new one.
+"""
+
+import asyncio
+import random
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+
+from ...platform.orders import EngineOrders
+from ...process.clock import Clock
+from ...process.decisions import DecisionLog
+from ..directory import Directory
+from ..model import Engine
+from ..retries import Ending
+
+# So many engines without a connection raise the question.
+FAILURES_TO_PROBE = 2
+# Failures count together for this long.
+FAILURE_MEMORY_S = 1.5
+PROBES_AT_ONCE = 4
+PROBE_INTERVAL_S = 0.25
+# The links count as restored after this many rounds with an answer.
+ROUNDS_TO_RETURN = 2
+_RESPONDED = frozenset((Ending.DELIVERED, Ending.NOT_RUN, Ending.FAILED))
+
+
+@dataclass(slots=True)
+class EngineReach:
+    """Whether this VM reaches any engine.
+
+    Parameters
+    ==========
+    is_cut_off : bool
+        Whether no engine could be reached from this VM.
+    """
+
+    orders: EngineOrders
+    directory: Directory
+    clock: Clock
+    log: DecisionLog
+    is_cut_off: bool = False
+    rng: random.Random = field(default_factory=random.Random)
+    _failed_at_by_engine: dict[str, float] = field(default_factory=dict)
+    _in_doubt: asyncio.Event = field(default_factory=asyncio.Event)
+
+    @property
+    def is_in_doubt(self) -> bool:
+        """Return whether this VM may have lost all engines."""
+        return self.is_cut_off or self._in_doubt.is_set()
+
+    def note(self, engine_id: str, ending: Ending, began_at: float) -> None:
+        """Record the end of an attempt at an engine.
+
+        Parameters
+        ==========
+        began_at : float
+            Monotonic time at which the attempt began, in seconds.
+        """
+        if ending is Ending.NOT_SENT:
+            self.note_failure(engine_id)
+        elif ending in _RESPONDED:
+            self._forget_failures_before(began_at)
+
+    def note_failure(self, engine_id: str) -> None:
+        """Record that an engine could not be reached."""
+        now = self.clock.monotonic()
+        self._forget_failures_before(now - FAILURE_MEMORY_S)
+        self._failed_at_by_engine[engine_id] = now
+        listed = len(self.directory.engines_by_id)
+        if len(self._failed_at_by_engine) >= min(FAILURES_TO_PROBE, listed):
+            self._in_doubt.set()
+
+    async def run(self) -> None:
+        """Probe engines whenever in doubt, until cancelled."""
+        while True:
+            await self._in_doubt.wait()
+            if not await self._reaches_any():
+                await self._wait_while_cut_off()
+            self._failed_at_by_engine.clear()
+            self._in_doubt.clear()
+
+    async def _wait_while_cut_off(self) -> None:
+        self.is_cut_off = True
+        self.log.note('engines_lost', probed=PROBES_AT_ONCE)
+        rounds = 0
+        while rounds < ROUNDS_TO_RETURN:
+            await asyncio.sleep(PROBE_INTERVAL_S)
+            rounds = rounds + 1 if await self._reaches_any() else 0
+        self.is_cut_off = False
+        self.log.note('engines_reached')
+
+    async def _reaches_any(self) -> bool:
+        """Return whether any of some engines answers on a new connection."""
+        probed = self._drawn()
+        if not probed:
+            return True
+        reports = await asyncio.gather(*map(self.orders.report, probed))
+        return any(report is not None for report in reports)
+
+    def _drawn(self) -> Sequence[Engine]:
+        engines = tuple(self.directory.engines_by_id.values())
+        return self.rng.sample(engines, min(PROBES_AT_ONCE, len(engines)))
+
+    def _forget_failures_before(self, time: float) -> None:
+        self._failed_at_by_engine = {
+            engine_id: failed_at
+            for engine_id, failed_at in self._failed_at_by_engine.items()
+            if failed_at >= time
+        }
--- a/primroserudder/fleet/health.py
+++ b/primroserudder/fleet/health.py
@@ -124,6 +124,10 @@
         self.unreachable_at_by_domain.setdefault(failure_domain, {})[
             target_id
         ] = now
+        self.end_streams_at(target_id)
+
+    def end_streams_at(self, target_id: str) -> None:
+        """Let the streams that run at a lost target go on elsewhere."""
         running = self.unreachable_event_by_head.pop(target_id, None)
         if running is not None:
             running.set()
--- a/primroserudder/fleet/membership/peeraddresses.py
+++ b/primroserudder/fleet/membership/peeraddresses.py
@@ -59,6 +59,15 @@
         """Return whether a router is known."""
         return address in self._peers_by_address
 
+    def addresses(self) -> Sequence[str]:
+        """Return the addresses of all other known VMs."""
+        return tuple(self._peers_by_address)
+
+    def domain_of(self, address: str) -> str:
+        """Return the failure domain of a VM, empty if it is unknown."""
+        peer = self._peers_by_address.get(address)
+        return '' if peer is None else peer.failure_domain
+
     def count(self) -> int:
         """Return the number of known VMs, including this one."""
         return len(self._peers_by_address) + 1
--- a/primroserudder/fleet/model.py
+++ b/primroserudder/fleet/model.py
@@ -194,6 +194,7 @@
     Explanation
     ===========
     ``born_ms`` is the start time of the engine that takes the requests.
+    ``is_router`` is true for another router, which takes them to an engine.
     """
 
     engine_id: str
@@ -203,3 +204,4 @@
     group: str = ''
     members: tuple[str, ...] = field(default=())
     born_ms: int = 0
+    is_router: bool = False
--- a/primroserudder/fleet/ports.py
+++ b/primroserudder/fleet/ports.py
@@ -13,9 +13,9 @@
 from ..process.metrics import Metrics
 from .callerport import LISTEN_BACKLOG, CallerPort
 from .callers import CallerHandler
+from .forwarding import RouterPort
 from .httpserver import ConnectionErrors, HttpServer
 from .settings import RouterSettings
-from .tablerelay import TableRelay
 
 CLOSE_POLL_S = 0.05
 
@@ -37,7 +37,7 @@
     Explanation
     ===========
     Callers, the balancer's health checks, operators' requests for metrics and
-    state, and other routers' reads of tables use separate addresses.
+    state, and other routers use separate addresses.
     """
 
     settings: RouterSettings
@@ -45,7 +45,7 @@
     metrics: Metrics
     is_ready: Callable[[], bool]
     dump: Callable[[], Mapping[str, object]]
-    relay: TableRelay
+    between_routers: RouterPort
     _runners: list[web.ServerRunner] = field(default_factory=list)
     caller_port: CallerPort = field(init=False)
 
@@ -67,8 +67,8 @@
         metrics = f'{settings.ip}:{settings.metrics_port}'
         await self._listen_for_callers(settings.callers)
         await self._listen(internal_server, settings.readiness, metrics)
-        table_server = self._server(self.relay.answer)
-        await self._listen(table_server, settings.exchange_endpoint)
+        router_server = self._server(self.between_routers.answer)
+        await self._listen(router_server, settings.exchange_endpoint)
 
     async def close_to_callers(self) -> None:
         """Accept no new connections of callers and close the idle ones."""
--- a/primroserudder/fleet/quarantine.py
+++ b/primroserudder/fleet/quarantine.py
@@ -100,6 +100,8 @@
 
     def note_send(self, call: Call, target: Target) -> None:
         """Log that a suspect with strikes is sent to an engine."""
+        if target.is_router:
+            return
         suspect = max(call.suspects, key=self.strikes.count)
         count = self.strikes.count(suspect)
         if count:
@@ -108,7 +110,14 @@
     def note_outcome(
         self, call: Call, target: Target, outcome: AttemptResult
     ) -> None:
-        """Record what the result of an attempt says about its suspects."""
+        """Record what the result of an attempt says about its suspects.
+
+        Explanation
+        ===========
+        Another router records its attempts itself.
+        """
+        if target.is_router:
+            return
         if outcome.ending is Ending.DELIVERED:
             self.strikes.part_counts.note(call.suspects[1:])
             for suspect in call.suspects:
@@ -129,6 +138,8 @@
         reason : str
             By what the engine seems to have ended, empty if that is unknown.
         """
+        if target.is_router:
+            return
         engine = self.directory.engines_by_id.get(target.engine_id)
         if engine is not None and engine.is_draining:
             # It leaves the list soon, whatever it runs.
--- a/primroserudder/fleet/retries.py
+++ b/primroserudder/fleet/retries.py
@@ -81,6 +81,11 @@
         """Return the number of the request's next attempt."""
         return self.tries + self.refused_connections + 1
 
+    @property
+    def attempts_left(self) -> int:
+        """Return on how many engines the request may still run."""
+        return max(1, self.route.max_attempts - self.runs)
+
     def next_step(self, ending: Ending, remaining_s: float) -> Step:
         """Return the next step after the attempt recorded last.
 
--- a/primroserudder/fleet/router.py
+++ b/primroserudder/fleet/router.py
@@ -18,6 +18,9 @@
     build_lease,
 )
 from .enginelimits import LimitGate, LimitRegistry
+from .forwarding import Forwarder, RouterPort
+from .forwarding.assembly import build_forwarder
+from .health import TargetHealth
 from .membership import (
     Exchange,
     Facts,
@@ -31,6 +34,7 @@
 )
 from .poolmeter import PoolMeter
 from .ports import Ports
+from .quarantine import Quarantine
 from .relayedtables import RelayedTableSource
 from .serverassembly import assemble_server
 from .serving import Server
@@ -72,6 +76,7 @@
     lease: Lease = field(init=False)
     in_flight_counts: InFlightCounts = field(init=False)
     limits: LimitGate = field(init=False)
+    forwarder: Forwarder = field(init=False)
     view: SiteView = field(init=False)
     server: Server = field(init=False)
     exchange: Exchange = field(init=False)
@@ -104,6 +109,8 @@
             self.silent_head_detector.run(),
             self.pool_meter.run(),
             self.registry.run(),
+            self.forwarder.reach.run(),
+            self.forwarder.peers.run(),
         )
 
     async def stop(self) -> None:
@@ -136,10 +143,7 @@
         await self.supervisor.close()
         self.exchange.stop()
         await self.ports.close()
-        await self.server.runner.session.close()
-        await self.control_plane.close()
-        await self.tables.close()
-        await self.store.close()
+        await self._close_clients()
 
     def is_ready(self) -> bool:
         """Return whether the router accepts new connections of callers."""
@@ -163,6 +167,10 @@
             'store_era': self.view.store_era(),
             'strikes': self.server.quarantine.strikes.shared(),
             'quarantined': self.server.quarantine.dump(),
+            'engines_lost': self.forwarder.reach.is_cut_off,
+            'routers_reaching': [
+                target.address for target in self.forwarder.peers.targets()
+            ],
             'lease_held': self.lease.is_held(),
             'groups': sorted(tenure.groups_by_name) if tenure else [],
             'log_lines_dropped': self.log.dropped,
@@ -215,7 +223,7 @@
             self.in_flight_counts,
             settings.link_mbps,
             self._own_facts,
-            self._own_strikes,
+            lambda: _strikes_to_tell(self.server.quarantine),
             LimitReport(
                 self.limits.sent_by_key,
                 self.limits.looks_by_key,
@@ -242,12 +250,17 @@
             self.log,
             self.lease.is_held,
         )
+        health = TargetHealth(self.clock)
+        self.forwarder = build_forwarder(
+            context, self.view.directory, peers, health.end_streams_at
+        )
         self.server = assemble_server(
             context,
             self.view,
             self.in_flight_counts,
-            peers,
             self.limits,
+            self.forwarder,
+            health,
             self._broken_groups,
             self.control_plane.reconciler.reachability.unreachable,
         )
@@ -287,7 +300,12 @@
             self.metrics,
             self.is_ready,
             self.dump,
-            relay,
+            RouterPort(
+                self.forwarder.reach,
+                handler.serve_forwarded,
+                relay.answer,
+                self.is_ready,
+            ),
         )
 
     def _on_view_change(self) -> None:
@@ -327,10 +345,6 @@
         health.mark_groups_lost(facts.broken_groups)
         return facts
 
-    def _own_strikes(self) -> Strikes:
-        strikes = self.server.quarantine.strikes
-        return Strikes(strikes.shared(), strikes.shared_void())
-
     def _on_facts(self, source: str, facts: Facts, strikes: Strikes) -> None:
         if facts.has_traffic:
             self._traffic_seen.set()
@@ -340,8 +354,20 @@
         self.control_plane.election.on_facts(facts)
         self.control_plane.reconciler.probe_groups_of(facts.silent_heads)
 
+    async def _close_clients(self) -> None:
+        await self.server.runner.session.close()
+        await self.forwarder.close()
+        await self.control_plane.close()
+        await self.tables.close()
+        await self.store.close()
+
     async def _release_lease(self) -> None:
         try:
             await self.lease.release()
         except RudderError as error:
             self.log.note('lease_not_released', reason=str(error))
+
+
+def _strikes_to_tell(quarantine: Quarantine) -> Strikes:
+    strikes = quarantine.strikes
+    return Strikes(strikes.shared(), strikes.shared_void())
--- a/primroserudder/fleet/servedrequest.py
+++ b/primroserudder/fleet/servedrequest.py
@@ -10,12 +10,13 @@
 from aiohttp import HttpVersion11, web
 from multidict import CIMultiDict
 
-from ..errors import RudderError
+from ..errors import Ran, RudderError
 from ..platform.names import ATTEMPT_ID
 from ..request.dispatch import DispatchRecord
 from .attempt import AttemptResult
 from .errorresponse import error_response
 from .events import Event
+from .forwarding import mark_not_run
 from .requestendings import OpenRequest, RequestEnding
 
 # Closing a socket that lingers for zero seconds resets its connection.
@@ -116,12 +117,16 @@
     ==========
     received_at : float
         Time of the event loop, in seconds.
+    attempts_left : int or None
+        How many attempts another router left to this one, ``None`` if a caller
+        sent the request.
     """
 
     request: web.BaseRequest
     opened: OpenRequest
     received_at: float
     is_closing: Callable[[], bool]
+    attempts_left: int | None = None
     stream: CallerStream = field(init=False)
     dispatch: DispatchRecord | None = None
 
@@ -134,6 +139,11 @@
         """Return the id that the caller gave, or an empty string."""
         return self.request.headers.get(ATTEMPT_ID, '')
 
+    @property
+    def is_forwarded(self) -> bool:
+        """Return whether another router sent the request."""
+        return self.attempts_left is not None
+
     @property
     def held_s(self) -> float:
         """Return the seconds since the head was read."""
@@ -170,9 +180,10 @@
         CallerDisconnected
             The caller closed its connection.
         """
-        return await self._send(
-            error_response(error, self.attempt_id), RequestEnding.REFUSED
-        )
+        response = error_response(error, self.attempt_id)
+        if self.is_forwarded and error.ran is Ran.NO:
+            mark_not_run(response.headers)
+        return await self._send(response, RequestEnding.REFUSED)
 
     async def finish_stream(self) -> web.StreamResponse:
         """Finish a complete stream.
--- a/primroserudder/fleet/serverassembly.py
+++ b/primroserudder/fleet/serverassembly.py
@@ -9,8 +9,9 @@
 from .control_plane import RouterContext
 from .engine_signals import EngineSignalHandler
 from .enginelimits import LimitGate
+from .forwarding import Forwarder
 from .health import TargetHealth
-from .membership import InFlightCounts, PeerAddresses
+from .membership import InFlightCounts
 from .quarantine import Quarantine
 from .retries import RetryBudgets
 from .serving import Server
@@ -26,8 +27,9 @@
     context: RouterContext,
     view: SiteView,
     in_flight_counts: InFlightCounts,
-    peers: PeerAddresses,
     limits: LimitGate,
+    forwarder: Forwarder,
+    health: TargetHealth,
     broken_groups: Callable[[], Collection[int]],
     unreachable: Callable[[], Collection[str]],
 ) -> Server:
@@ -42,7 +44,6 @@
         context.settings.list_expiry_s,
     )
     retry_settings = context.settings.repeats
-    health = TargetHealth(context.clock)
     session = open_session(ENGINE_SESSION_TIMEOUT_S, reuses_connections=False)
     selector = TargetSelector(
         context.settings.failure_domain,
@@ -50,6 +51,7 @@
         Balancer(in_flight_counts.running),
         health,
         limits,
+        forwarder,
         broken_groups,
     )
     charger = RetryCharger(
@@ -57,7 +59,7 @@
             retry_settings.ratio, retry_settings.extra, retry_settings.window_s
         ),
         context.clock,
-        peers.count,
+        limits.known_vms,
     )
     slots = SlotQueues(in_flight_counts, context.clock, limits.note_send)
     return Server(
--- a/primroserudder/fleet/serving.py
+++ b/primroserudder/fleet/serving.py
@@ -76,7 +76,8 @@
         RudderError
             No response of an engine can be returned to the caller.
         """
-        self.charger.record_request(call)
+        if not call.is_forwarded:
+            self.charger.record_request(call)
         self.quarantine.check(call)
         try:
             async with asyncio.timeout_at(call.deadline_at):
@@ -107,11 +108,14 @@
         while True:
             target = await self._acquire_slot(call)
             self._check_before_send(call, target)
+            began_at = self.clock.monotonic()
             outcome = await self._attempt(call, target, sink)
-            self._record_outcome(call, target, outcome)
+            self._record_outcome(call, target, outcome, began_at)
             call.retry_state.record(outcome.ending)
             step = call.retry_state.next_step(outcome.ending, call.remaining_s)
-            if step is Step.RETRY and not self._may_send_again(call, outcome):
+            if step is Step.RETRY and not self._may_send_again(
+                call, target, outcome
+            ):
                 step = _step_without_retry(outcome.ending, call)
             if step is Step.FORWARD_FAILURE and sink.is_started:
                 # The caller has already received a success status and events.
@@ -143,6 +147,11 @@
         if has_run:
             # A request that may have run is retried up to its deadline.
             wait_s = call.remaining_s
+        if self.selector.is_forwarding(call):
+            # The other router knows its engines better.
+            return await self.slots.acquire(
+                call, partial(self.selector.find, call), max(wait_s, 0)
+            )
         if not has_run and not self.selector.has_targets(call):
             raise NoFreeSlot(
                 'no group serves the model',
@@ -180,20 +189,28 @@
         call: Call,
         target: Target,
         outcome: AttemptResult,
+        began_at: float,
     ) -> None:
         call.tried_engines.add(target.engine_id)
-        self.health.note(target, outcome, self.clock.monotonic())
+        self.selector.forwarder.note(target, outcome.ending, began_at)
+        if not target.is_router:
+            self.health.note(target, outcome, self.clock.monotonic())
         self.quarantine.note_outcome(call, target, outcome)
 
-    def _may_send_again(self, call: Call, outcome: AttemptResult) -> bool:
+    def _may_send_again(
+        self, call: Call, target: Target, outcome: AttemptResult
+    ) -> bool:
         """Return whether the retry budget allows a retry after an attempt.
 
         Explanation
         ===========
         A request that reached no engine is no retry when it reaches the first.
-        One that ran before stays paid for.
+        One that ran before stays paid for. Another router pays for its own.
         """
-        return outcome.ending is Ending.NOT_SENT or self.charger.try_pay(call)
+        never_arrived = outcome.ending is Ending.NOT_SENT or (
+            target.is_router and outcome.ending is Ending.NOT_RUN
+        )
+        return never_arrived or self.charger.try_pay(call)
 
     def _finish(
         self,
--- a/primroserudder/fleet/target_selector.py
+++ b/primroserudder/fleet/target_selector.py
@@ -7,6 +7,7 @@
 from .call import Call
 from .directory import Directory
 from .enginelimits import LimitGate
+from .forwarding import Forwarder
 from .health import TargetHealth
 from .membership import short_key
 from .model import Target
@@ -51,6 +52,7 @@
     balancer: Balancer
     health: TargetHealth
     limits: LimitGate
+    forwarder: Forwarder
     broken_groups: Callable[[], Collection[int]]
     _pools: dict[str, TargetPool] = field(default_factory=dict)
 
@@ -60,6 +62,10 @@
         targets = self._pool(call).targets
         return any(_is_intact(target, broken) for target in targets)
 
+    def is_forwarding(self, call: Call) -> bool:
+        """Return whether a request goes to another router now."""
+        return self.forwarder.is_active and not call.is_forwarded
+
     def find(self, call: Call, leaving: str = '') -> Target | None:
         """Return a target with a free slot, ``None`` if there is none.
 
@@ -74,7 +80,8 @@
         has a free slot, those of an unreachable domain only if there are no
         others.
         """
-        pool = self._pool(call)
+        is_forwarding = self.is_forwarding(call)
+        pool = self.forwarder.pool() if is_forwarding else self._pool(call)
         broken = self.broken_groups()
         cut_off = self._cut_off_domains(pool, broken)
         tried = {leaving, *call.tried_engines}
--- a/primroserudder/testing/enginecuts.py
+++ b/primroserudder/testing/enginecuts.py
@@ -70,6 +70,7 @@
     return [
         router.server.runner.session,
         router.control_plane.orders.session,
+        router.forwarder.reach.orders.session,
     ]
 
 
