Take no engine for lost while the links of this VM may be

What could happen: a lease holder that lost its links to all engines probed the members of a group, found none that answered, and reported all groups as broken. Every router then refused the requests of groups that were sound. A test shows it on the code before: ('small.1000001', 'small.1000002', 'small.1000003') were reported as broken in 1.5 s, with refused and with silent connections.

Cause: an engine that does not answer this VM was taken for lost, without a proof that this VM reaches any. Ruled out: strikes of such a VM, which are void once the engines are seen alive, and silent heads that it reports, which the holder probes itself.

The change: before a first engine counts as lost, the VM probes four others; if none answers, no engine does while that lasts, nor one marked until then. One answer is enough, which takes milliseconds, so repairs are not delayed. A VM's own streams still leave heads that don't answer it.

Both kinds of the test pass now, and the tests of silent engines as before.

--- a/primroserudder/fleet/control_plane.py
+++ b/primroserudder/fleet/control_plane.py
@@ -13,6 +13,7 @@
 from ..process.metrics import Metrics
 from ..process.platform import PlatformClient
 from .engine_inventory import EngineInventory
+from .forwarding import Forwarder
 from .group_reconciler import GroupReconciler
 from .leader_election import LEASE_LIFETIME_S, LeaderElection, LivingPeers
 from .load_limiter import LoadLimiter
@@ -57,6 +58,7 @@
     lease: Lease,
     has_traffic: Callable[[], bool],
     peers: LivingPeers,
+    forwarder: Forwarder,
 ) -> ControlPlane:
     """Return the parts that control groups, without starting them."""
     wake = asyncio.Event()
@@ -82,6 +84,7 @@
         sender.start,
         wake.set,
         lease.is_held,
+        forwarder.reach,
     )
     reconciler = GroupReconciler(
         lease,
--- a/primroserudder/fleet/forwarding/reach.py
+++ b/primroserudder/fleet/forwarding/reach.py
@@ -16,6 +16,7 @@
 from ...platform.orders import EngineOrders
 from ...process.clock import Clock
 from ...process.decisions import DecisionLog
+from ...process.loops import cancel_on_exit
 from ..directory import Directory
 from ..model import Engine
 from ..retries import Ending
@@ -39,6 +40,9 @@
     ==========
     is_cut_off : bool
         Whether no engine could be reached from this VM.
+    reached_since : float
+        Monotonic time in seconds before which this VM was cut off last; what
+        it found silent until then may have been its own links.
     """
 
     orders: EngineOrders
@@ -46,9 +50,11 @@
     clock: Clock
     log: DecisionLog
     is_cut_off: bool = False
+    reached_since: float = float('-inf')
     rng: random.Random = field(default_factory=random.Random)
     _failed_at_by_engine: dict[str, float] = field(default_factory=dict)
     _in_doubt: asyncio.Event = field(default_factory=asyncio.Event)
+    _settled: asyncio.Event = field(default_factory=asyncio.Event)
 
     @property
     def is_in_doubt(self) -> bool:
@@ -75,7 +81,17 @@
         self._failed_at_by_engine[engine_id] = now
         listed = len(self.directory.engines_by_id)
         if len(self._failed_at_by_engine) >= min(FAILURES_TO_PROBE, listed):
+            self.doubt()
+
+    def doubt(self) -> None:
+        """Find out whether this VM reaches any engine."""
+        if not self._in_doubt.is_set():
             self._in_doubt.set()
+            self._settled.clear()
+
+    async def settled(self) -> None:
+        """Wait until it is known whether this VM reaches any engine."""
+        await self._settled.wait()
 
     async def run(self) -> None:
         """Probe engines whenever in doubt, until cancelled."""
@@ -85,15 +101,18 @@
                 await self._wait_while_cut_off()
             self._failed_at_by_engine.clear()
             self._in_doubt.clear()
+            self._settled.set()
 
     async def _wait_while_cut_off(self) -> None:
         self.is_cut_off = True
+        self._settled.set()
         self.log.note('engines_lost', probed=PROBES_AT_ONCE)
         rounds = 0
         while rounds < ROUNDS_TO_RETURN:
             await asyncio.sleep(PROBE_INTERVAL_S)
             rounds = rounds + 1 if await self._reaches_any() else 0
         self.is_cut_off = False
+        self.reached_since = self.clock.monotonic()
         self.log.note('engines_reached')
 
     async def _reaches_any(self) -> bool:
@@ -101,8 +120,15 @@
         probed = self._drawn()
         if not probed:
             return True
-        reports = await asyncio.gather(*map(self.orders.report, probed))
-        return any(report is not None for report in reports)
+        probes = [
+            asyncio.ensure_future(self.orders.report(engine))
+            for engine in probed
+        ]
+        async with cancel_on_exit(*probes):
+            for probe in asyncio.as_completed(probes):
+                if await probe is not None:
+                    return True
+        return False
 
     def _drawn(self) -> Sequence[Engine]:
         engines = tuple(self.directory.engines_by_id.values())
--- a/primroserudder/fleet/reachability.py
+++ b/primroserudder/fleet/reachability.py
@@ -15,6 +15,7 @@
 from ..process.clock import Clock
 from ..process.decisions import DecisionLog
 from .directory import Directory
+from .forwarding import EngineReach
 from .model import Engine
 
 # The list entry of a lost engine expires in about this time; from then on the
@@ -37,12 +38,34 @@
     start: Start
     on_change: Callable[[], None]
     is_holder: Callable[[], bool]
+    reach: EngineReach
     _unreachable_until: dict[str, float] = field(default_factory=dict)
+    _lost: set[str] = field(default_factory=set)
     _probed_at: dict[str, float] = field(default_factory=dict)
     _probed_again_at: dict[str, float] = field(default_factory=dict)
 
     def unreachable(self) -> set[str]:
-        """Return the ids of engines that recently failed to answer."""
+        """Return the ids of engines that seem to be lost.
+
+        Explanation
+        ===========
+        None are while this VM has lost its links to all engines, and no
+        further ones while it may have.
+        """
+        if self.reach.is_cut_off:
+            return set()
+        unanswered = self.unanswered()
+        if not self.reach.is_in_doubt:
+            trusted_until = self.reach.reached_since + UNREACHABLE_S
+            self._lost = {
+                engine_id
+                for engine_id in unanswered
+                if self._unreachable_until[engine_id] >= trusted_until
+            }
+        return self._lost & unanswered
+
+    def unanswered(self) -> set[str]:
+        """Return the ids of engines that recently did not answer this VM."""
         now = self.clock.monotonic()
         return {
             engine_id
@@ -62,7 +85,7 @@
     def probe_unreachable(self) -> None:
         """Start to probe the unreachable engines again, once per interval."""
         now = self.clock.monotonic()
-        for engine_id in self.unreachable():
+        for engine_id in self.unanswered():
             probed_at = self._probed_again_at.get(engine_id, 0)
             if now - probed_at >= PROBE_INTERVAL_S:
                 self._probed_again_at[engine_id] = now
@@ -86,6 +109,9 @@
                 return
         now = self.clock.monotonic()
         is_new_loss = self._unreachable_until.get(engine_id, 0) <= now
+        if is_new_loss:
+            self.reach.doubt()
+            await self.reach.settled()
         self._unreachable_until[engine_id] = now + UNREACHABLE_S
         if is_new_loss:
             self.log.note('engine_unreachable', engine=engine_id)
--- a/primroserudder/fleet/router.py
+++ b/primroserudder/fleet/router.py
@@ -235,12 +235,17 @@
         self.registry = NodeRegistry(
             store, peers, self.view.nodes, self.log, settings.node
         )
+        health = TargetHealth(self.clock)
+        self.forwarder = build_forwarder(
+            context, self.view.directory, peers, health.end_streams_at
+        )
         self.control_plane = build_control_plane(
             context,
             self.view,
             self.lease,
             self._traffic_seen.is_set,
             self.exchange,
+            self.forwarder,
         )
         self.pool_meter = PoolMeter(
             self.view.directory,
@@ -250,10 +255,6 @@
             self.log,
             self.lease.is_held,
         )
-        health = TargetHealth(self.clock)
-        self.forwarder = build_forwarder(
-            context, self.view.directory, peers, health.end_streams_at
-        )
         self.server = assemble_server(
             context,
             self.view,
--- a/primroserudder/fleet/silent_heads.py
+++ b/primroserudder/fleet/silent_heads.py
@@ -51,7 +51,7 @@
 
     def _cut_unreachable_heads(self, heads: Collection[str]) -> None:
         """Cut the streams of silent heads that are unreachable from this VM."""
-        unreachable = self.reachability.unreachable()
+        unreachable = self.reachability.unanswered()
         engines = self.reachability.directory.engines_by_id
         for head in unreachable.intersection(heads):
             engine = engines.get(head)
