Give the lease up on a VM that reaches no engine while others do

What could happen: a holder without links to the engines renewed its lease at the store for as long as that lasted, and no group was repaired meanwhile.

Cause: the election asked whether the store answers, not whether the holder can do its work. The change: a holder that has lost its links gives the lease up once another router says that it reaches engines, and doesn't compete until it does so itself. If none reaches them, the lease stays where it is.

--- a/primroserudder/fleet/control_plane.py
+++ b/primroserudder/fleet/control_plane.py
@@ -99,7 +99,9 @@
         context.settings.stall_s,
         wake,
     )
-    election = LeaderElection(lease, clock, log, wake, peers)
+    election = LeaderElection(
+        lease, clock, log, wake, peers, lambda: forwarder.is_active
+    )
     return ControlPlane(election, inventory, reconciler, orders)
 
 
--- a/primroserudder/fleet/forwarding/tests/test_cut_off_holder.py
+++ b/primroserudder/fleet/forwarding/tests/test_cut_off_holder.py
@@ -2,8 +2,8 @@
 
 Explanation
 ===========
-To such a holder all engines seem lost. It must not report their groups as
-broken.
+To such a holder all engines seem lost. It must neither report their groups as
+broken nor keep the lease, since no group can be repaired from there.
 """
 
 import asyncio
@@ -13,6 +13,7 @@
 
 from ....testing.enginecuts import CutKind, cut_off_from_engines
 from ....testing.platformsite import PlatformSite, platform_site
+from ...router import Router
 
 CUT_S = 3.0
 KINDS = (CutKind.REFUSED, CutKind.SILENT)
@@ -90,3 +91,27 @@
             )
         still = {head.engine_id: head.group for head in site.heads()}
         assert still.items() >= groups.items()
+
+
+@pytest.mark.parametrize('kind', KINDS)
+async def test_group_is_repaired_while_a_former_holder_reaches_no_engine(
+    kind: CutKind,
+) -> None:
+    async with platform_site(engines=8, routers=3) as site:
+        await _wait_until_serving(site)
+        holder = _holder(site)
+        cut_off: Router = site.routers[holder]
+        with cut_off_from_engines(site, cut_off, kind):
+            sends = asyncio.ensure_future(
+                _send_while(site, holder, lambda: True)
+            )
+            async with asyncio.timeout(CUT_S):
+                await site.until(
+                    lambda: any(
+                        router.lease.is_held()
+                        for router in site.routers
+                        if router is not cut_off
+                    )
+                )
+            sends.cancel()
+        assert not cut_off.lease.is_held()
--- a/primroserudder/fleet/leader_election.py
+++ b/primroserudder/fleet/leader_election.py
@@ -1,6 +1,7 @@
 """Elects the holder of the site's lease, as seen by this VM."""
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -25,6 +26,10 @@
 GIVE_UP_AFTER_S = 0.5
 
 
+def _never() -> bool:
+    return False
+
+
 class LivingPeers(Protocol):
     """What the notices of the other VMs show."""
 
@@ -48,7 +53,12 @@
     no notices arrive. The first VM of each failure domain, a fast one, reads
     it at once and often; each further one later and less often by its rank. A
     holder whose store calls fail while those of other VMs succeed gives the
-    lease up.
+    lease up, and so does one that reaches no engine while others do.
+
+    Parameters
+    ==========
+    is_useless : Callable
+        Returns whether other VMs reach engines and this one doesn't.
     """
 
     lease: Lease
@@ -56,6 +66,7 @@
     log: DecisionLog
     wake: asyncio.Event
     peers: LivingPeers
+    is_useless: Callable[[], bool] = _never
     holder_seen_at: float = float('-inf')
     _alone_since: float | None = None
     _given_up: str = ''
@@ -88,6 +99,8 @@
 
     def _may_compete(self) -> bool:
         """Return whether this VM's turn to claim the lease has come."""
+        if self.is_useless():
+            return False
         if self._is_holder_alive() or not self.peers.is_settled():
             self._alone_since = None
             return False
@@ -109,12 +122,12 @@
         return RENEWAL_RETRY_S if is_failing else RENEWAL_INTERVAL_S
 
     def _step_down_if_cut_off(self) -> None:
-        """Give the lease up if the store fails only for this VM."""
+        """Give the lease up if the store or the engines fail this VM only."""
         if not self.lease.is_held():
             return
-        if not self.lease.has_failed_for(GIVE_UP_AFTER_S):
-            return
-        if self.peers.any_reaches_store():
+        lost_store = self.lease.has_failed_for(GIVE_UP_AFTER_S)
+        is_store_lost_here = lost_store and self.peers.any_reaches_store()
+        if is_store_lost_here or self.is_useless():
             self.lease.give_up()
             self.log.note('lease_given_up', fencing=self.lease.fencing)
             self.wake.set()
