--- a/primroserudder/fleet/forwarding/assembly.py
+++ b/primroserudder/fleet/forwarding/assembly.py
@@ -35,7 +35,7 @@
             open_session(),
             peers,
             context.clock,
-            lambda: reach.is_in_doubt,
+            reach.in_doubt,
             on_lost,
         ),
         context.settings.failure_domain,
--- a/primroserudder/fleet/forwarding/peers.py
+++ b/primroserudder/fleet/forwarding/peers.py
@@ -34,8 +34,8 @@
 
     Parameters
     ==========
-    is_needed : Callable
-        Returns whether this VM may need other routers now.
+    needed : Event
+        Set while this VM may need other routers.
     on_lost : Callable
         Takes the target id of a router that does not answer any more.
     """
@@ -43,7 +43,7 @@
     session: aiohttp.ClientSession
     peers: PeerAddresses
     clock: Clock
-    is_needed: Callable[[], bool]
+    needed: asyncio.Event
     on_lost: Callable[[str], None]
     rng: random.Random = field(default_factory=random.Random)
     _reaching_until: dict[str, float] = field(default_factory=dict)
@@ -53,12 +53,12 @@
     async def run(self) -> None:
         """Ask while it is needed, until cancelled."""
         while True:
-            if self.is_needed():
+            await self.needed.wait()
+            while self.needed.is_set():
                 await self._ask_some()
-            else:
-                self._reaching_until.clear()
-                self._misses.clear()
-            await asyncio.sleep(ASK_INTERVAL_S)
+                await asyncio.sleep(ASK_INTERVAL_S)
+            self._reaching_until.clear()
+            self._misses.clear()
 
     def targets(self) -> Sequence[Target]:
         """Return the routers that reach engines, as targets of requests."""
--- a/primroserudder/fleet/forwarding/reach.py
+++ b/primroserudder/fleet/forwarding/reach.py
@@ -23,6 +23,9 @@
 
 # So many engines without a connection raise the question.
 FAILURES_TO_PROBE = 2
+# Failed connections raise it again only so long after an engine answered, so
+# that a dead failure domain costs few probes.
+ANSWER_LIFETIME_S = 0.3
 # Failures count together for this long.
 FAILURE_MEMORY_S = 1.5
 PROBES_AT_ONCE = 4
@@ -40,6 +43,8 @@
     ==========
     is_cut_off : bool
         Whether no engine could be reached from this VM.
+    in_doubt : Event
+        Set while this VM may have lost all engines, or has.
     reached_since : float
         Monotonic time in seconds before which this VM was cut off last; what
         it found silent until then may have been its own links.
@@ -53,13 +58,14 @@
     reached_since: float = float('-inf')
     rng: random.Random = field(default_factory=random.Random)
     _failed_at_by_engine: dict[str, float] = field(default_factory=dict)
-    _in_doubt: asyncio.Event = field(default_factory=asyncio.Event)
+    in_doubt: asyncio.Event = field(default_factory=asyncio.Event)
+    _answered_at: float = float('-inf')
     _settled: asyncio.Event = field(default_factory=asyncio.Event)
 
     @property
     def is_in_doubt(self) -> bool:
         """Return whether this VM may have lost all engines."""
-        return self.is_cut_off or self._in_doubt.is_set()
+        return self.in_doubt.is_set()
 
     def note(self, engine_id: str, ending: Ending, began_at: float) -> None:
         """Record the end of an attempt at an engine.
@@ -80,13 +86,16 @@
         self._forget_failures_before(now - FAILURE_MEMORY_S)
         self._failed_at_by_engine[engine_id] = now
         listed = len(self.directory.engines_by_id)
-        if len(self._failed_at_by_engine) >= min(FAILURES_TO_PROBE, listed):
+        are_many = len(self._failed_at_by_engine) >= min(
+            FAILURES_TO_PROBE, listed
+        )
+        if are_many and now - self._answered_at >= ANSWER_LIFETIME_S:
             self.doubt()
 
     def doubt(self) -> None:
         """Find out whether this VM reaches any engine."""
-        if not self._in_doubt.is_set():
-            self._in_doubt.set()
+        if not self.in_doubt.is_set():
+            self.in_doubt.set()
             self._settled.clear()
 
     async def settled(self) -> None:
@@ -96,11 +105,11 @@
     async def run(self) -> None:
         """Probe engines whenever in doubt, until cancelled."""
         while True:
-            await self._in_doubt.wait()
+            await self.in_doubt.wait()
             if not await self._reaches_any():
                 await self._wait_while_cut_off()
-            self._failed_at_by_engine.clear()
-            self._in_doubt.clear()
+                self._failed_at_by_engine.clear()
+            self.in_doubt.clear()
             self._settled.set()
 
     async def _wait_while_cut_off(self) -> None:
@@ -127,6 +136,7 @@
         async with cancel_on_exit(*probes):
             for probe in asyncio.as_completed(probes):
                 if await probe is not None:
+                    self._answered_at = self.clock.monotonic()
                     return True
         return False
 
