Try parts of prompts again after most engines ended at once

What callers saw, in the model: after the loss of all engines sound requests were refused until the end of the run, long after the engines were back (bounds of the users for requests that begin: half of before; seen 0.00 to 0.37 from six seconds after the return on, in 7 of 12 cases of the three new patterns).

Cause: each end counts as a crash of its own under every part that ran there, and a part that is refused gets no answer that could clear it. Ruled out: to count ends that come together as one, which lets a burst of crashing requests end the fleet three times.

The change: where half of all targets ended within a second, the lease holder lets one request at a time run with such a part after six seconds.

--- /dev/null
+++ b/primroserudder/fleet/crashes/__init__.py
@@ -0,0 +1,1 @@
+"""Which requests and parts of prompts crash engines, and what is refused."""
--- a/primroserudder/fleet/directory.py
+++ b/primroserudder/fleet/directory.py
@@ -87,6 +87,10 @@
             for (service, model), targets in self._index.targets_by_pool.items()
         }
 
+    def count_targets(self) -> int:
+        """Return how many engines and heads of groups take requests."""
+        return sum(map(len, self._index.targets_by_pool.values()))
+
     def _update_engine(self, engine_id: str, row: Row) -> None:
         engine = self.decode(engine_id, row.fields)
         if engine is None:
--- a/primroserudder/fleet/quarantine.py
+++ b/primroserudder/fleet/quarantine.py
@@ -21,6 +21,7 @@
 from ..process.metrics import Metrics
 from .attempt import AttemptResult
 from .call import Call
+from .crashes.trials import Trials
 from .directory import Directory
 from .model import Target
 from .retries import Ending
@@ -62,6 +63,10 @@
         time; ``None`` while it is not.
     list_expiry_s : float
         Time within which an engine that ended leaves the list, in seconds.
+    count_targets : Callable
+        Returns how many engines and heads of groups take requests now.
+    may_try : Callable
+        Returns whether this VM may try a quarantined part, as one VM may.
     """
 
     clock: Clock
@@ -71,7 +76,10 @@
     unreachable: Callable[[], Collection[str]]
     list_current_since: Callable[[], float | None]
     list_expiry_s: float
+    count_targets: Callable[[], int]
+    may_try: Callable[[], bool]
     strikes: StrikeRegistry = field(init=False)
+    trials: Trials = field(init=False)
     notes: SuspectLog = field(init=False)
     _suspicions: deque[_Suspicion] = field(
         default_factory=lambda: deque(maxlen=MAX_SUSPICIONS),
@@ -80,23 +88,29 @@
     def __post_init__(self) -> None:
         """Create the registry, which knows no strikes yet, and its log."""
         self.strikes = StrikeRegistry(self.clock)
+        self.trials = Trials(
+            self.clock, self.strikes, self.count_targets, self.may_try
+        )
         self.notes = SuspectLog(self.clock, self.log, self.metrics)
 
     def check(self, call: Call) -> None:
         """Raise ``Quarantined`` if a request must not run."""
-        causes = filter(self.strikes.is_quarantined, call.suspects)
-        cause = next(causes, None)
-        if cause is None:
+        causes = list(filter(self.strikes.is_quarantined, call.suspects))
+        if not causes:
+            return
+        if self.trials.permits(call, causes):
+            self.notes.note_trial(call, causes)
             return
-        self.notes.note_refusal(call, cause)
+        self.notes.note_refusal(call, causes[0])
         raise Quarantined(
-            f'{cause} crashed several engines',
+            f'{causes[0]} crashed several engines',
             retry_after=STRIKE_LIFETIME_S,
         )
 
     def is_refused(self, call: Call) -> bool:
         """Return whether a request must not run again."""
-        return any(map(self.strikes.is_quarantined, call.suspects))
+        causes = list(filter(self.strikes.is_quarantined, call.suspects))
+        return bool(causes) and not self.trials.is_trial(call, causes)
 
     def note_send(self, call: Call, target: Target) -> None:
         """Log that a suspect with strikes is sent to an engine."""
@@ -185,6 +199,7 @@
         if current_since is not None:
             self._settle_strikes(current_since)
         self.strikes.drop_expired()
+        self.trials.note_targets()
         self.notes.note_attribution(self.strikes.attribution)
 
     def _settle_suspicions(self) -> None:
--- a/primroserudder/fleet/router.py
+++ b/primroserudder/fleet/router.py
@@ -36,7 +36,7 @@
 from .ports import Ports
 from .quarantine import Quarantine
 from .relayedtables import RelayedTableSource
-from .serverassembly import assemble_server
+from .serverassembly import ControlFacts, assemble_server
 from .serving import Server
 from .settings import RouterSettings
 from .silent_heads import SilentHeadDetector
@@ -262,8 +262,11 @@
             self.limits,
             self.forwarder,
             health,
-            self._broken_groups,
-            self.control_plane.reconciler.reachability.unreachable,
+            ControlFacts(
+                self._broken_groups,
+                self.control_plane.reconciler.reachability.unreachable,
+                self.lease.is_held,
+            ),
         )
         self.strike_store = StrikeStore(
             store,
--- a/primroserudder/fleet/serverassembly.py
+++ b/primroserudder/fleet/serverassembly.py
@@ -1,6 +1,7 @@
 """Assembles the component of a router that serves requests."""
 
 from collections.abc import Callable, Collection
+from dataclasses import dataclass
 
 from ..platform import open_session
 from ..process.tables import TableFollower
@@ -23,6 +24,25 @@
 ENGINE_SESSION_TIMEOUT_S = 60.0
 
 
+@dataclass(frozen=True, slots=True)
+class ControlFacts:
+    """What serving needs to know from the control of the groups.
+
+    Parameters
+    ==========
+    broken_groups : Callable
+        Returns the keys of the groups that the lease holder found broken.
+    unreachable : Callable
+        Returns the ids of engines that seem to be lost.
+    is_lease_held : Callable
+        Returns whether this VM holds the site's lease.
+    """
+
+    broken_groups: Callable[[], Collection[int]]
+    unreachable: Callable[[], Collection[str]]
+    is_lease_held: Callable[[], bool]
+
+
 def assemble_server(
     context: RouterContext,
     view: SiteView,
@@ -30,8 +50,7 @@
     limits: LimitGate,
     forwarder: Forwarder,
     health: TargetHealth,
-    broken_groups: Callable[[], Collection[int]],
-    unreachable: Callable[[], Collection[str]],
+    control: ControlFacts,
 ) -> Server:
     """Return the server that assigns requests to engines and sends them."""
     quarantine = Quarantine(
@@ -39,9 +58,11 @@
         context.log,
         context.metrics,
         view.directory,
-        unreachable,
+        control.unreachable,
         lambda: _current_since(view.engines),
         context.settings.list_expiry_s,
+        view.directory.count_targets,
+        control.is_lease_held,
     )
     retry_settings = context.settings.repeats
     session = open_session(ENGINE_SESSION_TIMEOUT_S, reuses_connections=False)
@@ -52,7 +73,7 @@
         health,
         limits,
         forwarder,
-        broken_groups,
+        control.broken_groups,
     )
     charger = RetryCharger(
         RetryBudgets(
--- a/primroserudder/fleet/suspectlog.py
+++ b/primroserudder/fleet/suspectlog.py
@@ -42,6 +42,14 @@
                 request=call.metadata.attempt_id,
             )
 
+    def note_trial(self, call: Call, causes: Collection[str]) -> None:
+        """Note that a request runs to try quarantined parts."""
+        self.log.note(
+            'trial_of_suspects',
+            suspects=sorted(causes),
+            request=call.metadata.attempt_id,
+        )
+
     def note_send(
         self, call: Call, target: Target, suspect: str, strikes: int
     ) -> None:
--- a/primroserudder/fleet/tests/test_crash_model.py
+++ b/primroserudder/fleet/tests/test_crash_model.py
@@ -9,7 +9,7 @@
     MIN_BEGUN_RATIO,
     CrashOutcome,
 )
-from ...testing.crashpatterns import PATTERNS_BY_NAME
+from ...testing.crashpatterns import PATTERNS, PATTERNS_BY_NAME
 from ...testing.crashreplay import replay
 
 SEED = 1
@@ -17,7 +17,7 @@
 ENGINES = 12
 SECONDS = 20
 CASES = (
-    *((name, 1) for name in PATTERNS_BY_NAME),
+    *((pattern.name, 1) for pattern in PATTERNS),
     *((name, 2) for name in ('one first', 'is first', 'flood', 'restart')),
     *((name, 7) for name in ('any first', 'burst', 'lost notices', 'flood')),
 )
--- a/primroserudder/fleet/tests/test_quarantine.py
+++ b/primroserudder/fleet/tests/test_quarantine.py
@@ -44,6 +44,8 @@
             lambda: self.unreachable,
             lambda: self.list_current_since,
             LIST_EXPIRY_S,
+            lambda: len(ENGINE_IDS),
+            lambda: True,
         )
         for engine_id in ENGINE_IDS:
             self.list_engine(engine(engine_id))
--- a/primroserudder/testing/crashoutcome.py
+++ b/primroserudder/testing/crashoutcome.py
@@ -104,16 +104,16 @@
         ]
         return max(times, default=self.trouble_at_s) - self.trouble_at_s
 
-    def begun_ratio(self) -> float:
+    def begun_ratio(self, since_s: float | None = None) -> float:
         """Return the least ratio of begun shares, after to before.
 
         Explanation
         ===========
         The share of affected sound requests that begin at their first
-        sending, for each first part, each workspace and all, from twice the
-        time for the news on.
+        sending, for each first part, each workspace and all, from a time on,
+        or from twice the time for the news.
         """
-        since = self._settled_at_s()
+        since = self._settled_at_s() if since_s is None else since_s
         until = max(
             (request.at_s for request in self.crashing), default=float('inf')
         )
--- a/primroserudder/testing/crashpatterns.py
+++ b/primroserudder/testing/crashpatterns.py
@@ -216,6 +216,31 @@
         invented_parts=10_000,
     ),
 )
+# Engines are away for longer than the bounds of the others allow for.
+MASS_ENDS = (
+    CrashPattern(
+        'all end early',
+        'no crashing part; all engines end just after the start',
+        (),
+        (Kill(1, 1, 8),),
+        seconds=40,
+    ),
+    CrashPattern(
+        'all end twice',
+        'no crashing part; all engines end, and again as they are back',
+        (),
+        (Kill(10, 1, 15), Kill(26, 1, 8)),
+        seconds=70,
+    ),
+    CrashPattern(
+        'all end slowly',
+        'no crashing part; all engines end, and answers take 15 s',
+        (),
+        (Kill(14, 1, 8),),
+        run_s=15,
+        seconds=70,
+    ),
+)
 PATTERNS_BY_NAME = MappingProxyType(
-    {pattern.name: pattern for pattern in PATTERNS}
+    {pattern.name: pattern for pattern in (*PATTERNS, *MASS_ENDS)}
 )
--- a/primroserudder/testing/crashreplay.py
+++ b/primroserudder/testing/crashreplay.py
@@ -30,7 +30,12 @@
     CrashOutcome,
     SoundEnding,
 )
-from .crashpatterns import PATTERNS, PATTERNS_BY_NAME, CrashPattern
+from .crashpatterns import (
+    MASS_ENDS,
+    PATTERNS,
+    PATTERNS_BY_NAME,
+    CrashPattern,
+)
 from .crashrequests import CrashRequest, draw_requests
 from .crashsite import CrashSite, ModelVm, entries_of
 from .virtualtime import run_virtually
@@ -255,7 +260,7 @@
     _write('pattern', 'VMs', [name for name, _ in COLUMNS])
     patterns = [
         pattern
-        for pattern in PATTERNS
+        for pattern in (*PATTERNS, *MASS_ENDS)
         if arguments.pattern in {'all', pattern.name}
     ]
     seeds = range(arguments.seed, arguments.seed + arguments.seeds)
--- a/primroserudder/testing/crashsite.py
+++ b/primroserudder/testing/crashsite.py
@@ -27,6 +27,8 @@
 
 DOMAINS = 3
 LIST_EXPIRY_S = 5.0
+# The VM that holds the lease.
+FIRST_ADDRESS = '10.0.0.1:7'
 # A row is at all VMs this long after it was written.
 STORE_LAG_S = 0.3
 
@@ -101,6 +103,8 @@
             tuple,
             float,
             LIST_EXPIRY_S,
+            lambda: len(self.directory.engines_by_id),
+            lambda: self.address == FIRST_ADDRESS,
         )
         count = len(self.store.listeners)
         writer = StrikeStore(
