Move what finds crashing requests into a room of its own

The seven that count crashes and refuse what causes them, and their tests, stand in fleet/crashes beside the trials; only imports and names in pages change.

--- a/primroserudder/fleet/attemptrunner.py
+++ b/primroserudder/fleet/attemptrunner.py
@@ -11,10 +11,10 @@
 from ..process.loops import cancel_on_exit
 from .attempt import Attempt, AttemptResult, StreamActivity, StreamSink
 from .call import Call
+from .crashes.quarantine import Quarantine
 from .engine_signals import EngineSignalHandler
 from .health import TargetHealth
 from .model import RequestKind, Target
-from .quarantine import Quarantine
 from .retries import NEVER_RUN, Ending
 from .streammoves import StreamMoves
 
--- a/primroserudder/fleet/call.py
+++ b/primroserudder/fleet/call.py
@@ -10,11 +10,11 @@
 
 from ..platform.headers import RequestMetadata
 from ..request.dispatch import DispatchRecord
+from .crashes.suspects import suspects_of
 from .directorynames import pool_name
 from .model import Target
 from .retries import RetryState
 from .routes import Destination
-from .suspects import suspects_of
 
 
 @dataclass(slots=True, eq=False)
--- a/primroserudder/fleet/quarantine.py
+++ b/primroserudder/fleet/crashes/quarantine.py
@@ -15,16 +15,16 @@
 from collections.abc import Callable, Collection, Iterable, Mapping
 from dataclasses import dataclass, field
 
-from ..errors import Ran, RudderError
-from ..process.clock import Clock
-from ..process.decisions import DecisionLog
-from ..process.metrics import Metrics
-from .attempt import AttemptResult
-from .call import Call
-from .crashes.trials import Trials
-from .directory import Directory
-from .model import Target
-from .retries import Ending
+from ...errors import Ran, RudderError
+from ...process.clock import Clock
+from ...process.decisions import DecisionLog
+from ...process.metrics import Metrics
+from ..attempt import AttemptResult
+from ..call import Call
+from ..crashes.trials import Trials
+from ..directory import Directory
+from ..model import Target
+from ..retries import Ending
 from .strikes import STRIKE_LIFETIME_S, Strike, StrikeRegistry
 from .suspectlog import SuspectLog
 
--- a/primroserudder/fleet/strikes.py
+++ b/primroserudder/fleet/crashes/strikes.py
@@ -16,7 +16,7 @@
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 
-from ..process.clock import Clock
+from ...process.clock import Clock
 from .explaining import (
     STRIKES_TO_QUARANTINE,
     Attribution,
@@ -100,7 +100,7 @@
 
     Examples
     ========
-    >>> from ..process.clock import SystemClock
+    >>> from ...process.clock import SystemClock
     >>> registry = StrikeRegistry(SystemClock())
     >>> for engine_id in ('i-1', 'i-2', 'i-2', 'i-3'):
     ...     strike = Strike('c0ffee', engine_id, 12)
--- a/primroserudder/fleet/strikestore.py
+++ b/primroserudder/fleet/crashes/strikestore.py
@@ -14,11 +14,11 @@
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 
-from ..errors import RudderError
-from ..process.clock import Clock
-from ..process.decisions import DecisionLog
-from ..process.platform import PlatformClient, Row, Transaction, Write
-from ..process.tables import TableFollower
+from ...errors import RudderError
+from ...process.clock import Clock
+from ...process.decisions import DecisionLog
+from ...process.platform import PlatformClient, Row, Transaction, Write
+from ...process.tables import TableFollower
 from .strikes import Strike, StrikeRecord, StrikeRegistry, parse_strike
 
 STRIKES_TABLE = 'strikes'
--- a/primroserudder/fleet/suspectlog.py
+++ b/primroserudder/fleet/crashes/suspectlog.py
@@ -4,12 +4,12 @@
 from collections.abc import Collection, Mapping
 from dataclasses import dataclass, field
 
-from ..process.clock import Clock
-from ..process.decisions import DecisionLog
-from ..process.metrics import Metrics
-from .call import Call
+from ...process.clock import Clock
+from ...process.decisions import DecisionLog
+from ...process.metrics import Metrics
+from ..call import Call
+from ..model import Target
 from .explaining import Attribution, Incarnation
-from .model import Target
 
 # Lines on the sends or refusals of one suspect are at least this far apart:
 # callers who go on sending would otherwise fill the log.
--- a/primroserudder/fleet/tests/test_crash_model.py
+++ b/primroserudder/fleet/crashes/tests/test_crash_model.py
@@ -4,13 +4,13 @@
 
 import pytest
 
-from ...testing.crashoutcome import (
+from ....testing.crashoutcome import (
     MAX_LATE_SENDS,
     MIN_BEGUN_RATIO,
     CrashOutcome,
 )
-from ...testing.crashpatterns import PATTERNS, PATTERNS_BY_NAME
-from ...testing.crashreplay import replay
+from ....testing.crashpatterns import PATTERNS, PATTERNS_BY_NAME
+from ....testing.crashreplay import replay
 
 SEED = 1
 # bin/crash-replay plays all patterns at all sizes, and for longer.
--- a/primroserudder/fleet/tests/test_crashing_content.py
+++ b/primroserudder/fleet/crashes/tests/test_crashing_content.py
@@ -6,8 +6,8 @@
 import aiohttp
 import xxhash
 
-from ...standins.groupengine import GroupEngine
-from ...testing.platformsite import WORKSPACE, PlatformSite, platform_site
+from ....standins.groupengine import GroupEngine
+from ....testing.platformsite import WORKSPACE, PlatformSite, platform_site
 
 CRASHING = b'this crashes each engine that runs it'
 SENDS = 9
--- a/primroserudder/fleet/tests/test_crashing_part.py
+++ b/primroserudder/fleet/crashes/tests/test_crashing_part.py
@@ -7,10 +7,10 @@
 
 import pytest
 
-from ...standins.enginecrash import crash_with_connections
-from ...standins.groupengine import GroupEngine
-from ...testing.platformsite import PlatformSite, platform_site
-from ...testing.promptparts import (
+from ....standins.enginecrash import crash_with_connections
+from ....standins.groupengine import GroupEngine
+from ....testing.platformsite import PlatformSite, platform_site
+from ....testing.promptparts import (
     CRASHING_PART,
     FIRST_PART,
     PLAIN_PATH,
--- a/primroserudder/fleet/tests/test_explaining.py
+++ b/primroserudder/fleet/crashes/tests/test_explaining.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from ...testing.fleetdata import ManualClock
+from ....testing.fleetdata import ManualClock
 from ..partcounts import MIN_ANSWERS_TO_COMPARE
 from ..strikes import (
     COMPLETION_LIFETIME_S,
--- a/primroserudder/fleet/tests/test_mass_ends.py
+++ b/primroserudder/fleet/crashes/tests/test_mass_ends.py
@@ -8,10 +8,10 @@
 
 import pytest
 
-from ...testing.crashfaults import Kill
-from ...testing.crashoutcome import CONTACT_S, MIN_BEGUN_RATIO
-from ...testing.crashpatterns import MASS_ENDS, PATTERNS_BY_NAME
-from ...testing.crashreplay import replay
+from ....testing.crashfaults import Kill
+from ....testing.crashoutcome import CONTACT_S, MIN_BEGUN_RATIO
+from ....testing.crashpatterns import MASS_ENDS, PATTERNS_BY_NAME
+from ....testing.crashreplay import replay
 
 # Time for the engines to answer once they are back, in seconds.
 RECOVERY_S = 2 * CONTACT_S
--- a/primroserudder/fleet/tests/test_quarantine.py
+++ b/primroserudder/fleet/crashes/tests/test_quarantine.py
@@ -4,14 +4,14 @@
 
 import pytest
 
-from ...process.decisions import DecisionLog
-from ...process.metrics import Metrics
-from ...testing.fleetdata import ManualClock, call, engine, target
-from ..attempt import AttemptResult
-from ..directory import Directory
-from ..model import Engine
+from ....process.decisions import DecisionLog
+from ....process.metrics import Metrics
+from ....testing.fleetdata import ManualClock, call, engine, target
+from ...attempt import AttemptResult
+from ...directory import Directory
+from ...model import Engine
+from ...retries import Ending
 from ..quarantine import Quarantine
-from ..retries import Ending
 
 LIST_EXPIRY_S = 5.0
 RESET = AttemptResult(Ending.UNKNOWN, 'reset', may_have_crashed=True)
--- a/primroserudder/fleet/tests/test_strikes.py
+++ b/primroserudder/fleet/crashes/tests/test_strikes.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable
 
-from ...testing.fleetdata import ManualClock, call
+from ....testing.fleetdata import ManualClock, call
 from ..strikes import (
     COMPLETION_LIFETIME_S,
     MAX_SHARED_STRIKES,
--- a/primroserudder/fleet/crashes/tests/test_trials.py
+++ b/primroserudder/fleet/crashes/tests/test_trials.py
@@ -3,7 +3,7 @@
 import pytest
 
 from ....testing.fleetdata import ManualClock, call
-from ...strikes import Strike, StrikeRegistry
+from ..strikes import Strike, StrikeRegistry
 from ..trials import FIRST_TRIAL_S, TOGETHER_S, TRIAL_S, Trials
 
 TARGETS = 12
--- a/primroserudder/fleet/crashes/trials.py
+++ b/primroserudder/fleet/crashes/trials.py
@@ -15,9 +15,9 @@
 
 from ...process.clock import Clock
 from ..call import Call
-from ..explaining import Incarnation
-from ..strikes import StrikeRegistry
-from ..suspects import is_part
+from .explaining import Incarnation
+from .strikes import StrikeRegistry
+from .suspects import is_part
 
 # Engines that end within this time of each other end together.
 TOGETHER_S = 1.0
--- a/primroserudder/fleet/router.py
+++ b/primroserudder/fleet/router.py
@@ -17,6 +17,8 @@
     build_control_plane,
     build_lease,
 )
+from .crashes.quarantine import Quarantine
+from .crashes.strikestore import StrikeStore
 from .enginelimits import LimitGate, LimitRegistry
 from .forwarding import Forwarder, RouterPort
 from .forwarding.assembly import build_forwarder
@@ -34,14 +36,12 @@
 )
 from .poolmeter import PoolMeter
 from .ports import Ports
-from .quarantine import Quarantine
 from .relayedtables import RelayedTableSource
 from .serverassembly import ControlFacts, assemble_server
 from .serving import Server
 from .settings import RouterSettings
 from .silent_heads import SilentHeadDetector
 from .site_view import SiteView
-from .strikestore import StrikeStore
 from .supervision import Supervisor
 from .tablerelay import TableRelay
 
--- a/primroserudder/fleet/serverassembly.py
+++ b/primroserudder/fleet/serverassembly.py
@@ -8,12 +8,12 @@
 from .attemptrunner import AttemptRunner
 from .balancing import Balancer
 from .control_plane import RouterContext
+from .crashes.quarantine import Quarantine
 from .engine_signals import EngineSignalHandler
 from .enginelimits import LimitGate
 from .forwarding import Forwarder
 from .health import TargetHealth
 from .membership import InFlightCounts
-from .quarantine import Quarantine
 from .retries import RetryBudgets
 from .serving import Server
 from .site_view import SiteView
--- a/primroserudder/fleet/serving.py
+++ b/primroserudder/fleet/serving.py
@@ -13,9 +13,9 @@
 from .attempt import AttemptResult, StreamSink
 from .attemptrunner import AttemptRunner
 from .call import Call
+from .crashes.quarantine import Quarantine, Quarantined
 from .health import TargetHealth
 from .model import Target
-from .quarantine import Quarantine, Quarantined
 from .retries import NEVER_RUN, Ending, Step
 from .slotqueues import SlotQueues
 from .streammoves import RetryCharger
--- a/primroserudder/fleet/site_view.py
+++ b/primroserudder/fleet/site_view.py
@@ -17,9 +17,9 @@
 from ..process.decisions import DecisionLog
 from ..process.tables import TableFollower, TableSource
 from .active_configuration import ActiveConfiguration
+from .crashes.strikestore import STRIKES_TABLE
 from .directory import Directory
 from .model import Configuration
-from .strikestore import STRIKES_TABLE
 
 # Long-poll time. A source that stops answering is detected after this time and
 # the call's slack; a configuration change must reach all VMs in two seconds.
--- a/primroserudder/fleet/streammoves.py
+++ b/primroserudder/fleet/streammoves.py
@@ -17,8 +17,8 @@
 from ..process.loops import cancel_on_exit
 from .attempt import AttemptResult
 from .call import Call
+from .crashes.quarantine import NO_ANSWER, Quarantine
 from .model import Target
-from .quarantine import NO_ANSWER, Quarantine
 from .retries import RetryBudget, RetryBudgets
 from .slotqueues import SlotQueues
 from .target_selector import TargetSelector
--- a/primroserudder/fleet/tests/test_streammoves.py
+++ b/primroserudder/fleet/tests/test_streammoves.py
@@ -6,7 +6,7 @@
 from ...standins.groupengine import event
 from ...testing.platformsite import PlatformSite, platform_site
 from ..call import Call
-from ..strikes import Strike
+from ..crashes.strikes import Strike
 from .test_silent_engine import (
     WHOLE_STREAM,
     _silence,
--- a/primroserudder/testing/crashreplay.py
+++ b/primroserudder/testing/crashreplay.py
@@ -20,7 +20,7 @@
 
 from ..fleet.attempt import AttemptResult
 from ..fleet.call import Call
-from ..fleet.quarantine import Quarantined
+from ..fleet.crashes.quarantine import Quarantined
 from ..fleet.retries import Ending
 from .crashengines import ModelEngine, RunEnding
 from .crashfaults import play_fault
--- a/primroserudder/testing/crashsite.py
+++ b/primroserudder/testing/crashsite.py
@@ -12,12 +12,12 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field, fields
 
+from ..fleet.crashes.partcounts import PartCounts
+from ..fleet.crashes.quarantine import Quarantine
+from ..fleet.crashes.strikes import StrikeRegistry
+from ..fleet.crashes.strikestore import StrikeStore
 from ..fleet.directory import Directory
 from ..fleet.membership import Facts, Strikes
-from ..fleet.partcounts import PartCounts
-from ..fleet.quarantine import Quarantine
-from ..fleet.strikes import StrikeRegistry
-from ..fleet.strikestore import StrikeStore
 from ..process.clock import LoopClock
 from ..process.decisions import DecisionLog
 from ..process.metrics import Metrics
