Try parts again only after three quarters of the targets ended

A small fleet under six crashing parts can lose half of its targets within a second, which is no loss of power.

--- a/primroserudder/fleet/crashes/trials.py
+++ b/primroserudder/fleet/crashes/trials.py
@@ -22,7 +22,7 @@
 # Engines that end within this time of each other end together.
 TOGETHER_S = 1.0
 # Ends that are so many, or that share of all targets, have a common cause.
-MASS_END_SHARE = 0.5
+MASS_END_SHARE = 0.75
 MASS_END_TARGETS = 20
 # Time for engines to come back before a part is tried.
 FIRST_TRIAL_S = 6.0
