Probe engines of a VM's own failure domain before its links count as lost

Cause: the four engines that a VM probed were drawn from the whole list. Of three domains, with only the own one reached, they miss it with a chance of 0.2.

The change: two engines of the own domain are probed, and one each of four others, in two rounds, since a process that is held up for 0.15 s misses all answers of one. A holder gives the lease up after 0.6 s without its links.

--- a/primroserudder/fleet/control_plane.py
+++ b/primroserudder/fleet/control_plane.py
@@ -100,7 +100,7 @@
         wake,
     )
     election = LeaderElection(
-        lease, clock, log, wake, peers, lambda: forwarder.is_active
+        lease, clock, log, wake, peers, lambda: forwarder.is_useless_as_holder
     )
     return ControlPlane(election, inventory, reconciler, orders)
 
--- a/primroserudder/fleet/forwarding/assembly.py
+++ b/primroserudder/fleet/forwarding/assembly.py
@@ -28,7 +28,8 @@
     orders = EngineOrders(
         open_session(ORDER_TIMEOUT_S, reuses_connections=False)
     )
-    reach = EngineReach(orders, directory, context.clock, context.log)
+    domain = context.settings.failure_domain
+    reach = EngineReach(orders, directory, context.clock, context.log, domain)
     return Forwarder(
         reach,
         ReachingPeers(
@@ -38,5 +39,5 @@
             reach.in_doubt,
             on_lost,
         ),
-        context.settings.failure_domain,
+        domain,
     )
--- a/primroserudder/fleet/forwarding/forwarder.py
+++ b/primroserudder/fleet/forwarding/forwarder.py
@@ -9,6 +9,10 @@
 from .reach import EngineReach
 
 
+# A holder that misses its engines for a moment goes on.
+GIVE_UP_LEASE_AFTER_S = 0.6
+
+
 @dataclass(slots=True)
 class Forwarder:
     """Says whether requests are forwarded, and to which routers."""
@@ -28,6 +32,12 @@
         """Return whether requests go to other routers now."""
         return self.reach.is_cut_off and bool(self.peers.targets())
 
+    @property
+    def is_useless_as_holder(self) -> bool:
+        """Return whether another VM should hold the site's lease."""
+        lost_for_s = self.reach.clock.monotonic() - self.reach.cut_off_since
+        return self.is_active and lost_for_s >= GIVE_UP_LEASE_AFTER_S
+
     def pool(self) -> TargetPool:
         """Return the routers that reach engines."""
         targets = self.peers.targets()
--- a/primroserudder/fleet/forwarding/reach.py
+++ b/primroserudder/fleet/forwarding/reach.py
@@ -3,13 +3,15 @@
 Explanation
 ===========
 Engines that refuse connections are nothing unusual; a whole failure domain may
-be dark. A VM that can connect to none of several engines drawn from the whole
-list has lost its own links. Connections that were open before prove nothing,
+be dark, or cut off with this VM in it. A VM that can connect to none of several
+engines of its own failure domain and of others, twice in a row, has lost its
+own links. Connections that were open before prove nothing,
 since they may live on while new ones fail: each probe makes a new one.
 """
 
 import asyncio
 import random
+from collections import defaultdict
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 
@@ -28,7 +30,12 @@
 ANSWER_LIFETIME_S = 0.3
 # Failures count together for this long.
 FAILURE_MEMORY_S = 1.5
-PROBES_AT_ONCE = 4
+# Engines that are probed at once: of this VM's failure domain, and one each of
+# some others.
+OWN_PROBES = 2
+OTHER_DOMAINS_PROBED = 4
+# The second round tells lost links from a process that was held up.
+ROUNDS_TO_LOSE = 2
 PROBE_INTERVAL_S = 0.25
 # The links count as restored after this many rounds with an answer.
 ROUNDS_TO_RETURN = 2
@@ -43,6 +50,8 @@
     ==========
     is_cut_off : bool
         Whether no engine could be reached from this VM.
+    cut_off_since : float
+        Monotonic time in seconds at which that began last.
     in_doubt : Event
         Set while this VM may have lost all engines, or has.
     reached_since : float
@@ -54,7 +63,9 @@
     directory: Directory
     clock: Clock
     log: DecisionLog
+    failure_domain: str
     is_cut_off: bool = False
+    cut_off_since: float = float('-inf')
     reached_since: float = float('-inf')
     rng: random.Random = field(default_factory=random.Random)
     _failed_at_by_engine: dict[str, float] = field(default_factory=dict)
@@ -106,7 +117,7 @@
         """Probe engines whenever in doubt, until cancelled."""
         while True:
             await self.in_doubt.wait()
-            if not await self._reaches_any():
+            if not await self._reaches_any_of_rounds():
                 await self._wait_while_cut_off()
                 self._failed_at_by_engine.clear()
             self.in_doubt.clear()
@@ -114,8 +125,9 @@
 
     async def _wait_while_cut_off(self) -> None:
         self.is_cut_off = True
+        self.cut_off_since = self.clock.monotonic()
         self._settled.set()
-        self.log.note('engines_lost', probed=PROBES_AT_ONCE)
+        self.log.note('engines_lost', failed=sorted(self._failed_at_by_engine))
         rounds = 0
         while rounds < ROUNDS_TO_RETURN:
             await asyncio.sleep(PROBE_INTERVAL_S)
@@ -124,6 +136,12 @@
         self.reached_since = self.clock.monotonic()
         self.log.note('engines_reached')
 
+    async def _reaches_any_of_rounds(self) -> bool:
+        for _ in range(ROUNDS_TO_LOSE):
+            if await self._reaches_any():
+                return True
+        return False
+
     async def _reaches_any(self) -> bool:
         """Return whether any of some engines answers on a new connection."""
         probed = self._drawn()
@@ -141,8 +159,18 @@
         return False
 
     def _drawn(self) -> Sequence[Engine]:
-        engines = tuple(self.directory.engines_by_id.values())
-        return self.rng.sample(engines, min(PROBES_AT_ONCE, len(engines)))
+        engines_by_domain: defaultdict[str, list[Engine]] = defaultdict(list)
+        for engine in self.directory.engines_by_id.values():
+            engines_by_domain[engine.failure_domain].append(engine)
+        own = engines_by_domain.pop(self.failure_domain, [])
+        others = self.rng.sample(
+            sorted(engines_by_domain),
+            min(OTHER_DOMAINS_PROBED, len(engines_by_domain)),
+        )
+        return (
+            *self.rng.sample(own, min(OWN_PROBES, len(own))),
+            *(self.rng.choice(engines_by_domain[domain]) for domain in others),
+        )
 
     def _forget_failures_before(self, time: float) -> None:
         self._failed_at_by_engine = {
