Go on counting epochs when a late renewal resumes a tenure

Cause: a renewal that comes late lets the lease lapse for a moment. The tenure that follows has the same fencing token, and its epochs began anew, below those that the engines had seen, until as many joins had failed as there were groups before.

The change: a tenure that resumes under the same token goes on with its count.

--- a/primroserudder/fleet/group_reconciler.py
+++ b/primroserudder/fleet/group_reconciler.py
@@ -45,6 +45,7 @@
     last_groups_by_name: Mapping[str, GroupProgress] = field(
         default_factory=dict
     )
+    _last_tenure: Tenure | None = None
 
     async def run(self) -> None:
         """Reconcile the groups until cancelled."""
@@ -72,6 +73,10 @@
         fencing = self.lease.fencing
         if self.tenure is None or self.tenure.fencing != fencing:
             tenure = self.make_tenure(fencing, self.directory, self._group_size)
+            last = self._last_tenure
+            if last is not None and last.fencing == fencing:
+                # A late renewal resumes the tenure; engines know its epochs.
+                tenure.epoch_count = last.epoch_count
             if self.lease.has_survived_restore:
                 tenure.inherited = self.last_groups_by_name
             self.tenure = tenure
@@ -84,6 +89,7 @@
 
     def _end_tenure(self, tenure: Tenure) -> None:
         self.log.note('tenure_lost', fencing=tenure.fencing)
+        self._last_tenure = tenure
         self.tenure = None
         self.broken_groups = ()
 
--- a/primroserudder/fleet/tenure.py
+++ b/primroserudder/fleet/tenure.py
@@ -32,6 +32,8 @@
         the store came back from a copy.
     group_size : Callable
         Returns the size of a model's groups, zero if the model is unknown.
+    epoch_count : int
+        How many epochs were given out under this fencing token.
     """
 
     platform: PlatformClient
@@ -45,7 +47,7 @@
     inherited: Mapping[str, GroupProgress] | None = None
     groups_by_name: dict[str, GroupProgress] = field(default_factory=dict)
     is_loaded: bool = False
-    _epoch_count: int = 0
+    epoch_count: int = 0
     _are_claims_restored: bool = False
 
     async def load(self) -> None:
@@ -73,8 +75,8 @@
         is_standby: bool = False,
     ) -> Formation:
         """Return a formation with an epoch that was never used before."""
-        self._epoch_count += 1
-        epoch = self.fencing * EPOCHS_PER_TENURE + self._epoch_count
+        self.epoch_count += 1
+        epoch = self.fencing * EPOCHS_PER_TENURE + self.epoch_count
         name = group_name(model, epoch, is_standby=is_standby)
         return Formation(name, epoch, model, members)
 
