Take no requests of callers later than 2.8 s after the signal to stop

Cause: the notice to the balancer lasted 3.2 s, so that what came last had 4.4 s until the process must end.

The change: the notice lasts 2.8 s. The balancer acts on two checks a second apart, so new callers are gone by then, and idle connections are closed.

--- a/primroserudder/fleet/router.py
+++ b/primroserudder/fleet/router.py
@@ -46,7 +46,8 @@
 from .tablerelay import TableRelay
 
 # The balancer checks health once a second and acts after two equal results.
-DRAIN_NOTICE_S = 3.2
+# What is taken later has too little of the grace period left to end.
+DRAIN_NOTICE_S = 2.8
 # Streams that still run are cut off this long before the process is killed.
 EXIT_RESERVE_S = 0.4
 # Time to write the responses of requests that are cut off.
--- a/primroserudder/fleet/tests/test_stop_endings.py
+++ b/primroserudder/fleet/tests/test_stop_endings.py
@@ -3,7 +3,7 @@
 import asyncio
 import socket
 from collections.abc import AsyncIterator
-from contextlib import AsyncExitStack, asynccontextmanager
+from contextlib import AsyncExitStack, asynccontextmanager, suppress
 
 import pytest
 
@@ -17,6 +17,10 @@
 NOTICE_S = 0.3
 # Requests are worked on for this long after a stop began.
 WORK_S = 0.6
+# A request may come so late after the signal to stop; the users' bound.
+TAKEN_FOR_AT_MOST_S = 3.0
+LONGEST_STOP_S = 4.0
+CONNECT_INTERVAL_S = 0.02
 
 
 @asynccontextmanager
@@ -221,3 +225,22 @@
         await asyncio.gather(*asking)
         assert set(statuses) <= {200, 503}
         assert not router.dump()['violations']
+
+
+async def test_stopping_router_soon_takes_no_more_requests() -> None:
+    # What is taken later has too little of the grace period left to end.
+    async with platform_site() as site:
+        router = site.routers[0]
+        host, _, port = router.settings.callers.rpartition(':')
+        loop = asyncio.get_running_loop()
+        signalled_at = loop.time()
+        stopping = asyncio.ensure_future(router.stop())
+        last_taken_at = signalled_at
+        with suppress(OSError):
+            while loop.time() < signalled_at + LONGEST_STOP_S:
+                _, writer = await asyncio.open_connection(host, int(port))
+                last_taken_at = loop.time()
+                writer.close()
+                await asyncio.sleep(CONNECT_INTERVAL_S)
+        assert last_taken_at - signalled_at < TAKEN_FOR_AT_MOST_S
+        stopping.cancel()
