Take a VM's links for sound while engines accept connections

What could happen: while all probed engines pause for a second, as sound ones may, a router took its own links for lost and forwarded its requests, to routers that refused them for the same reason. The test shows it on the code before.

Cause: a probe asked for an answer within 0.15 s; the question is whether there is a connection. The change: an engine that accepts a new connection and doesn't reset it is reached.

--- a/primroserudder/fleet/forwarding/reach.py
+++ b/primroserudder/fleet/forwarding/reach.py
@@ -5,8 +5,9 @@
 Engines that refuse connections are nothing unusual; a whole failure domain may
 be dark, or cut off with this VM in it. A VM that can connect to none of several
 engines of its own failure domain and of others, twice in a row, has lost its
-own links. Connections that were open before prove nothing,
-since they may live on while new ones fail: each probe makes a new one.
+own links. Connections that were open before prove nothing, since they may live
+on while new ones fail: each probe makes a new one. An engine that accepts it
+and pauses is reached.
 """
 
 import asyncio
@@ -143,17 +144,17 @@
         return False
 
     async def _reaches_any(self) -> bool:
-        """Return whether any of some engines answers on a new connection."""
+        """Return whether any of some engines accepts a new connection."""
         probed = self._drawn()
         if not probed:
             return True
         probes = [
-            asyncio.ensure_future(self.orders.report(engine))
+            asyncio.ensure_future(self.orders.accepts_connection(engine))
             for engine in probed
         ]
         async with cancel_on_exit(*probes):
             for probe in asyncio.as_completed(probes):
-                if await probe is not None:
+                if await probe:
                     self._answered_at = self.clock.monotonic()
                     return True
         return False
--- a/primroserudder/fleet/forwarding/tests/test_cut_off_router.py
+++ b/primroserudder/fleet/forwarding/tests/test_cut_off_router.py
@@ -95,3 +95,20 @@
                     await response.read()
                 assert response.status == 200
                 assert len(site.arrivals(attempt_id)) == 1
+
+
+async def test_second_of_silence_of_all_engines_is_no_loss_of_links() -> None:
+    # They accept connections, as sound engines do that pause.
+    async with platform_site(routers=2) as site:
+        await _wait_until_serving(site)
+        reach = site.routers[0].forwarder.reach
+        for engine in site.engines_by_id.values():
+            engine.faults.is_silent = True
+        reach.doubt()
+        async with asyncio.timeout(1):
+            await reach.settled()
+        assert not reach.is_cut_off
+        for engine in site.engines_by_id.values():
+            engine.faults.is_silent = False
+        statuses = await _statuses(site, '/refunds/1', REQUESTS)
+        assert set(statuses) == {200}
--- a/primroserudder/fleet/forwarding/tests/test_reach.py
+++ b/primroserudder/fleet/forwarding/tests/test_reach.py
@@ -25,22 +25,22 @@
 
 @dataclass(slots=True)
 class FakeOrders:
-    """Answers reports of the engines that are reached."""
+    """Accepts connections to the engines that are reached."""
 
     reached: set[str] = field(default_factory=set)
     probes: int = 0
     held_up: int = 0
 
-    async def report(self, probed: Engine) -> object | None:
-        """Return an answer at once, or none after a time."""
+    async def accepts_connection(self, probed: Engine) -> bool:
+        """Return at once if an engine is reached, or after a time."""
         self.probes += 1
         if self.probes <= self.held_up:
             await asyncio.sleep(PROBE_S)
-            return None
+            return False
         if probed.engine_id in self.reached:
-            return probed
+            return True
         await asyncio.sleep(PROBE_S)
-        return None
+        return False
 
 
 @dataclass(slots=True)
--- a/primroserudder/platform/orders.py
+++ b/primroserudder/platform/orders.py
@@ -113,6 +113,25 @@
         except _REPORT_ERRORS:
             return None
 
+    async def accepts_connection(self, engine: Engine) -> bool:
+        """Return whether an engine accepts a connection and doesn't reset it.
+
+        Explanation
+        ===========
+        An engine that pauses accepts it and answers later.
+        """
+        url = f'http://{engine.address}{names.REPORT_PATH}'
+        timeout = aiohttp.ClientTimeout(
+            sock_connect=REPORT_TIMEOUT_S, sock_read=REPORT_TIMEOUT_S
+        )
+        try:
+            async with self.session.get(url, timeout=timeout):
+                return True
+        except aiohttp.SocketTimeoutError:
+            return True
+        except _REPORT_ERRORS:
+            return False
+
     async def _group_order(
         self,
         engine: Engine,
