Log what becomes of routers that are asked, and refuse malformed forwarding

Cause: a router that stopped answering took its streams along without a line in the log, and a malformed number of attempts was read as one, without a line either. Ruled out: callers, whose field of that name means nothing. Change: both are logged; a malformed number is refused as not run, with a code of its own.

--- a/primroserudder/fleet/forwarding/assembly.py
+++ b/primroserudder/fleet/forwarding/assembly.py
@@ -36,6 +36,7 @@
             open_session(),
             peers,
             context.clock,
+            context.log,
             reach.in_doubt,
             on_lost,
         ),
--- a/primroserudder/fleet/forwarding/forwarder.py
+++ b/primroserudder/fleet/forwarding/forwarder.py
@@ -8,7 +8,6 @@
 from .peers import ReachingPeers
 from .reach import EngineReach
 
-
 # A holder that misses its engines for a moment goes on.
 GIVE_UP_LEASE_AFTER_S = 0.6
 
--- a/primroserudder/fleet/forwarding/messages.py
+++ b/primroserudder/fleet/forwarding/messages.py
@@ -4,6 +4,7 @@
 
 from multidict import CIMultiDict, CIMultiDictProxy
 
+from ...errors import Ran, RudderError
 from ...platform import headers as wire
 from ...platform import names
 
@@ -18,6 +19,15 @@
 MILLISECONDS_PER_SECOND = 1000
 
 
+class MalformedForwarding(RudderError):
+    """A router sent a request with a malformed number of attempts."""
+
+    code = 'malformed_forwarding'
+    status = 400
+    ran = Ran.NO
+    default_remedy = 'send the number of attempts that are left, at least one'
+
+
 def headers_for_router(
     headers: Headers, attempts_left: int, remaining_s: float, last_event_id: str
 ) -> CIMultiDict[str]:
@@ -39,6 +49,11 @@
 def forwarded_attempts(headers: Headers) -> int | None:
     """Return how many attempts a request has left, ``None`` if not forwarded.
 
+    Raises
+    ======
+    MalformedForwarding
+        The field is no positive whole number.
+
     Examples
     ========
     >>> def read(text):
@@ -46,12 +61,16 @@
     >>> read({'Rudder-Attempts-Left': '2'}), read({'Host': 'one.example'})
     (2, None)
     >>> read({'Rudder-Attempts-Left': 'many'})
-    1
+    Traceback (most recent call last):
+    ...
+    primroserudder.fleet.forwarding.messages.MalformedForwarding: ...
     """
     text = headers.get(ATTEMPTS_LEFT)
     if text is None:
         return None
-    return max(1, int(text)) if text.isdecimal() else 1
+    if not (text.isascii() and text.isdecimal() and int(text)):
+        raise MalformedForwarding(f'{ATTEMPTS_LEFT} is {text!r}')
+    return int(text)
 
 
 def headers_of_forwarded(headers: Headers) -> Headers:
--- a/primroserudder/fleet/forwarding/peers.py
+++ b/primroserudder/fleet/forwarding/peers.py
@@ -10,6 +10,7 @@
 import aiohttp
 
 from ...process.clock import Clock
+from ...process.decisions import DecisionLog
 from ..membership import PeerAddresses
 from ..model import Target
 from ..retries import Ending
@@ -43,6 +44,7 @@
     session: aiohttp.ClientSession
     peers: PeerAddresses
     clock: Clock
+    log: DecisionLog
     needed: asyncio.Event
     on_lost: Callable[[str], None]
     rng: random.Random = field(default_factory=random.Random)
@@ -95,6 +97,8 @@
         status = await self._status(address)
         if status == HTTPStatus.OK:
             until = self.clock.monotonic() + ANSWER_LIFETIME_S
+            if address not in self._reaching_until:
+                self.log.note('router_reaches_engines', router=address)
             self._reaching_until[address] = until
             self._misses.pop(address, None)
             return
@@ -106,6 +110,7 @@
         self._misses[address] += 1
         if self._misses[address] == MISSES_TO_LOSE:
             self._misses.pop(address)
+            self.log.note('router_lost', router=address, misses=MISSES_TO_LOSE)
             self.on_lost(_target_id(address))
 
     async def _status(self, address: str) -> int:
--- a/primroserudder/fleet/forwarding/port.py
+++ b/primroserudder/fleet/forwarding/port.py
@@ -6,7 +6,17 @@
 
 from aiohttp import web
 
-from .messages import CUT_OFF, REACH_PATH, STOPPING, forwarded_attempts
+from ...errors import RudderError
+from ...process.decisions import DecisionLog
+from ..errorresponse import error_response
+from .messages import (
+    CUT_OFF,
+    REACH_PATH,
+    STOPPING,
+    MalformedForwarding,
+    forwarded_attempts,
+    mark_not_run,
+)
 from .reach import EngineReach
 
 ServeForwarded = Callable[[web.BaseRequest, int], Awaitable[web.StreamResponse]]
@@ -29,16 +39,26 @@
     serve_forwarded: ServeForwarded
     relay: Answer
     is_ready: Callable[[], bool]
+    log: DecisionLog
 
     async def answer(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer a request of another router."""
-        attempts_left = forwarded_attempts(request.headers)
+        try:
+            attempts_left = forwarded_attempts(request.headers)
+        except MalformedForwarding as error:
+            return self._refuse(error)
         if attempts_left is not None:
             return await self.serve_forwarded(request, attempts_left)
         if request.path == REACH_PATH:
             return web.Response(status=self._status())
         return await self.relay(request)
 
+    def _refuse(self, error: RudderError) -> web.Response:
+        self.log.note('forwarding_refused', code=error.code, reason=str(error))
+        response = error_response(error, '')
+        mark_not_run(response.headers)
+        return response
+
     def _status(self) -> int:
         if not self.is_ready():
             return STOPPING
--- a/primroserudder/fleet/forwarding/tests/test_forwarding.py
+++ b/primroserudder/fleet/forwarding/tests/test_forwarding.py
@@ -212,3 +212,20 @@
             return response.status
     except aiohttp.ClientError:
         return 0
+
+
+@pytest.mark.parametrize('text', ['many', '0', '-1', ''])
+async def test_malformed_number_of_attempts_is_refused_as_not_run(
+    text: str,
+) -> None:
+    async with platform_site(routers=1) as site:
+        settings = site.routers[0].settings
+        async with (
+            aiohttp.ClientSession() as session,
+            session.post(
+                f'http://{settings.exchange_endpoint}/refunds/1',
+                headers={ATTEMPTS_LEFT: text},
+            ) as response,
+        ):
+            assert response.status == 400
+            assert 'X-Primroserudder-Not-Executed' in response.headers
--- a/primroserudder/fleet/router.py
+++ b/primroserudder/fleet/router.py
@@ -310,6 +310,7 @@
                 handler.serve_forwarded,
                 relay.answer,
                 self.is_ready,
+                self.log,
             ),
         )
 
