--- a/primroserudder/fleet/balancing.py
+++ b/primroserudder/fleet/balancing.py
@@ -26,6 +26,9 @@
 MAX_DRAWS = 6
 
 InFlight = Callable[[str], int]
+# Rates a target with a number of requests in flight, in another failure domain
+# or not; the least rating is the best, an infinite one excludes the target.
+Rating = Callable[[Target, int, bool], float]
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,9 +51,21 @@
     return TargetPool(targets, own, others)
 
 
+def slots_in_use(target: Target, in_flight: int, is_elsewhere: bool) -> float:
+    """Return the share of a target's slots in use.
+
+    Examples
+    ========
+    >>> slots_in_use(Target('i-1', '10.0.0.1:1', 'fd-1', 10), 4, False)
+    0.4
+    """
+    penalty = OTHER_DOMAIN_PENALTY if is_elsewhere else 0
+    return in_flight / target.slots + penalty
+
+
 @dataclass(frozen=True, slots=True)
 class Balancer:
-    """Chooses targets by their share of slots in use.
+    """Chooses targets by their share of slots in use, or by another rating.
 
     Parameters
     ==========
@@ -62,7 +77,10 @@
     rng: random.Random = field(default_factory=random.Random)
 
     def choose(
-        self, pool: TargetPool, is_usable: Callable[[Target], bool]
+        self,
+        pool: TargetPool,
+        is_usable: Callable[[Target], bool],
+        rate: Rating = slots_in_use,
     ) -> Target | None:
         """Return a target with a free slot, ``None`` if there is none.
 
@@ -74,15 +92,18 @@
         best = self._best(
             self._drawn(pool.own, is_usable),
             self._drawn(pool.others, is_usable),
+            rate,
         )
         if best is not None:
             return best
-        return self._any_free(pool.own, is_usable) or self._any_free(
-            pool.others, is_usable
-        )
+        own = self._any_free(pool.own, is_usable, rate)
+        return own or self._any_free(pool.others, is_usable, rate)
 
     def _any_free(
-        self, targets: Sequence[Target], is_usable: Callable[[Target], bool]
+        self,
+        targets: Sequence[Target],
+        is_usable: Callable[[Target], bool],
+        rate: Rating,
     ) -> Target | None:
         """Return any target with a free slot, after no drawn one had one.
 
@@ -94,8 +115,9 @@
         free = [
             target
             for target in targets
-            if self.in_flight(target.engine_id) < target.slots
+            if (in_use := self.in_flight(target.engine_id)) < target.slots
             and is_usable(target)
+            and rate(target, in_use, False) < float('inf')
         ]
         return self.rng.choice(free) if free else None
 
@@ -108,18 +130,20 @@
         return drawn if is_small else itertools.islice(drawn, COMPARED)
 
     def _best(
-        self, own: Iterable[Target], others: Iterable[Target]
+        self, own: Iterable[Target], others: Iterable[Target], rate: Rating
     ) -> Target | None:
-        """Return the target with the smallest share of slots in use."""
+        """Return the target with the smallest rating."""
         best: Target | None = None
-        best_share = float('inf')
-        for targets, penalty in ((own, 0), (others, OTHER_DOMAIN_PENALTY)):
+        least = float('inf')
+        for targets, is_elsewhere in ((own, False), (others, True)):
             for target in targets:
                 in_use = self.in_flight(target.engine_id)
-                share = in_use / target.slots + penalty
-                if in_use < target.slots and share < best_share:
+                if in_use >= target.slots:
+                    continue
+                rating = rate(target, in_use, is_elsewhere)
+                if rating < least:
                     best = target
-                    best_share = share
+                    least = rating
         return best
 
 
--- a/primroserudder/fleet/membership/__init__.py
+++ b/primroserudder/fleet/membership/__init__.py
@@ -14,10 +14,11 @@
 from .keys import short_key
 from .limitreport import LimitReport
 from .nodes import NodeRegistry
-from .notice import Facts, LimitNews, LoadPart, Strikes
+from .notice import KEYS, Facts, LimitNews, LoadPart, Strikes
 from .peeraddresses import Peer, PeerAddresses
 
 __all__ = [
+    'KEYS',
     'Exchange',
     'Facts',
     'InFlightCounts',
--- a/primroserudder/fleet/membership/in_flight.py
+++ b/primroserudder/fleet/membership/in_flight.py
@@ -35,6 +35,11 @@
         the key of the incarnation.
     others_looks : dict
         How often the other VMs looked lately for a place there, a second.
+    others_reading : dict
+        Prompts that the other VMs' requests still wait to be read, in units
+        of time, by the key of the engine.
+    others_held : dict
+        Memory that the other VMs' requests need, in units, by that key.
     others_vms : int
         How many other VMs report.
     changes : int
@@ -49,6 +54,10 @@
     others_looks: dict[int, int] = field(default_factory=dict)
     others_vms: int = 0
     changes: int = 0
+    others_reading: dict[int, int] = field(default_factory=dict)
+    others_held: dict[int, int] = field(default_factory=dict)
+    _reading: dict[int, int] = field(default_factory=dict)
+    _held: dict[int, int] = field(default_factory=dict)
 
     def begin(self, engine_id: str) -> None:
         """Count a request that starts at an engine."""
@@ -99,6 +108,22 @@
             if count
         }
 
+    def tell_reading(self, engine_id: str, units: int) -> None:
+        """Set this VM's units of prompts to be read at an engine."""
+        _set_count(self._reading, short_key(engine_id), units)
+
+    def tell_held(self, engine_id: str, units: int) -> None:
+        """Set this VM's units of memory at an engine."""
+        _set_count(self._held, short_key(engine_id), units)
+
+    def own_reading(self) -> dict[int, int]:
+        """Return this VM's prompts to be read, by the key of the engine."""
+        return self._reading.copy()
+
+    def own_held(self) -> dict[int, int]:
+        """Return this VM's units of memory, by the key of the engine."""
+        return self._held.copy()
+
     def replace(self, before: LoadPart, now: LoadPart) -> None:
         """Replace what some other VMs reported."""
         if before == now:
@@ -109,6 +134,8 @@
             (self.others_waiting, before.waiting, now.waiting),
             (self.others_sent, before.sent, now.sent),
             (self.others_looks, before.looks, now.looks),
+            (self.others_reading, before.reading, now.reading),
+            (self.others_held, before.held, now.held),
         ):
             if earlier != later:
                 add_counts(sums, earlier, -1)
@@ -116,6 +143,13 @@
         self.others_vms += now.vms - before.vms
 
 
+def _set_count(counts: dict[int, int], key: int, count: int) -> None:
+    if count:
+        counts[key] = count
+    else:
+        counts.pop(key, None)
+
+
 def add_counts(sums: dict[int, int], added: Counts, sign: int = 1) -> None:
     """Add counts to sums, and drop the sums that become zero.
 
--- a/primroserudder/fleet/membership/link.py
+++ b/primroserudder/fleet/membership/link.py
@@ -170,6 +170,8 @@
     looks: dict[int, int]
     limits: Mapping[int, LimitNews]
     vms: int = 1
+    reading: dict[int, int] = field(default_factory=dict)
+    held: dict[int, int] = field(default_factory=dict)
 
     def add(self, link: Link, sign: int = 1) -> None:
         """Add what a neighbour reported, or take it away."""
@@ -178,6 +180,8 @@
             add_counts(self.waiting, part.waiting, sign)
             add_counts(self.sent, part.sent, sign)
             add_counts(self.looks, part.looks, sign)
+            add_counts(self.reading, part.reading, sign)
+            add_counts(self.held, part.held, sign)
             self.vms += sign * part.vms
 
     def parts(self) -> list[LoadPart]:
@@ -192,7 +196,8 @@
         [(0, 75, 1), (1, 75, 0)]
         """
         total = 1
-        size = sum(map(len, (self.running, self.sent, self.looks, self.limits)))
+        size = len(self.running) + len(self.reading) + len(self.held)
+        size += sum(map(len, (self.sent, self.looks, self.limits)))
         while total * KEYS_PER_PART < size:
             total *= 2
         return [
@@ -205,6 +210,8 @@
                 _keys_of_part(self.looks, number, total),
                 _keys_of_part(self.limits, number, total),
                 0 if number else self.vms,
+                _keys_of_part(self.reading, number, total),
+                _keys_of_part(self.held, number, total),
             )
             for number in range(total)
         ]
--- a/primroserudder/fleet/membership/links.py
+++ b/primroserudder/fleet/membership/links.py
@@ -65,6 +65,8 @@
         add_counts(load.waiting, self.counts.others_waiting)
         add_counts(load.sent, self.counts.others_sent)
         add_counts(load.looks, self.counts.others_looks)
+        add_counts(load.reading, self.counts.others_reading)
+        add_counts(load.held, self.counts.others_held)
         load.vms += self.counts.others_vms
         for link in self._links((child,)):
             load.add(link, -1)
@@ -87,6 +89,8 @@
             self.own_limits.sent_by_key(),
             self.own_limits.looks_by_key(),
             self.own_limits.news(),
+            reading=self.counts.own_reading(),
+            held=self.counts.own_held(),
         )
 
     def _links(self, addresses: Iterable[str]) -> Iterable[Link]:
--- a/primroserudder/fleet/membership/notice.py
+++ b/primroserudder/fleet/membership/notice.py
@@ -113,6 +113,10 @@
     ``waiting`` of queued requests by the key of the pool. ``sent`` is the
     number of requests that were sent lately to engines with a limit, by the
     key of the incarnation, ``looks`` how often VMs looked for a place there.
+    ``reading`` is the time to read the prompts that wait at engines, and
+    ``held`` the memory that requests need there, in units of
+    ``fleet/cost/outstanding.py`` and by the key of the engine; less than half
+    a unit of the one and a unit of the other are left out.
     Keys without requests are left out. ``limits`` are the limits that the
     sender knows. An engine is in the part given by its key modulo ``total``;
     waiting requests are in the first part, and so is the number of VMs on that
@@ -127,6 +131,8 @@
     looks: dict[Key, Count] = {}
     limits: dict[Key, LimitNews] = {}
     vms: Count = 1
+    reading: dict[Key, Count] = {}
+    held: dict[Key, Count] = {}
 
 
 class Notice(msgspec.Struct, frozen=True, array_like=True):
--- a/primroserudder/loadreplay/replay.py
+++ b/primroserudder/loadreplay/replay.py
@@ -92,7 +92,7 @@
         for number in range(self.pattern.groups):
             name = f'group-{number}'
             slots = self.pattern.slots
-            self.groups[name] = BatchingGroup(slots)
+            self.groups[name] = BatchingGroup(slots, sends_early=True)
             self.targets.append(
                 Target(
                     name,
