Rate targets by cost in the router for services with engine times

Targets were compared by their share of slots in use, whatever a request costs. A request of a service whose configuration states engine times is now estimated as it arrives, followed from the grant of its slot to the release, and its targets are rated by cost; others are chosen for as before.

--- a/primroserudder/fleet/attempt.py
+++ b/primroserudder/fleet/attempt.py
@@ -26,6 +26,8 @@
 MAX_RESPONSE_BYTES = 16_777_216
 # Other tasks get their turn after this many events of one piece.
 EVENTS_IN_A_ROW = 64
+# An engine sends what a pass generated together; two passes are further apart.
+TOGETHER_S = 0.002
 NO_CONNECTION = 'no connection'
 _TRANSPORT_ERRORS = (
     aiohttp.ClientError,
@@ -81,6 +83,10 @@
     is_started: bool = False
 
 
+def _ignore() -> None:
+    """Do nothing at the first event."""
+
+
 @dataclass(slots=True)
 class StreamActivity:
     """When a stream last sent an event, used to detect silent heads.
@@ -89,10 +95,24 @@
     ===========
     ``active_at`` is a time of the event loop, in seconds: that of the last
     event, or that of the attempt's start while there is none.
+    ``first_events`` came together with the first one, at ``first_at``.
     """
 
     active_at: float = 0
     events: int = 0
+    on_first_event: Callable[[], None] = _ignore
+    first_at: float = 0
+    first_events: int = 0
+
+    def note_event(self, now: float) -> None:
+        """Note an event at a time of the event loop, in seconds."""
+        self.active_at = now
+        self.events += 1
+        if self.events == 1:
+            self.first_at = now
+            self.on_first_event()
+        if now - self.first_at <= TOGETHER_S:
+            self.first_events += 1
 
 
 @dataclass(slots=True)
@@ -248,8 +268,7 @@
     ) -> None:
         if not _is_next_event(event.event_id, self.call.last_event_id):
             raise aiohttp.ClientPayloadError('event out of order')
-        self.activity.active_at = asyncio.get_running_loop().time()
-        self.activity.events += 1
+        self.activity.note_event(asyncio.get_running_loop().time())
         if not self.sink.is_started:
             await self._start_stream(response)
         # A cancelled send may have written the event already.
--- a/primroserudder/fleet/attemptrunner.py
+++ b/primroserudder/fleet/attemptrunner.py
@@ -1,6 +1,7 @@
 """Runs attempts and watches the engines that they run on."""
 
 import asyncio
+import functools
 from collections import defaultdict
 from collections.abc import Iterator
 from contextlib import contextmanager
@@ -11,6 +12,8 @@
 from ..process.loops import cancel_on_exit
 from .attempt import Attempt, AttemptResult, StreamActivity, StreamSink
 from .call import Call
+from .cost import StreamTimes
+from .cost.calls import CallCosts
 from .crashes.quarantine import Quarantine
 from .engine_signals import EngineSignalHandler
 from .health import TargetHealth
@@ -37,6 +40,7 @@
     quarantine: Quarantine
     signals: EngineSignalHandler
     moves: StreamMoves
+    costs: CallCosts
     streams_by_head: defaultdict[str, dict[int, StreamActivity]] = field(
         default_factory=lambda: defaultdict(dict),
     )
@@ -47,20 +51,48 @@
         """Run one attempt and return how it ended."""
         number = call.retry_state.next_number
         call.dispatch.open(number)
-        with self._tracked_attempt(target) as activity:
+        with self._tracked_attempt(call, target) as activity:
             attempt = Attempt(
                 self.session, call, target, sink, self.signals.note, activity
             )
             with self._noted_if_abandoned(attempt):
                 outcome = await self._run_until_lost(attempt)
+            self._learn(call, target, activity, outcome)
         if outcome.ending in NEVER_RUN:
             call.dispatch.note_refused(number)
         return outcome
 
+    def _learn(
+        self,
+        call: Call,
+        target: Target,
+        activity: StreamActivity,
+        outcome: AttemptResult,
+    ) -> None:
+        """Learn from an attempt's events, or its time if it is no stream."""
+        is_whole = outcome.ending is Ending.DELIVERED
+        stream = StreamTimes(
+            activity.first_at,
+            activity.active_at,
+            activity.events,
+            activity.first_events,
+        )
+        self.costs.learn(call, target, stream, is_whole=is_whole)
+        if is_whole:
+            now = asyncio.get_running_loop().time()
+            self.costs.learn_plain(call, now - activity.active_at)
+
     @contextmanager
-    def _tracked_attempt(self, target: Target) -> Iterator[StreamActivity]:
+    def _tracked_attempt(
+        self, call: Call, target: Target
+    ) -> Iterator[StreamActivity]:
         """Track an attempt's activity until it ends in any way."""
-        activity = StreamActivity(asyncio.get_running_loop().time())
+        activity = StreamActivity(
+            asyncio.get_running_loop().time(),
+            on_first_event=functools.partial(
+                self.costs.first_event, call, target
+            ),
+        )
         activities: dict[int, StreamActivity] = {}
         if target.group:
             activities = self.streams_by_head[target.engine_id]
--- a/primroserudder/fleet/call.py
+++ b/primroserudder/fleet/call.py
@@ -10,6 +10,7 @@
 
 from ..platform.headers import RequestMetadata
 from ..request.dispatch import DispatchRecord
+from .cost import CostedRequest
 from .crashes.suspects import suspects_of
 from .directorynames import pool_name
 from .model import Target
@@ -32,6 +33,7 @@
     digest, and the shared parts of the prompt. ``reserved_target`` has a slot
     for the next attempt; ``is_leaving_attempt`` is true while a running
     attempt looks for one. ``is_forwarded`` is true if another router sent it.
+    ``cost`` is ``None`` if targets are chosen by the share of slots in use.
     """
 
     method: str
@@ -49,6 +51,7 @@
     reserved_target: Target | None = None
     is_leaving_attempt: bool = False
     is_forwarded: bool = False
+    cost: CostedRequest | None = None
     digest: str = field(init=False)
     suspects: tuple[str, ...] = field(init=False)
 
--- a/primroserudder/fleet/cost/answers.py
+++ b/primroserudder/fleet/cost/answers.py
@@ -132,8 +132,8 @@
         """Return the size under the first key with enough of them."""
         for key in keys:
             sizes = self._sizes.get(key)
-            size = sizes.size() if sizes is not None else None
-            if size is not None:
+            size = sizes and sizes.size()
+            if size:
                 return size
         return None
 
--- a/primroserudder/fleet/router.py
+++ b/primroserudder/fleet/router.py
@@ -163,6 +163,7 @@
             'places': self.pool_meter.dump(),
             'running': dict(self.in_flight_counts.running_by_engine),
             'limits': self.limits.dump(),
+            'costs': self.server.slots.costs.costs.dump(),
             'peers': sorted(self.exchange.links.by_address),
             'store_reachable': self.view.engines.is_reachable,
             'store_era': self.view.store_era(),
--- a/primroserudder/fleet/serverassembly.py
+++ b/primroserudder/fleet/serverassembly.py
@@ -8,6 +8,8 @@
 from .attemptrunner import AttemptRunner
 from .balancing import Balancer
 from .control_plane import RouterContext
+from .cost import RequestCosts
+from .cost.calls import CallCosts
 from .crashes.quarantine import Quarantine
 from .engine_signals import EngineSignalHandler
 from .enginelimits import LimitGate
@@ -66,6 +68,15 @@
     )
     retry_settings = context.settings.repeats
     session = open_session(ENGINE_SESSION_TIMEOUT_S, reuses_connections=False)
+    costs = CallCosts(
+        RequestCosts(
+            context.settings.node,
+            in_flight_counts,
+            context.clock,
+            context.metrics,
+            context.log,
+        )
+    )
     selector = TargetSelector(
         context.settings.failure_domain,
         view.directory,
@@ -74,6 +85,7 @@
         limits,
         forwarder,
         control.broken_groups,
+        costs,
     )
     charger = RetryCharger(
         RetryBudgets(
@@ -82,7 +94,7 @@
         context.clock,
         limits.known_vms,
     )
-    slots = SlotQueues(in_flight_counts, context.clock, limits.note_send)
+    slots = SlotQueues(in_flight_counts, context.clock, limits.note_send, costs)
     return Server(
         selector,
         AttemptRunner(
@@ -93,6 +105,7 @@
                 view.directory, health, limits.registry, context.log
             ),
             StreamMoves(selector, charger, slots, quarantine),
+            costs,
         ),
         context.clock,
         slots,
--- a/primroserudder/fleet/serving.py
+++ b/primroserudder/fleet/serving.py
@@ -79,6 +79,7 @@
         if not call.is_forwarded:
             self.charger.record_request(call)
         self.quarantine.check(call)
+        self.slots.costs.prepare(call)
         try:
             async with asyncio.timeout_at(call.deadline_at):
                 return await self._serve(call, sink)
--- a/primroserudder/fleet/slotqueues.py
+++ b/primroserudder/fleet/slotqueues.py
@@ -4,11 +4,41 @@
 
 from ..process.clock import Clock
 from .call import Call
+from .cost.calls import CallCosts
 from .membership import InFlightCounts
 from .model import Target
 from .waitqueue import FindTarget, NoteSend, WaitQueue
 
 
+@dataclass(slots=True)
+class _NotedFind:
+    """Finds a target and counts the request's work there at once.
+
+    Explanation
+    ===========
+    Several requests may get their slots before the tasks of the first ones go
+    on, and each must see the work of those before it.
+    """
+
+    call: Call
+    find: FindTarget
+    costs: CallCosts
+    _found: list[Target] = field(default_factory=list)
+
+    def __call__(self) -> Target | None:
+        """Return the target, which the request gets."""
+        target = self.find()
+        if target is not None:
+            self.costs.begin(self.call, target)
+            self._found.append(target)
+        return target
+
+    def undo(self) -> None:
+        """Take the request's work back."""
+        for target in self._found:
+            self.costs.end(self.call, target)
+
+
 @dataclass(slots=True)
 class SlotQueues:
     """Gives slots of engines to requests, and takes them back."""
@@ -16,6 +46,7 @@
     in_flight_counts: InFlightCounts
     clock: Clock
     note_send: NoteSend
+    costs: CallCosts
     queues_by_pool: dict[str, WaitQueue] = field(default_factory=dict)
 
     async def acquire(
@@ -34,7 +65,15 @@
         """
         has_run = call.retry_state.runs or call.is_leaving_attempt
         rank = (0 if has_run else 1, float(call.destination.priority))
-        return await self._queue(call.pool).acquire(find, rank, max_wait_s)
+        noted_find = _NotedFind(call, find, self.costs)
+        try:
+            return await self._queue(call.pool).acquire(
+                noted_find, rank, max_wait_s
+            )
+        except BaseException:
+            # A slot that was granted as the caller left is released by now.
+            noted_find.undo()
+            raise
 
     def waiting(self, call: Call) -> int:
         """Return how many requests of all VMs wait for a request's pool."""
@@ -42,6 +81,7 @@
 
     def release(self, call: Call, target: Target) -> None:
         """Release a request's slot and assign it to the next request."""
+        self.costs.end(call, target)
         self._queue(call.pool).release(target)
 
     def release_reserved(self, call: Call) -> None:
--- a/primroserudder/fleet/target_selector.py
+++ b/primroserudder/fleet/target_selector.py
@@ -3,8 +3,9 @@
 from collections.abc import Callable, Collection, Sequence
 from dataclasses import dataclass, field
 
-from .balancing import Balancer, TargetPool, split_pool
+from .balancing import Balancer, TargetPool, slots_in_use, split_pool
 from .call import Call
+from .cost.calls import CallCosts
 from .directory import Directory
 from .enginelimits import LimitGate
 from .forwarding import Forwarder
@@ -39,7 +40,7 @@
 
 @dataclass(slots=True)
 class TargetSelector:
-    """Selects targets by their load and by what is known of their health.
+    """Selects targets by cost or load and by what is known of their health.
 
     Parameters
     ==========
@@ -54,6 +55,7 @@
     limits: LimitGate
     forwarder: Forwarder
     broken_groups: Callable[[], Collection[int]]
+    costs: CallCosts
     _pools: dict[str, TargetPool] = field(default_factory=dict)
 
     def has_targets(self, call: Call) -> bool:
@@ -88,12 +90,14 @@
         untried = _UsableTargets(
             self.health, self.limits, broken, cut_off, tried
         )
-        chosen = self.balancer.choose(pool, untried)
+        # Other routers have no engine times.
+        rate = slots_in_use if is_forwarding else self.costs.rating(call)
+        chosen = self.balancer.choose(pool, untried, rate)
         if chosen is None and call.tried_engines:
             any_usable = _UsableTargets(
                 self.health, self.limits, broken, cut_off, (leaving,)
             )
-            chosen = self.balancer.choose(pool, any_usable)
+            chosen = self.balancer.choose(pool, any_usable, rate)
         return chosen
 
     def back_off_s(self, call: Call, waiting: int) -> float:
