--- a/primroserudder/fleet/cost/pace.py
+++ b/primroserudder/fleet/cost/pace.py
@@ -72,9 +72,10 @@
     def pace(self, target: Target) -> float:
         """Return an engine's pace, 1 if it is as fast as others."""
         learned = self._learned.get(target.engine_id)
-        if learned is None or not _is_same(learned, target):
+        # Spelled out, as each choice asks for several paces.
+        if learned is None or learned.born_ms != target.born_ms:
             return 1
-        return learned.pace
+        return learned.pace if learned.group == target.group else 1
 
     def refresh(self) -> None:
         """Forget with time, and follow the typical paces."""
--- a/primroserudder/fleet/cost/tests/test_costed_site.py
+++ b/primroserudder/fleet/cost/tests/test_costed_site.py
@@ -10,6 +10,7 @@
     configuration,
     platform_site,
 )
+from ...membership import short_key
 from ..costs import RequestCosts
 
 TIMES = {
@@ -109,3 +110,21 @@
         assert not _is_left(site)
         observed = costs.metrics.latency('first_event_observed').summary()
         assert observed['count'] == 0
+
+
+async def test_targets_without_memory_get_no_requests_though_slots_are_free() -> (
+    None
+):
+    # An engine whose requests exceed its memory crashes.
+    async with platform_site() as site:
+        site.store.rows.put('op', 'config', _with_times())
+        await _until_serving(site)
+        counts = site.routers[0].in_flight_counts
+        for engine_id in site.engines_by_id:
+            counts.others_held[short_key(engine_id)] = 1000
+        async with site.request('/notes/1', headers=SIZES) as response:
+            assert response.status == 503
+        counts.others_held.clear()
+        async with site.request('/notes/2', headers=SIZES) as response:
+            assert response.status == 200
+            await response.read()
