--- a/primroserudder/fleet/cost/tests/test_costed_site.py
+++ b/primroserudder/fleet/cost/tests/test_costed_site.py
@@ -112,9 +112,7 @@
         assert observed['count'] == 0
 
 
-async def test_targets_without_memory_get_no_requests_though_slots_are_free() -> (
-    None
-):
+async def test_targets_without_memory_get_no_requests() -> None:
     # An engine whose requests exceed its memory crashes.
     async with platform_site() as site:
         site.store.rows.put('op', 'config', _with_times())
