Decode the times that operators state for engines

The choice of targets by cost needs how long a step, reading and a pass take. The fields of a service's engine become EngineSpec.times; a malformed or missing figure counts as missing, and without those of a step and of reading there are no times, so that such services are chosen for as before.

--- a/primroserudder/fleet/model.py
+++ b/primroserudder/fleet/model.py
@@ -73,15 +73,45 @@
     pace: float = 1
 
 
+@dataclass(frozen=True, slots=True)
+class EngineTimes:
+    """How long an engine of pace 1 takes, as its operators state it.
+
+    Explanation
+    ===========
+    A decode step takes ``step_s``, and more for each request that decodes
+    and for each token of their contexts. Prefill reads at most
+    ``chunk_tokens`` in a step, without a limit if it is zero, and takes
+    ``pair_s`` more for each pair of a prompt's tokens. A pass with requests
+    in decode makes ``steps_per_pass`` steps; new requests wait for its end.
+    """
+
+    step_s: float
+    read_tokens_per_s: float
+    request_s: float = 0
+    context_token_s: float = 0
+    pair_s: float = 0
+    chunk_tokens: int = 0
+    steps_per_pass: int = 1
+    usual_prompt_tokens: int = 0
+    usual_answer_tokens: int = 0
+
+
 @dataclass(frozen=True, slots=True)
 class EngineSpec:
-    """Settings that all groups of a model service share."""
+    """Settings that all groups of a model service share.
+
+    Explanation
+    ===========
+    ``times`` is ``None`` if the operators state no times of the engines.
+    """
 
     slots: int
     models_by_name: Mapping[str, ModelSpec]
     kv_tokens: int
     loads_per_s: float
     loads_at_once: int
+    times: EngineTimes | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/primroserudder/platform/configuration.py
+++ b/primroserudder/platform/configuration.py
@@ -25,6 +25,7 @@
     Workspace,
 )
 from ..process.settings import describe
+from .enginetimes import EngineTimesFields
 
 MILLISECONDS_PER_SECOND = 1000
 _KINDS = MappingProxyType(
@@ -85,7 +86,7 @@
     pace: float = Field(default=1, gt=0)
 
 
-class _Engine(_Wire):
+class _Engine(EngineTimesFields):
     slots: int = Field(alias='Slots')
     kv_tokens: int = Field(alias='KvCapacity', default=0)
     models: tuple[_Model, ...] = Field(alias='Models', default=())
@@ -217,5 +218,6 @@
             kv_tokens=engine.kv_tokens,
             loads_per_s=engine.loads_per_s,
             loads_at_once=engine.loads_at_once,
+            times=engine.engine_times(),
         )
     return Service(service.name, service.connections, spec)
