Let engines follow the load from one model to another

Two thirds of a site's requests were for one model, whose groups answered late at every peak, while 11 groups of the other ran 15 requests on 187 slots: the configuration's shares say how the work is split at the start only. Surplus groups are now dissolved for a model that is short, if their engines join it without a load of weights; hosts of groups beyond those that a model keeps get the other model before the first request, when loads are quick. A group's load is full when steps take half as long again as for one request, not only when slots run out. Reconcilers without the lease wake once a second.

--- a/primroserudder/fleet/control_plane.py
+++ b/primroserudder/fleet/control_plane.py
@@ -17,8 +17,10 @@
 from .group_reconciler import GroupReconciler
 from .leader_election import LEASE_LIFETIME_S, LeaderElection, LivingPeers
 from .load_limiter import LoadLimiter
+from .membership import InFlightCounts
 from .order_sender import OrderSender
 from .reachability import ReachabilityTracker
+from .rebalancing import Rebalancer
 from .settings import RouterSettings
 from .site_view import SiteView
 from .tenure import Tenure
@@ -59,6 +61,7 @@
     has_traffic: Callable[[], bool],
     peers: LivingPeers,
     forwarder: Forwarder,
+    in_flight: InFlightCounts,
 ) -> ControlPlane:
     """Return the parts that control groups, without starting them."""
     wake = asyncio.Event()
@@ -92,6 +95,7 @@
         sender,
         reachability,
         inventory,
+        Rebalancer(inventory, in_flight, sender, clock, log, context.metrics),
         view.directory,
         view.configuration,
         clock,
--- a/primroserudder/fleet/demand.py
+++ b/primroserudder/fleet/demand/meter.py
@@ -11,8 +11,9 @@
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 
-from .directorynames import pool_name
-from .model import EngineSpec, ModelSpec
+from ..directorynames import pool_name
+from ..model import EngineSpec, ModelSpec
+from .groupload import usable_requests
 
 # Fraction of the engines that the initial groups have at least; the others are
 # spares.
@@ -21,8 +22,6 @@
 SPARES_PER_DOMAIN = 2
 # The loss of one of so many groups takes a fifth of a model's slots.
 MIN_GROUPS = 5
-# Average fraction of slots in use; the rest is left free for bursts.
-TARGET_SLOT_USE = 0.6
 # Time constant of the exponential decay of a load peak.
 PEAK_DECAY_S = 12.0
 # Measured load never lowers the wanted groups below this fraction of the
@@ -141,8 +140,8 @@
         }
 
     def _needed_groups(self, pool: str, spec: EngineSpec) -> float:
-        needed_slots = self.peak_by_pool.get(pool, 0) / TARGET_SLOT_USE
-        return math.ceil(needed_slots / max(spec.slots, 1))
+        peak = self.peak_by_pool.get(pool, 0)
+        return math.ceil(peak / max(usable_requests(spec), 1))
 
 
 def _names(models: Iterable[ModelSpec]) -> list[str]:
--- a/primroserudder/fleet/engine_inventory.py
+++ b/primroserudder/fleet/engine_inventory.py
@@ -1,7 +1,7 @@
 """The engines that the lease holder may assign, and their models."""
 
 from collections import Counter
-from collections.abc import Callable, Collection, Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 
 from ..process.clock import Clock
@@ -79,7 +79,7 @@
                 continue
             if engine.engine_id not in unreachable:
                 service_engines = free.setdefault(engine.service, [])
-                service_engines.append(self._free_engine(engine))
+                service_engines.append(self.as_free(engine))
         return free
 
     def balance(
@@ -94,19 +94,23 @@
             for progress in groups
             if not progress.is_dissolving
         )
-        domain_sizes = Counter(
-            engine.fabric_domain
-            for engine in self.directory.engines_by_id.values()
-            if engine.service == service and not engine.is_draining
-        )
         wanted = self.demand.wanted(
             service,
             spec,
-            tuple(domain_sizes.values()),
+            self.domain_sizes(service),
             has_traffic=self.has_traffic(),
         )
         return Balance(existing, wanted)
 
+    def domain_sizes(self, service: str) -> Sequence[int]:
+        """Return the number of a service's engines by fabric domain."""
+        sizes = Counter(
+            engine.fabric_domain
+            for engine in self.directory.engines_by_id.values()
+            if engine.service == service and not engine.is_draining
+        )
+        return tuple(sizes.values())
+
     def members_in(
         self,
         domain: str,
@@ -152,7 +156,8 @@
             return True
         return self.try_begin_load(engine, spec, model, is_urgent=True)
 
-    def _free_engine(self, engine: Engine) -> FreeEngine:
+    def as_free(self, engine: Engine) -> FreeEngine:
+        """Return an engine with the models that it holds and loads."""
         loading = self.limiter.loading(engine.engine_id)
         if loading and model_joined(engine) == loading:
             self.limiter.end(engine.engine_id)
--- a/primroserudder/fleet/group_reconciler.py
+++ b/primroserudder/fleet/group_reconciler.py
@@ -17,10 +17,13 @@
 from .order_sender import OrderSender
 from .placement import FreeEngine, plan_groups, plan_staging
 from .preloading import plan_loads
+from .rebalancing import Rebalancer
 from .reachability import ReachabilityTracker
 from .tenure import Tenure, TenureFactory
 
 ROUND_INTERVAL_S = 0.1
+# A change of the lease ends this wait; it is there for a missed one.
+IDLE_INTERVAL_S = 1.0
 
 ReleasedGroups = Sequence[tuple[GroupProgress, Release]]
 
@@ -34,6 +37,7 @@
     sender: OrderSender
     reachability: ReachabilityTracker
     inventory: EngineInventory
+    rebalancer: Rebalancer
     directory: Directory
     configuration: Callable[[], Configuration | None]
     clock: Clock
@@ -55,7 +59,9 @@
             elif self.tenure is not None:
                 self._end_tenure(self.tenure)
             self.wake.clear()
-            await _wait_at_most(self.wake, ROUND_INTERVAL_S)
+            is_held = self.lease.is_held()
+            pause_s = ROUND_INTERVAL_S if is_held else IDLE_INTERVAL_S
+            await _wait_at_most(self.wake, pause_s)
 
     def probe_groups_of(self, head_keys: Collection[int]) -> None:
         """Probe the members of the groups of silent heads, given by key."""
@@ -178,6 +184,12 @@
             if await tenure.replace(released, new_formations, engines):
                 self.wake.set()
         self._preload_spares(tenure, free_by_service, new_formations)
+        if not new_formations:
+            self.rebalancer.run(
+                tuple(tenure.groups_by_name.values()),
+                free_by_service,
+                self.configuration(),
+            )
 
     def _preload_spares(
         self,
--- a/primroserudder/fleet/router.py
+++ b/primroserudder/fleet/router.py
@@ -247,6 +247,7 @@
             self._traffic_seen.is_set,
             self.exchange,
             self.forwarder,
+            self.in_flight_counts,
         )
         self.pool_meter = PoolMeter(
             self.view.directory,
