Send nothing new to evacuated failure domains

Cause: operators write a row op/evacuate/DOMAIN to take a failure domain out of use. It was not read at all; engines there went on to get requests.

Change: SiteView decodes the rows (platform/evacuations.py) into fleet/evacuation/. TargetSelector leaves out the targets of evacuated domains, without a fallback; the pool of a request is split again only when the targets or the domains change. A slot reserved or granted before is given back before the request is sent. Requests without a target are refused at once with 503 and Retry-After, also those that wait for a slot. No group is formed in the domain, its groups don't count as serving and stay as they are. After a restore of the store, operators' rows that the copy lacks are kept for 4 s, and rows that it has count at once.

A router whose newest known row of a table was removed took each relay for one that is behind, and read the whole table from the store: the version of a relay's answer counts now, not that of its newest row.

--- a/primroserudder/fleet/control_plane.py
+++ b/primroserudder/fleet/control_plane.py
@@ -74,7 +74,12 @@
         partial(lease.is_held, ORDER_TIMEOUT_S),
     )
     inventory = EngineInventory(
-        view.directory, clock, log, LoadLimiter(clock), has_traffic
+        view.directory,
+        clock,
+        log,
+        LoadLimiter(clock),
+        has_traffic,
+        is_evacuated=view.evacuations.is_evacuated,
     )
     reachability = ReachabilityTracker(
         orders,
--- a/primroserudder/fleet/engine_inventory.py
+++ b/primroserudder/fleet/engine_inventory.py
@@ -20,9 +20,19 @@
 SpecOf = Callable[[str], EngineSpec | None]
 
 
+def _nowhere(_failure_domain: str) -> bool:
+    return False
+
+
 @dataclass(slots=True)
 class EngineInventory:
-    """Tracks free engines, their models and the demand for groups."""
+    """Tracks free engines, their models and the demand for groups.
+
+    Parameters
+    ==========
+    is_evacuated : Callable
+        Returns whether the engines of a failure domain get no new requests.
+    """
 
     directory: Directory
     clock: Clock
@@ -30,6 +40,7 @@
     limiter: LoadLimiter
     has_traffic: Callable[[], bool]
     demand: DemandMeter = field(default_factory=DemandMeter)
+    is_evacuated: Callable[[str], bool] = _nowhere
     _known_instances: set[tuple[str, int]] = field(default_factory=set)
     _grown_at_by_domain: dict[str, float] = field(default_factory=dict)
 
@@ -62,7 +73,13 @@
         unreachable: Collection[str],
         spec_of: SpecOf,
     ) -> Mapping[str, list[FreeEngine]]:
-        """Return the reachable engines that no group claims, by service."""
+        """Return the engines to form groups of, by service.
+
+        Explanation
+        ===========
+        They are reachable, no group claims them, and their failure domain is
+        not evacuated: a group formed there would occupy engines unused.
+        """
         claimed = {
             member
             for progress in groups
@@ -74,6 +91,7 @@
             if (
                 is_claimed
                 or engine.is_draining
+                or self.is_evacuated(engine.failure_domain)
                 or spec_of(engine.service) is None
             ):
                 continue
@@ -88,11 +106,18 @@
         service: str,
         spec: EngineSpec,
     ) -> Balance:
-        """Return the existing and the wanted groups of each model."""
+        """Return the existing and the wanted groups of each model.
+
+        Explanation
+        ===========
+        Groups in evacuated failure domains don't serve. What is wanted stays
+        the same, so that other domains form groups in their place.
+        """
         existing = Counter(
             progress.formation.model
             for progress in groups
             if not progress.is_dissolving
+            and not self.is_evacuated(self._failure_domain_of(progress))
         )
         domain_sizes = Counter(
             engine.fabric_domain
@@ -162,6 +187,10 @@
         last_model = self.directory.last_model(engine)
         return FreeEngine(engine, '' if loading else last_model, loading)
 
+    def _failure_domain_of(self, progress: GroupProgress) -> str:
+        head = self.directory.engines_by_id.get(progress.formation.head)
+        return '' if head is None else head.failure_domain
+
     def _domain_of(self, progress: GroupProgress) -> str:
         head = self.directory.engines_by_id.get(progress.formation.head)
         return '' if head is None else _domain(head)
--- a/primroserudder/fleet/poolmeter.py
+++ b/primroserudder/fleet/poolmeter.py
@@ -8,6 +8,7 @@
 from ..process.decisions import DecisionLog
 from .demand import DemandMeter
 from .directory import Directory
+from .evacuation import Evacuations
 from .membership import InFlightCounts
 
 MEASURE_INTERVAL_S = 0.5
@@ -33,6 +34,7 @@
     clock: Clock
     log: DecisionLog
     is_holder: Callable[[], bool]
+    evacuations: Evacuations
 
     async def run(self) -> None:
         """Measure until cancelled."""
@@ -48,7 +50,16 @@
                 self.log.note('places', by_pool=self.dump())
 
     def use_by_pool(self) -> Mapping[str, PoolUse]:
-        """Return each pool's use, from this VM's counts and directory."""
+        """Return each pool's use, from this VM's counts and directory.
+
+        Explanation
+        ===========
+        Targets in evacuated failure domains don't count.
+        """
+        usable_by_pool = {
+            pool: self.evacuations.usable(targets)
+            for pool, targets in self.directory.targets_by_pool().items()
+        }
         return {
             pool: PoolUse(
                 targets=len(targets),
@@ -59,7 +70,7 @@
                 ),
                 waiting=self.in_flight_counts.waiting(pool),
             )
-            for pool, targets in self.directory.targets_by_pool().items()
+            for pool, targets in usable_by_pool.items()
         }
 
     def dump(self) -> Mapping[str, Mapping[str, int]]:
--- a/primroserudder/fleet/relayedtables.py
+++ b/primroserudder/fleet/relayedtables.py
@@ -234,7 +234,7 @@
             return repr(error)
         if message is None:
             return 'the relay is no longer live, behind or out of date'
-        if StoreVersion(message.era, message.newest()) < table_query.newest:
+        if message.version < table_query.newest:
             return 'the relay returned older rows than this VM has read'
         if message.era < table_query.since.era:
             return 'the relay has not seen that the store came back from a copy'
--- a/primroserudder/fleet/relaymessages.py
+++ b/primroserudder/fleet/relaymessages.py
@@ -43,9 +43,15 @@
     rows: tuple[RowMessage, ...]
     removed: tuple[str, ...] = ()
 
-    def newest(self) -> int:
-        """Return the version of the newest row, zero if there is none."""
-        return max((row.revision for row in self.rows), default=0)
+    @property
+    def version(self) -> StoreVersion:
+        """Return the version as of which the sender knows the table.
+
+        Explanation
+        ===========
+        It may be past all rows: the newest one may have been removed.
+        """
+        return StoreVersion(self.era, self.revision)
 
 
 def encode_table(follower: TableFollower, since: StoreVersion) -> bytes:
--- a/primroserudder/fleet/router.py
+++ b/primroserudder/fleet/router.py
@@ -163,6 +163,9 @@
             'places': self.pool_meter.dump(),
             'running': dict(self.in_flight_counts.running_by_engine),
             'limits': self.limits.dump(),
+            'evacuated': self.view.evacuations.dump(
+                self.view.directory.engines_by_id.values()
+            ),
             'peers': sorted(self.exchange.links.by_address),
             'store_reachable': self.view.engines.is_reachable,
             'store_era': self.view.store_era(),
@@ -255,6 +258,7 @@
             self.clock,
             self.log,
             self.lease.is_held,
+            self.view.evacuations,
         )
         self.server = assemble_server(
             context,
@@ -315,6 +319,8 @@
         )
 
     def _on_view_change(self) -> None:
+        if self.view.evacuations.domains:
+            self.server.slots.refuse_waiting()
         self.server.slots.grant_free_slots()
         self.control_plane.reconciler.wake.set()
 
--- a/primroserudder/fleet/serverassembly.py
+++ b/primroserudder/fleet/serverassembly.py
@@ -11,6 +11,7 @@
 from .crashes.quarantine import Quarantine
 from .engine_signals import EngineSignalHandler
 from .enginelimits import LimitGate
+from .evacuation.guard import EvacuationGuard
 from .forwarding import Forwarder
 from .health import TargetHealth
 from .membership import InFlightCounts
@@ -74,6 +75,7 @@
         limits,
         forwarder,
         control.broken_groups,
+        view.evacuations,
     )
     charger = RetryCharger(
         RetryBudgets(
@@ -101,6 +103,7 @@
         context.log,
         context.metrics,
         charger,
+        EvacuationGuard(selector, slots, context.metrics),
     )
 
 
--- a/primroserudder/fleet/serving.py
+++ b/primroserudder/fleet/serving.py
@@ -14,13 +14,19 @@
 from .attemptrunner import AttemptRunner
 from .call import Call
 from .crashes.quarantine import Quarantine, Quarantined
+from .evacuation.guard import EvacuationGuard
 from .health import TargetHealth
 from .model import Target
 from .retries import NEVER_RUN, Ending, Step
 from .slotqueues import SlotQueues
 from .streammoves import RetryCharger
 from .target_selector import TargetSelector
-from .waitqueue import RETRY_AFTER_NO_GROUP_S, NoFreeSlot, max_wait_s
+from .waitqueue import (
+    RETRY_AFTER_NO_GROUP_S,
+    NoFreeSlot,
+    keep_waiting,
+    max_wait_s,
+)
 
 # A pause before each retry, so that a momentary fault of an engine or a
 # connection does not use up all tries of a request.
@@ -67,6 +73,7 @@
     log: DecisionLog
     metrics: Metrics
     charger: RetryCharger
+    guard: EvacuationGuard
 
     async def serve(self, call: Call, sink: StreamSink) -> AttemptResult:
         """Serve a request and return the result of its last attempt.
@@ -138,6 +145,19 @@
         self.quarantine.note_send(call, target)
 
     async def _acquire_slot(self, call: Call) -> Target:
+        """Return a target with a slot, to which the request may go now.
+
+        Explanation
+        ===========
+        A target that was reserved or granted before its failure domain was
+        evacuated is given back.
+        """
+        while True:
+            target = await self._take_slot(call)
+            if self.guard.may_send(call, target):
+                return target
+
+    async def _take_slot(self, call: Call) -> Target:
         reserved = call.take_reserved_target()
         if reserved is not None:
             return reserved
@@ -153,7 +173,7 @@
                 call, partial(self.selector.find, call), max(wait_s, 0)
             )
         if not has_run and not self.selector.has_targets(call):
-            raise NoFreeSlot(
+            raise self.guard.refusal(call) or NoFreeSlot(
                 'no group serves the model',
                 retry_after=RETRY_AFTER_NO_GROUP_S,
             )
@@ -164,7 +184,10 @@
                 retry_after=back_off_s,
             )
         return await self.slots.acquire(
-            call, partial(self.selector.find, call), wait_s
+            call,
+            partial(self.selector.find, call),
+            wait_s,
+            keep_waiting if has_run else partial(self.guard.refusal, call),
         )
 
     async def _attempt(
--- a/primroserudder/fleet/site_view.py
+++ b/primroserudder/fleet/site_view.py
@@ -6,6 +6,7 @@
 from ..platform import (
     decode_configuration,
     decode_engine,
+    decode_evacuations,
     engine_row_age,
 )
 from ..platform.names import (
@@ -19,6 +20,7 @@
 from .active_configuration import ActiveConfiguration
 from .crashes.strikestore import STRIKES_TABLE
 from .directory import Directory
+from .evacuation import Evacuations
 from .model import Configuration
 
 # Long-poll time. A source that stops answering is detected after this time and
@@ -29,6 +31,8 @@
 # Strikes change rarely; a change is returned at once.
 STRIKES_WAIT_S = 5.0
 NODES_TABLE = 'nodes'
+# Operators write rows of the lost seconds again this long after a restore.
+OPERATOR_ROWS_KEPT_S = 4.0
 
 
 @dataclass(slots=True)
@@ -42,6 +46,7 @@
     on_change: Callable[[], None]
     directory: Directory = field(init=False)
     active: ActiveConfiguration = field(init=False)
+    evacuations: Evacuations = field(init=False)
     configurations: TableFollower = field(init=False)
     engines: TableFollower = field(init=False)
     nodes: TableFollower = field(init=False)
@@ -51,8 +56,12 @@
         """Create the table followers."""
         self.directory = Directory(decode_engine)
         self.active = ActiveConfiguration(decode_configuration, self.log)
+        self.evacuations = Evacuations(decode_evacuations, self.clock, self.log)
         self.configurations = self._follower(OPERATOR_TABLE)
-        self.configurations.listeners.append(self._on_configuration)
+        self.configurations.rows.kept_s = OPERATOR_ROWS_KEPT_S
+        # A domain that the store names is evacuated, whatever was before.
+        self.configurations.rows.withheld_s = 0
+        self.configurations.listeners.append(self._on_operator_rows)
         self.engines = self._follower(ENGINES_TABLE)
         self.engines.rows.age = engine_row_age
         self.engines.listeners.append(self._on_engines)
@@ -117,12 +126,15 @@
             self.pause_s,
         )
 
-    def _on_configuration(self) -> None:
-        row = self.configurations.rows_by_key.get(
-            f'{OPERATOR_TABLE}/{CONFIGURATION_KEY}'
-        )
+    def _on_operator_rows(self) -> None:
+        rows_by_key = self.configurations.rows_by_key
+        # Comes first: a VM is ready once it has a configuration.
+        are_targets_changed = self.evacuations.update(rows_by_key)
+        row = rows_by_key.get(f'{OPERATOR_TABLE}/{CONFIGURATION_KEY}')
         if self.active.update(row):
             self._on_engines()
+        elif are_targets_changed:
+            self.on_change()
 
     def _on_engines(self) -> None:
         self.directory.update(self.engines.rows_by_key, self.active.current)
--- a/primroserudder/fleet/slotqueues.py
+++ b/primroserudder/fleet/slotqueues.py
@@ -6,7 +6,7 @@
 from .call import Call
 from .membership import InFlightCounts
 from .model import Target
-from .waitqueue import FindTarget, NoteSend, WaitQueue
+from .waitqueue import FindTarget, NoteSend, Refuse, WaitQueue, keep_waiting
 
 
 @dataclass(slots=True)
@@ -19,7 +19,11 @@
     queues_by_pool: dict[str, WaitQueue] = field(default_factory=dict)
 
     async def acquire(
-        self, call: Call, find: FindTarget, max_wait_s: float
+        self,
+        call: Call,
+        find: FindTarget,
+        max_wait_s: float,
+        refuse: Refuse = keep_waiting,
     ) -> Target:
         """Return a target with a slot for a request.
 
@@ -34,7 +38,9 @@
         """
         has_run = call.retry_state.runs or call.is_leaving_attempt
         rank = (0 if has_run else 1, float(call.destination.priority))
-        return await self._queue(call.pool).acquire(find, rank, max_wait_s)
+        return await self._queue(call.pool).acquire(
+            find, rank, max_wait_s, refuse
+        )
 
     def waiting(self, call: Call) -> int:
         """Return how many requests of all VMs wait for a request's pool."""
@@ -55,6 +61,11 @@
         for queue in self.queues_by_pool.values():
             queue.grant_free_slots()
 
+    def refuse_waiting(self) -> None:
+        """Refuse the waiting requests that no target is left for."""
+        for queue in self.queues_by_pool.values():
+            queue.refuse_waiting()
+
     def _queue(self, pool: str) -> WaitQueue:
         queue = self.queues_by_pool.get(pool)
         if queue is None:
--- a/primroserudder/fleet/streammoves.py
+++ b/primroserudder/fleet/streammoves.py
@@ -85,7 +85,11 @@
         chosen = await self._wait_for_slot(call, target, running)
         if chosen is None:
             return False
-        is_allowed = not running.done() and self._may_leave(call)
+        is_allowed = (
+            not running.done()
+            and self._may_leave(call)
+            and self.selector.evacuations.may_send(chosen)
+        )
         if not is_allowed or not self.charger.try_pay(call):
             self.slots.release(call, chosen)
             return False
--- a/primroserudder/fleet/target_selector.py
+++ b/primroserudder/fleet/target_selector.py
@@ -7,6 +7,7 @@
 from .call import Call
 from .directory import Directory
 from .enginelimits import LimitGate
+from .evacuation import Evacuations
 from .forwarding import Forwarder
 from .health import TargetHealth
 from .membership import short_key
@@ -37,6 +38,15 @@
         )
 
 
+@dataclass(frozen=True, slots=True)
+class _KnownPool:
+    """A pool, and the lists from which it was made."""
+
+    listed: Sequence[Target]
+    evacuated: frozenset[str]
+    pool: TargetPool
+
+
 @dataclass(slots=True)
 class TargetSelector:
     """Selects targets by their load and by what is known of their health.
@@ -54,7 +64,8 @@
     limits: LimitGate
     forwarder: Forwarder
     broken_groups: Callable[[], Collection[int]]
-    _pools: dict[str, TargetPool] = field(default_factory=dict)
+    evacuations: Evacuations
+    _pools: dict[str, _KnownPool] = field(default_factory=dict)
 
     def has_targets(self, call: Call) -> bool:
         """Return whether an intact target serves a request's model."""
@@ -62,6 +73,13 @@
         targets = self._pool(call).targets
         return any(_is_intact(target, broken) for target in targets)
 
+    def is_evacuated(self, call: Call) -> bool:
+        """Return whether evacuations leave a request no target."""
+        if not self.evacuations.domains or self.has_targets(call):
+            return False
+        broken = self.broken_groups()
+        return any(_is_intact(target, broken) for target in self._listed(call))
+
     def is_forwarding(self, call: Call) -> bool:
         """Return whether a request goes to another router now."""
         return self.forwarder.is_active and not call.is_forwarded
@@ -128,15 +146,31 @@
         return min(back_offs_s, default=0)
 
     def _pool(self, call: Call) -> TargetPool:
-        """Return the pool of a request, split once for each list of targets."""
-        targets: Sequence[Target] = self.directory.targets(
+        """Return the usable targets of a request.
+
+        Explanation
+        ===========
+        They are split once for each list of targets and set of evacuated
+        domains, so that evacuations cost a request one comparison.
+        """
+        listed = self._listed(call)
+        evacuated = self.evacuations.domains
+        known = self._pools.get(call.pool)
+        if (
+            known is None
+            or known.listed is not listed
+            or known.evacuated is not evacuated
+        ):
+            usable = self.evacuations.usable(listed)
+            pool = split_pool(usable, self.failure_domain)
+            known = _KnownPool(listed, evacuated, pool)
+            self._pools[call.pool] = known
+        return known.pool
+
+    def _listed(self, call: Call) -> Sequence[Target]:
+        return self.directory.targets(
             call.destination.service, call.metadata.model
         )
-        pool = self._pools.get(call.pool)
-        if pool is None or pool.targets is not targets:
-            pool = split_pool(targets, self.failure_domain)
-            self._pools[call.pool] = pool
-        return pool
 
     def _cut_off_domains(
         self, pool: TargetPool, broken: Collection[int]
--- a/primroserudder/fleet/waitqueue.py
+++ b/primroserudder/fleet/waitqueue.py
@@ -44,10 +44,18 @@
 Rank = tuple[float, ...]
 
 
+# Returns why a waiting request is refused now, ``None`` if it goes on waiting.
+Refuse = Callable[[], NoFreeSlot | None]
+
+
 def _ignore(_target: Target) -> None:
     """Count nothing besides the request in flight."""
 
 
+def keep_waiting() -> None:
+    """Let a request wait for as long as it may."""
+
+
 @dataclass(slots=True)
 class Waiter:
     """A waiting request; requests with a smaller rank go first."""
@@ -55,6 +63,7 @@
     rank: Rank
     find: FindTarget
     granted: asyncio.Future[Target]
+    refuse: Refuse = keep_waiting
 
 
 QueueEntry = tuple[Rank, int, Waiter]
@@ -85,13 +94,15 @@
         find: FindTarget,
         rank: Rank,
         max_wait_s: float,
+        refuse: Refuse = keep_waiting,
     ) -> Target:
         """Return a target after counting the request as running there.
 
         Raises
         ======
         NoFreeSlot
-            No slot became free within ``max_wait_s``.
+            No slot became free within ``max_wait_s``, or the request was
+            refused while it waited.
         """
         if not self._heap:
             target = find()
@@ -100,7 +111,10 @@
                 return target
         if max_wait_s <= 0:
             raise NoFreeSlot('no slot is free', retry_after=RETRY_AFTER_FULL_S)
-        return await self._wait(find, rank, max_wait_s)
+        waiter = Waiter(
+            rank, find, asyncio.get_running_loop().create_future(), refuse
+        )
+        return await self._wait(waiter, max_wait_s)
 
     def release(self, target: Target) -> None:
         """Release a request's slot and assign it to the next request."""
@@ -124,21 +138,20 @@
         for entry in blocked:
             heapq.heappush(self._heap, entry)
 
+    def refuse_waiting(self) -> None:
+        """Refuse the waiting requests that no target is left for."""
+        for _, _, waiter in self._heap:
+            error = None if waiter.granted.done() else waiter.refuse()
+            if error is not None:
+                waiter.granted.set_exception(error)
+
     def _begin(self, target: Target) -> None:
         self.in_flight_counts.begin(target.engine_id)
         self.note_send(target)
 
-    async def _wait(
-        self,
-        find: FindTarget,
-        rank: Rank,
-        max_wait_s: float,
-    ) -> Target:
-        granted: asyncio.Future[Target] = (
-            asyncio.get_running_loop().create_future()
-        )
-        waiter = Waiter(rank, find, granted)
-        heapq.heappush(self._heap, (rank, next(self._arrivals), waiter))
+    async def _wait(self, waiter: Waiter, max_wait_s: float) -> Target:
+        granted = waiter.granted
+        heapq.heappush(self._heap, (waiter.rank, next(self._arrivals), waiter))
         self.in_flight_counts.begin_wait(self.pool)
         self._ensure_polling()
         try:
@@ -173,7 +186,8 @@
 
 
 def _is_granted(granted: asyncio.Future[Target]) -> bool:
-    return granted.done() and not granted.cancelled()
+    is_ended = granted.done() and not granted.cancelled()
+    return is_ended and granted.exception() is None
 
 
 def max_wait_s(
--- a/primroserudder/platform/__init__.py
+++ b/primroserudder/platform/__init__.py
@@ -16,6 +16,7 @@
     decode_report,
     engine_row_age,
 )
+from .evacuations import EvacuationRows, decode_evacuations
 from .orders import ORDER_TIMEOUT_S, EngineOrders, OrderOutcome
 from .session import open_session
 from .store import PlatformStore
@@ -25,11 +26,13 @@
     'BodyTooLong',
     'EngineOrders',
     'EngineReport',
+    'EvacuationRows',
     'OrderOutcome',
     'PlatformStore',
     'UnreadableConfiguration',
     'decode_configuration',
     'decode_engine',
+    'decode_evacuations',
     'decode_report',
     'engine_row_age',
     'open_session',
--- a/primroserudder/platform/names.py
+++ b/primroserudder/platform/names.py
@@ -35,6 +35,8 @@
 # Tables and keys that other programs of the platform write.
 OPERATOR_TABLE = 'op'
 CONFIGURATION_KEY = 'config'
+# The rest of the key is the name of a failure domain.
+EVACUATION_PREFIX = 'evacuate/'
 ENGINES_TABLE = 'servers'
 
 # Operations and close modes of orders.
--- a/primroserudder/platform/tests/test_wire_names.py
+++ b/primroserudder/platform/tests/test_wire_names.py
@@ -41,6 +41,7 @@
     'CloseMode',
     'At-Server',
     'Server-Leaving',
+    'evacuate/',
 )
 
 
--- a/primroserudder/process/followedrows.py
+++ b/primroserudder/process/followedrows.py
@@ -39,10 +39,17 @@
     age : Callable or None
         Returns a higher value for a newer content of a row; ``None`` if a
         content does not tell its age.
+    kept_s : float
+        How long rows that a restored store lacks are kept, in seconds.
+    withheld_s : float
+        How long rows that were removed, and that a restored store has again,
+        are withheld, in seconds.
     """
 
     clock: Clock
     age: RowAge | None = None
+    kept_s: float = RETURN_GRACE_S
+    withheld_s: float = WITHHOLDING_S
     by_key: dict[str, Row] = field(default_factory=dict)
     version: StoreVersion = StoreVersion(0, 0)
     is_loaded: bool = False
@@ -154,8 +161,8 @@
     def _restore(self, page: TablePage) -> None:
         """Take over a copy, without believing what it shows as older."""
         now = self.clock.monotonic()
-        self._grace_until = now + RETURN_GRACE_S
-        self._withheld_until = now + WITHHOLDING_S
+        self._grace_until = now + self.kept_s
+        self._withheld_until = now + self.withheld_s
         removed = set(self._removed_at_by_key) - set(self.by_key)
         self._removed_at_by_key.clear()
         self._newest_removal = 0
--- a/primroserudder/standins/groupengine.py
+++ b/primroserudder/standins/groupengine.py
@@ -108,6 +108,7 @@
     address: str
     store: TableStore
     domain: str = 'd0'
+    failure_domain: str = 'fd-1'
     service: str = SERVICE
     is_plain: bool = False
     events: int = 5
@@ -173,7 +174,7 @@
         entry = {
             'Service': self.service,
             'Address': self.address,
-            'Zone': 'fd-1',
+            'Zone': self.failure_domain,
             'Version': 'v1',
             'Slots': 4,
             'State': 'draining' if self.is_draining else 'ready',
--- a/primroserudder/testing/platformsite.py
+++ b/primroserudder/testing/platformsite.py
@@ -27,6 +27,7 @@
 NO_FIELDS: Mapping[str, str] = MappingProxyType({})
 POLL_INTERVAL_S = 0.01
 GROUP_SIZE = 2
+FAILURE_DOMAIN = 'fd-1'
 PORTS = range(10_000, 30_000)
 PORT_STEP = 1009
 # Longer than the notice that a stopping router gives.
@@ -163,8 +164,16 @@
     routers: int = 1,
     *,
     is_configured: bool = True,
+    domains: Sequence[str] = (FAILURE_DOMAIN,),
 ) -> AsyncIterator[PlatformSite]:
-    """Run a site; its engines are listed and its routers are started."""
+    """Run a site; its engines are listed and its routers are started.
+
+    Parameters
+    ==========
+    domains : Sequence of str
+        Failure domains of the engines, in turn. The engines of each have one
+        fabric domain.
+    """
     site = PlatformSite(TableStore())
     async with AsyncExitStack() as stack:
         site.session = await stack.enter_async_context(
@@ -174,7 +183,13 @@
         if is_configured:
             site.store.rows.put('op', 'config', configuration())
         for number in range(engines + plain):
-            await _add_engine(stack, site, number, is_plain=number >= engines)
+            await _add_engine(
+                stack,
+                site,
+                number,
+                domains[number % len(domains)],
+                is_plain=number >= engines,
+            )
         for number in range(routers):
             await _add_router(stack, site, number)
         yield site
@@ -184,10 +199,18 @@
     stack: AsyncExitStack,
     site: PlatformSite,
     number: int,
+    domain: str,
     *,
     is_plain: bool,
 ) -> None:
-    engine = GroupEngine(f'i-{number}', '', site.store, is_plain=is_plain)
+    engine = GroupEngine(
+        f'i-{number}',
+        '',
+        site.store,
+        domain=f'd-{domain}',
+        failure_domain=domain,
+        is_plain=is_plain,
+    )
     if is_plain:
         engine.service = 'ledger'
     engine.address = await _serve(stack, engine.app())
@@ -204,7 +227,7 @@
     settings = RouterSettings(
         node=f'vm-{number}',
         ip=LOOPBACK,
-        failure_domain='fd-1',
+        failure_domain=FAILURE_DOMAIN,
         callers=f'{LOOPBACK}:{ports[0]}',
         readiness=f'{LOOPBACK}:{ports[1]}',
         inner_ports=(ports[2], ports[3]),
