--- a/primroserudder/fleet/evacuation/tests/test_evacuated_site.py
+++ b/primroserudder/fleet/evacuation/tests/test_evacuated_site.py
@@ -24,6 +24,9 @@
 HEARD_WITHIN_S = 2.0
 AT_ONCE_S = 0.1
 FORMED_WITHIN_S = 5.0
+# A domain that a restored store lacks is kept for so long.
+KEPT_S = 4.0
+MARGIN_S = 0.3
 PATHS = ('/notes/1', '/refunds/1', '/lookups/1')
 STREAM = b''.join(event(number) for number in range(1, 6))
 
@@ -214,6 +217,55 @@
         await until_heard(site)
 
 
+async def test_domain_that_a_restored_store_lacks_stays_evacuated() -> None:
+    # Operators write the row again within 4 s.
+    async with site_of_domains(routers=3) as site:
+        rows_copy = site.store.rows.copy()
+        evacuate(site, 'fd-1')
+        await until_heard(site, 'fd-1')
+        since = _now()
+        site.store.rows.restore(rows_copy)
+        while _now() < since + KEPT_S - MARGIN_S:
+            for engine in site.engines_by_id.values():
+                engine.register()
+            for number in range(len(site.routers)):
+                await statuses(site, '/refunds/1', 2, number)
+            assert not received_by_domain(site, since, {'fd-1'})
+            await asyncio.sleep(MARGIN_S)
+        async with asyncio.timeout(HEARD_WITHIN_S + MARGIN_S):
+            await until_heard(site)
+
+
+async def test_row_written_again_after_a_restore_counts_on() -> None:
+    async with site_of_domains(routers=3) as site:
+        rows_copy = site.store.rows.copy()
+        evacuate(site, 'fd-1')
+        await until_heard(site, 'fd-1')
+        since = _now()
+        site.store.rows.restore(rows_copy)
+        await asyncio.sleep(KEPT_S - 1)
+        evacuate(site, 'fd-1')
+        while _now() < since + KEPT_S + 2:
+            for engine in site.engines_by_id.values():
+                engine.register()
+            for number in range(len(site.routers)):
+                await statuses(site, '/refunds/1', 2, number)
+            await asyncio.sleep(MARGIN_S)
+        assert not received_by_domain(site, since, {'fd-1'})
+
+
+async def test_row_that_a_restored_store_has_again_counts_at_once() -> None:
+    async with site_of_domains(routers=3) as site:
+        evacuate(site, 'fd-1')
+        await until_heard(site, 'fd-1')
+        rows_copy = site.store.rows.copy()
+        revoke(site, 'fd-1')
+        await until_heard(site)
+        site.store.rows.restore(rows_copy)
+        async with asyncio.timeout(HEARD_WITHIN_S):
+            await until_heard(site, 'fd-1')
+
+
 async def test_groups_stay_and_serve_at_once_on_return() -> None:
     async with site_of_domains() as site:
         engines = [
--- a/primroserudder/fleet/tests/test_tablerelay.py
+++ b/primroserudder/fleet/tests/test_tablerelay.py
@@ -161,6 +161,20 @@
         assert pair.tables.relayed_reads == 1
 
 
+async def test_relay_stays_in_use_after_the_newest_row_was_removed() -> None:
+    # All rows that are left are older than one that was read before.
+    async with _relay_and_router() as pair:
+        pair.standin.rows.put('things', 'a', {'number': 1})
+        pair.standin.rows.put('things', 'b', {'number': 2})
+        await asyncio.sleep(0.1)
+        await pair.tables.read_table('things')
+        pair.standin.rows.remove('things', 'b')
+        await asyncio.sleep(0.1)
+        page = await pair.tables.read_table('things')
+        assert [row.key for row in page.rows] == ['things/a']
+        assert pair.tables.relayed_reads == 2
+
+
 async def test_relay_with_a_lower_store_version_stays_in_use() -> None:
     # Changes of other tables raise the store's version too, so a lower version
     # does not mean that the relay lacks changes of this table.
--- a/primroserudder/process/tests/test_followedrows.py
+++ b/primroserudder/process/tests/test_followedrows.py
@@ -99,3 +99,26 @@
     assert followed.is_unchanged(StoreVersion(1, 50))
     assert not followed.is_unchanged(StoreVersion(0, 50))
     assert not followed.is_unchanged(StoreVersion(2, 50))
+
+
+def test_rows_are_kept_for_the_time_that_their_writers_need() -> None:
+    clock = ManualClock()
+    followed = _loaded(clock, _row('a', 40))
+    followed.kept_s = 2 * RETURN_GRACE_S
+    followed.replace(TablePage((), revision=30, era=2))
+    clock.advance(RETURN_GRACE_S)
+    assert not followed.settle()
+    assert set(followed.by_key) == {'a'}
+    clock.advance(RETURN_GRACE_S)
+    assert followed.settle()
+    assert not followed.by_key
+
+
+def test_table_that_withholds_nothing_shows_removed_rows_at_once() -> None:
+    # A row that was written anew looks the same as one of the copy.
+    followed = _loaded(ManualClock(), _row('a', 40))
+    followed.withheld_s = 0
+    followed.apply(ChangePage((Change('a', None),), 51, era=1))
+    followed.replace(TablePage((_row('a', 31),), revision=31, era=2))
+    followed.settle()
+    assert set(followed.by_key) == {'a'}
