--- a/primroserudder/fleet/rebalancing/rebalancer.py
+++ b/primroserudder/fleet/rebalancing/rebalancer.py
@@ -154,7 +154,13 @@
     def _engines_of(
         self, groups: Iterable[GroupProgress], service: str
     ) -> list[FreeEngine]:
-        """Return the listed engines of groups as they are once free."""
+        """Return the listed engines of groups as they are once free.
+
+        Explanation
+        ===========
+        Those in evacuated failure domains are left out: a group that is formed
+        of them would not serve.
+        """
         listed = self.inventory.directory.engines_by_id
         members = (
             listed.get(member)
@@ -164,7 +170,9 @@
         return [
             self.inventory.as_free(engine)
             for engine in members
-            if engine is not None and engine.service == service
+            if engine is not None
+            and engine.service == service
+            and not self.inventory.is_evacuated(engine.failure_domain)
         ]
 
     def _load_of(self, groups: Iterable[GroupProgress]) -> 'LoadOf':
