Keep all routers together to what cold engines take

Cause: an engine that has just started, or is in use again, crashes well above ColdPerS requests a second. A limit was known only from an engine's responses, which is too late for the first requests.

Change: the engine list, a start during traffic and the end of an evacuation tell that an engine is cold (enginelimits/cold.py). coldlimit.py gives each VM its share by the known VMs and, in addition, the shares of those that told it that they know the engine as cold; such a side counts together what it sends. Notices have one field more, LoadPart.cold, at the end and with a default. Services without ColdStartS and ColdPerS are unaffected.

--- a/primroserudder/fleet/directory.py
+++ b/primroserudder/fleet/directory.py
@@ -11,11 +11,22 @@
 Decode = Callable[[str, Mapping[str, object]], Engine | None]
 
 
+def _ignore(_engine: Engine) -> None:
+    """Ignore an entry."""
+
+
 @dataclass(slots=True)
 class Directory:
-    """Engines by id and targets by service and model, from the engine list."""
+    """Engines by id and targets by service and model, from the engine list.
+
+    Parameters
+    ==========
+    on_entry : Callable
+        Takes each readable entry whose fields are new.
+    """
 
     decode: Decode
+    on_entry: Callable[[Engine], None] = _ignore
     engines_by_id: dict[str, Engine] = field(default_factory=dict)
     last_model_by_id: dict[tuple[str, int], str] = field(default_factory=dict)
     unreadable_ids: set[str] = field(default_factory=set)
@@ -40,8 +51,13 @@
             if self._row_by_key.get(key) is not row
         ]
         for row in changed:
+            before = self._row_by_key.get(row.key)
             self._row_by_key[row.key] = row
-            self._update_engine(_engine_id(row.key), row)
+            engine = self._update_engine(_engine_id(row.key), row)
+            # A table that is read again has its rows anew, also unchanged.
+            is_news = before is None or before.fields != row.fields
+            if engine is not None and is_news:
+                self.on_entry(engine)
         self._index.refresh(configuration)
 
     def last_model(self, engine: Engine) -> str:
@@ -91,17 +107,18 @@
         """Return how many engines and heads of groups take requests."""
         return sum(map(len, self._index.targets_by_pool.values()))
 
-    def _update_engine(self, engine_id: str, row: Row) -> None:
+    def _update_engine(self, engine_id: str, row: Row) -> Engine | None:
         engine = self.decode(engine_id, row.fields)
         if engine is None:
             self._set_engine(engine_id, None)
             self.unreadable_ids.add(engine_id)
-            return
+            return None
         engine = self._keep_draining(engine)
         self._set_engine(engine_id, engine)
         model = model_joined(engine)
         if model:
             self.last_model_by_id[engine_id, engine.born_ms] = model
+        return engine
 
     def _set_engine(self, engine_id: str, engine: Engine | None) -> None:
         self.unreadable_ids.discard(engine_id)
--- a/primroserudder/fleet/enginelimits/gate.py
+++ b/primroserudder/fleet/enginelimits/gate.py
@@ -1,4 +1,4 @@
-"""Decides whether a request may be sent to an engine that named a limit.
+"""Decides whether a request may be sent to an engine that has a limit.
 
 Explanation
 ===========
@@ -10,18 +10,23 @@
 
 VMs that can't hear each other must not use the whole limit twice. A VM that
 hears only a part of the VMs it heard before keeps to that part of the limit.
+
+``coldlimit`` decides the same for engines that are cold.
 """
 
+import math
 import random
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
 from ...process.clock import Clock
 from ..membership import InFlightCounts
 from ..model import Target
+from .coldlimit import ColdLimit
 from .incarnation import incarnation_key
 from .looks import LooksLately
 from .registry import LimitRegistry
+from .sitesize import SiteSize
 from .window import Quota, SentLately
 
 # A notice reaches all VMs of a small site within about this time, and those of
@@ -31,48 +36,38 @@
 MAX_NOTICE_DELAY_S = 0.3
 # Requests that other VMs send, on average, before they hear of the last one.
 OVERLAP = 0.5
-# VMs that were not heard for this long don't count any more.
-SITE_SIZE_MEMORY_S = 300.0
 
 
 @dataclass(slots=True)
 class LimitGate:
-    """Keeps all VMs together to the limits that engines named.
+    """Keeps all VMs together to the limits of engines.
 
     Parameters
     ==========
-    known_vms : Callable
-        Returns how many VMs the site has at most, including this one.
+    cold : ColdLimit
+        Limits of engines that are cold.
     """
 
     registry: LimitRegistry
     counts: InFlightCounts
     clock: Clock
-    known_vms: Callable[[], int]
+    site_size: SiteSize
+    cold: ColdLimit
     rng: random.Random = field(default_factory=random.Random)
     _sent: SentLately = field(default_factory=SentLately)
     _looks: LooksLately = field(default_factory=LooksLately)
-    _most_vms: int = 1
-    _most_vms_at: float = float('-inf')
+
+    def has_limits(self) -> bool:
+        """Return whether an engine may have a limit now."""
+        return not self.registry.is_empty() or self.cold.engines.has_spells()
 
     def may_send(self, target: Target) -> bool:
         """Return whether a request may be sent to a target now."""
-        if self.registry.is_empty():
-            return True
-        key = incarnation_key(target)
-        quota = self._quota(key)
-        if quota is None:
-            return True
-        now = self.clock.monotonic()
-        self._looks.note(key, now)
-        left = self._left(key, quota)
-        if left < 1:
-            return False
-        chance = left - OVERLAP
-        return self.rng.random() * self._competing_looks(key, now) < chance
+        return self._may_send_named(target) and self.cold.may_send(target)
 
     def note_send(self, target: Target) -> None:
         """Count a request that is sent to a target."""
+        self.cold.note_send(target)
         if self.registry.is_empty():
             return
         key = incarnation_key(target)
@@ -92,35 +87,44 @@
         It doesn't wait while a target has no limit or is below it.
         """
         total_per_s = float(0)
+        longest_s = float('inf')
         for target in targets:
-            key = incarnation_key(target)
-            quota = self._quota(key)
-            if quota is None or self._left(key, quota) >= 1:
+            named_per_s = self._full_limit_per_s(target)
+            cold_per_s, cold_s = self.cold.full_limit(target)
+            rate_per_s = min(named_per_s, cold_per_s)
+            if math.isinf(rate_per_s):
                 return 0
-            total_per_s += quota.requests / quota.window_s
-        return (waiting + 1) / total_per_s if total_per_s else 0
+            total_per_s += rate_per_s
+            if math.isinf(named_per_s):
+                longest_s = min(longest_s, cold_s)
+        if not total_per_s:
+            return 0
+        return min((waiting + 1) / total_per_s, longest_s)
 
     def sent_by_key(self) -> dict[int, int]:
         """Return what this VM sent within the windows, for notices."""
+        cold = self.cold.sent_by_key()
         if self.registry.is_empty():
-            return {}
+            return cold
         now = self.clock.monotonic()
         since_by_key = {
             key: now - quota.window_s
             for key in self.registry.rates_by_key()
             if (quota := self._quota(key)) is not None
         }
-        return self._sent.counts(since_by_key)
+        return {**self._sent.counts(since_by_key), **cold}
 
     def looks_by_key(self) -> dict[int, int]:
         """Return how often this VM looked for a place lately, for notices."""
+        cold = self.cold.looks_by_key()
         if self.registry.is_empty():
-            return {}
+            return cold
         limited = self.registry.rates_by_key()
-        return self._looks.counts(limited, self.clock.monotonic())
+        named = self._looks.counts(limited, self.clock.monotonic())
+        return {**named, **cold}
 
     def dump(self) -> Mapping[str, Mapping[str, float]]:
-        """Return limits and requests sent within their windows, by key."""
+        """Return named limits and what was sent in their windows, by key."""
         own = self.sent_by_key()
         return {
             str(key): {
@@ -131,6 +135,30 @@
             for key, rate in self.registry.rates_by_key().items()
         }
 
+    def _may_send_named(self, target: Target) -> bool:
+        """Return whether the limit that a target named leaves room."""
+        if self.registry.is_empty():
+            return True
+        key = incarnation_key(target)
+        quota = self._quota(key)
+        if quota is None:
+            return True
+        now = self.clock.monotonic()
+        self._looks.note(key, now)
+        left = self._left(key, quota)
+        if left < 1:
+            return False
+        chance = left - OVERLAP
+        return self.rng.random() * self._competing_looks(key, now) < chance
+
+    def _full_limit_per_s(self, target: Target) -> float:
+        """Return the limit that a target named, infinite if it has room."""
+        key = incarnation_key(target)
+        quota = self._quota(key)
+        if quota is None or self._left(key, quota) >= 1:
+            return math.inf
+        return quota.requests / quota.window_s
+
     def _quota(self, key: int) -> Quota | None:
         rate = self.registry.rate_per_s(key)
         return None if rate is None else Quota.of(rate * self._heard_share())
@@ -153,10 +181,4 @@
 
     def _heard_share(self) -> float:
         """Return the share of the site's VMs that hear of each other."""
-        now = self.clock.monotonic()
-        heard = self.counts.others_vms + 1
-        is_outdated = now - self._most_vms_at > SITE_SIZE_MEMORY_S
-        if heard >= self._most_vms or is_outdated:
-            self._most_vms = heard
-            self._most_vms_at = now
-        return min(1.0, heard / min(self._most_vms, self.known_vms()))
+        return self.site_size.heard_share()
--- a/primroserudder/fleet/membership/in_flight.py
+++ b/primroserudder/fleet/membership/in_flight.py
@@ -35,6 +35,8 @@
         the key of the incarnation.
     others_looks : dict
         How often the other VMs looked lately for a place there, a second.
+    others_cold : dict
+        How many other VMs know an engine as cold, by a key of the incarnation.
     others_vms : int
         How many other VMs report.
     changes : int
@@ -47,6 +49,7 @@
     others_waiting: dict[int, int] = field(default_factory=dict)
     others_sent: dict[int, int] = field(default_factory=dict)
     others_looks: dict[int, int] = field(default_factory=dict)
+    others_cold: dict[int, int] = field(default_factory=dict)
     others_vms: int = 0
     changes: int = 0
 
@@ -109,6 +112,7 @@
             (self.others_waiting, before.waiting, now.waiting),
             (self.others_sent, before.sent, now.sent),
             (self.others_looks, before.looks, now.looks),
+            (self.others_cold, before.cold, now.cold),
         ):
             if earlier != later:
                 add_counts(sums, earlier, -1)
--- a/primroserudder/fleet/membership/limitreport.py
+++ b/primroserudder/fleet/membership/limitreport.py
@@ -32,12 +32,15 @@
         Returns the known limits by that key.
     merge : Callable
         Takes over limits that another VM knows.
+    cold : Callable
+        Returns one for each engine that this VM knows as cold, by its key.
     """
 
     sent: Callable[[], Mapping[int, int]] = _no_counts
     looks: Callable[[], Mapping[int, int]] = _no_counts
     heard: Callable[[], Mapping[int, LimitNews]] = _no_news
     merge: Callable[[Mapping[int, LimitNews]], None] = _ignore
+    cold: Callable[[], Mapping[int, int]] = _no_counts
 
     def sent_by_key(self) -> dict[int, int]:
         """Return this VM's requests, as a map of its own."""
@@ -47,6 +50,10 @@
         """Return how often this VM looked, as a map of its own."""
         return dict(self.looks())
 
+    def cold_by_key(self) -> dict[int, int]:
+        """Return the engines known as cold, as a map of its own."""
+        return dict(self.cold())
+
     def news(self) -> Mapping[int, LimitNews]:
         """Return the known limits."""
         return self.heard()
--- a/primroserudder/fleet/membership/link.py
+++ b/primroserudder/fleet/membership/link.py
@@ -170,6 +170,7 @@
     looks: dict[int, int]
     limits: Mapping[int, LimitNews]
     vms: int = 1
+    cold: dict[int, int] = field(default_factory=dict)
 
     def add(self, link: Link, sign: int = 1) -> None:
         """Add what a neighbour reported, or take it away."""
@@ -178,6 +179,7 @@
             add_counts(self.waiting, part.waiting, sign)
             add_counts(self.sent, part.sent, sign)
             add_counts(self.looks, part.looks, sign)
+            add_counts(self.cold, part.cold, sign)
             self.vms += sign * part.vms
 
     def parts(self) -> list[LoadPart]:
@@ -192,7 +194,14 @@
         [(0, 75, 1), (1, 75, 0)]
         """
         total = 1
-        size = sum(map(len, (self.running, self.sent, self.looks, self.limits)))
+        by_key = (
+            self.running,
+            self.sent,
+            self.looks,
+            self.limits,
+            self.cold,
+        )
+        size = sum(map(len, by_key))
         while total * KEYS_PER_PART < size:
             total *= 2
         return [
@@ -205,6 +214,7 @@
                 _keys_of_part(self.looks, number, total),
                 _keys_of_part(self.limits, number, total),
                 0 if number else self.vms,
+                _keys_of_part(self.cold, number, total),
             )
             for number in range(total)
         ]
--- a/primroserudder/fleet/membership/links.py
+++ b/primroserudder/fleet/membership/links.py
@@ -65,6 +65,7 @@
         add_counts(load.waiting, self.counts.others_waiting)
         add_counts(load.sent, self.counts.others_sent)
         add_counts(load.looks, self.counts.others_looks)
+        add_counts(load.cold, self.counts.others_cold)
         load.vms += self.counts.others_vms
         for link in self._links((child,)):
             load.add(link, -1)
@@ -87,6 +88,7 @@
             self.own_limits.sent_by_key(),
             self.own_limits.looks_by_key(),
             self.own_limits.news(),
+            cold=self.own_limits.cold_by_key(),
         )
 
     def _links(self, addresses: Iterable[str]) -> Iterable[Link]:
--- a/primroserudder/fleet/membership/notice.py
+++ b/primroserudder/fleet/membership/notice.py
@@ -116,7 +116,8 @@
     Keys without requests are left out. ``limits`` are the limits that the
     sender knows. An engine is in the part given by its key modulo ``total``;
     waiting requests are in the first part, and so is the number of VMs on that
-    side, ``vms``.
+    side, ``vms``. ``cold`` is the number of VMs that know an engine as cold, by
+    a key of the incarnation that ``sent`` and ``looks`` have too.
     """
 
     number: Count = 0
@@ -127,6 +128,7 @@
     looks: dict[Key, Count] = {}
     limits: dict[Key, LimitNews] = {}
     vms: Count = 1
+    cold: dict[Key, Count] = {}
 
 
 class Notice(msgspec.Struct, frozen=True, array_like=True):
--- a/primroserudder/fleet/model.py
+++ b/primroserudder/fleet/model.py
@@ -86,11 +86,25 @@
 
 @dataclass(frozen=True, slots=True)
 class Service:
-    """An upstream service; ``engine`` is set if groups serve its models."""
+    """An upstream service; ``engine`` is set if groups serve its models.
+
+    Explanation
+    ===========
+    For ``cold_start_s`` after its start an engine is cold and takes
+    ``cold_per_s`` requests a second from all VMs together. Zero for either
+    means that engines need no such care.
+    """
 
     name: str
     connection_limit: int
     engine: EngineSpec | None = None
+    cold_start_s: float = 0
+    cold_per_s: float = 0
+
+    @property
+    def limits_cold_engines(self) -> bool:
+        """Return whether cold engines of the service take fewer requests."""
+        return self.cold_start_s > 0 and self.cold_per_s > 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -143,6 +157,16 @@
     state: GroupState
 
 
+class ColdTime(enum.StrEnum):
+    """What an entry says of the time for which its engine stays cold."""
+
+    ABSENT = 'absent'
+    READ = 'read'
+    MALFORMED = 'malformed'
+    # Longer than is credible, and cut to the longest time that is.
+    TOO_LONG = 'too long'
+
+
 @dataclass(frozen=True, slots=True)
 class Engine:
     """An engine as the platform's list shows it.
@@ -151,7 +175,9 @@
     ===========
     ``born_ms`` is the engine's start time, which distinguishes a restarted
     engine from the previous process with the same id. ``staged`` names the
-    models whose weights are on the engine's host.
+    models whose weights are on the engine's host. ``cold_remaining_s`` is how
+    long the engine stays cold after the entry was written, zero if the entry
+    has no readable time, as ``cold_time`` tells.
     """
 
     engine_id: str
@@ -164,6 +190,8 @@
     staged: tuple[str, ...] = ()
     membership: Membership | None = None
     born_ms: int = 0
+    cold_remaining_s: float = 0
+    cold_time: ColdTime = ColdTime.ABSENT
 
 
 @dataclass(frozen=True, slots=True)
@@ -195,6 +223,8 @@
     ===========
     ``born_ms`` is the start time of the engine that takes the requests.
     ``is_router`` is true for another router, which takes them to an engine.
+    ``cold_start_s`` and ``cold_per_s`` are those of the service, zero if it
+    doesn't limit what cold engines get.
     """
 
     engine_id: str
@@ -205,3 +235,5 @@
     members: tuple[str, ...] = field(default=())
     born_ms: int = 0
     is_router: bool = False
+    cold_start_s: float = 0
+    cold_per_s: float = 0
--- a/primroserudder/fleet/router.py
+++ b/primroserudder/fleet/router.py
@@ -19,7 +19,7 @@
 )
 from .crashes.quarantine import Quarantine
 from .crashes.strikestore import StrikeStore
-from .enginelimits import LimitGate, LimitRegistry
+from .enginelimits import LimitGate, build_limit_gate
 from .forwarding import Forwarder, RouterPort
 from .forwarding.assembly import build_forwarder
 from .health import TargetHealth
@@ -163,6 +163,8 @@
             'places': self.pool_meter.dump(),
             'running': dict(self.in_flight_counts.running_by_engine),
             'limits': self.limits.dump(),
+            'cold_engines': self.limits.cold.dump(),
+            'cold_looks_held_back': self.limits.cold.held_back,
             'peers': sorted(self.exchange.links.by_address),
             'store_reachable': self.view.engines.is_reachable,
             'store_era': self.view.store_era(),
@@ -207,15 +209,17 @@
             self.log,
             self._feed_pause_s,
             self._on_view_change,
+            self._traffic_seen.is_set,
         )
         peers = PeerAddresses(
             settings.exchange_endpoint, settings.failure_domain, settings.speed
         )
-        self.limits = LimitGate(
-            LimitRegistry(self.clock),
+        self.limits = build_limit_gate(
             self.in_flight_counts,
             self.clock,
             peers.count,
+            self.view.cold_engines,
+            self.metrics,
         )
         self.exchange = build_exchange(
             settings.exchange_address,
@@ -230,6 +234,7 @@
                 self.limits.looks_by_key,
                 self.limits.registry.news,
                 self.limits.registry.merge,
+                self.limits.cold.cold_by_key,
             ),
         )
         self.exchange.listeners.append(self._on_facts)
--- a/primroserudder/fleet/serverassembly.py
+++ b/primroserudder/fleet/serverassembly.py
@@ -80,7 +80,7 @@
             retry_settings.ratio, retry_settings.extra, retry_settings.window_s
         ),
         context.clock,
-        limits.known_vms,
+        limits.site_size.known_vms,
     )
     slots = SlotQueues(in_flight_counts, context.clock, limits.note_send)
     return Server(
--- a/primroserudder/fleet/site_view.py
+++ b/primroserudder/fleet/site_view.py
@@ -19,6 +19,7 @@
 from .active_configuration import ActiveConfiguration
 from .crashes.strikestore import STRIKES_TABLE
 from .directory import Directory
+from .enginelimits import ColdEngines, ColdServices
 from .model import Configuration
 
 # Long-poll time. A source that stops answering is detected after this time and
@@ -40,6 +41,8 @@
     log: DecisionLog
     pause_s: Callable[[], float]
     on_change: Callable[[], None]
+    has_traffic: Callable[[], bool]
+    cold_engines: ColdEngines = field(init=False)
     directory: Directory = field(init=False)
     active: ActiveConfiguration = field(init=False)
     configurations: TableFollower = field(init=False)
@@ -49,8 +52,14 @@
 
     def __post_init__(self) -> None:
         """Create the table followers."""
-        self.directory = Directory(decode_engine)
         self.active = ActiveConfiguration(decode_configuration, self.log)
+        self.cold_engines = ColdEngines(
+            self.clock,
+            self.log,
+            ColdServices(self.configuration),
+            self.has_traffic,
+        )
+        self.directory = Directory(decode_engine, self.cold_engines.note_entry)
         self.configurations = self._follower(OPERATOR_TABLE)
         self.configurations.listeners.append(self._on_configuration)
         self.engines = self._follower(ENGINES_TABLE)
@@ -126,4 +135,6 @@
 
     def _on_engines(self) -> None:
         self.directory.update(self.engines.rows_by_key, self.active.current)
+        if self.engines.is_loaded:
+            self.cold_engines.note_list_read()
         self.on_change()
--- a/primroserudder/fleet/target_selector.py
+++ b/primroserudder/fleet/target_selector.py
@@ -106,10 +106,10 @@
 
         Explanation
         ===========
-        Targets ask for a pause, or are at the limits that they named.
+        Targets ask for a pause, or are at limits that they named or that hold
+        while they are cold.
         """
-        has_limits = not self.limits.registry.is_empty()
-        if not self.health.backing_off_until and not has_limits:
+        if not self.health.backing_off_until and not self.limits.has_limits():
             return 0
         broken = self.broken_groups()
         intact = [
--- a/primroserudder/fleet/targetindex.py
+++ b/primroserudder/fleet/targetindex.py
@@ -8,7 +8,7 @@
 
 from collections import defaultdict
 from collections.abc import Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from .directorynames import model_of
 from .model import Configuration, Engine, GroupState, Service, Target
@@ -112,8 +112,9 @@
             self._set_targets((service, ''), ())
             return
         engines = self._plain_by_service[service].values()
+        spec = self._service(service)
         targets = [
-            _plain_target(engine)
+            _plain_target(engine, spec)
             for engine in engines
             if not engine.is_draining
         ]
@@ -125,10 +126,13 @@
         else:
             self.targets_by_pool.pop(pool, None)
 
-    def _model_service(self, name: str) -> Service | None:
+    def _service(self, name: str) -> Service | None:
         if self._configuration is None:
             return None
-        service = self._configuration.services_by_name.get(name)
+        return self._configuration.services_by_name.get(name)
+
+    def _model_service(self, name: str) -> Service | None:
+        service = self._service(name)
         return service if service and service.engine else None
 
     def _group_target(
@@ -162,14 +166,26 @@
             tuple(by_rank[rank].engine_id for rank in sorted(by_rank)),
             head.born_ms,
         )
-        return (service.name, model), target
+        return (service.name, model), _with_cold_limit(target, service)
 
 
-def _plain_target(engine: Engine) -> Target:
-    return Target(
+def _plain_target(engine: Engine, service: Service | None) -> Target:
+    target = Target(
         engine.engine_id,
         engine.address,
         engine.failure_domain,
         engine.slots,
         born_ms=engine.born_ms,
     )
+    return target if service is None else _with_cold_limit(target, service)
+
+
+def _with_cold_limit(target: Target, service: Service) -> Target:
+    """Return a target with what it takes while it is cold."""
+    if not service.limits_cold_engines:
+        return target
+    return replace(
+        target,
+        cold_start_s=service.cold_start_s,
+        cold_per_s=service.cold_per_s,
+    )
--- a/primroserudder/platform/configuration.py
+++ b/primroserudder/platform/configuration.py
@@ -97,6 +97,10 @@
     name: str = Field(alias='Name')
     connections: int = Field(alias='MaxConns', default=0)
     engine: _Engine | None = Field(alias='Engine', default=None)
+    # For how long an engine is cold, and the requests a second that it takes
+    # meanwhile.
+    cold_start_s: float = Field(alias='ColdStartS', default=0)
+    cold_per_s: float = Field(alias='ColdPerS', default=0)
 
 
 class _Tenant(_Wire):
@@ -218,4 +222,10 @@
             loads_per_s=engine.loads_per_s,
             loads_at_once=engine.loads_at_once,
         )
-    return Service(service.name, service.connections, spec)
+    return Service(
+        service.name,
+        service.connections,
+        spec,
+        service.cold_start_s,
+        service.cold_per_s,
+    )
--- a/primroserudder/platform/enginelist.py
+++ b/primroserudder/platform/enginelist.py
@@ -5,11 +5,14 @@
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
-from ..fleet.model import Engine, GroupState, Membership
+from ..fleet.model import ColdTime, Engine, GroupState, Membership
 from ..process.platform import Row
 
 STATE_READY = 'ready'
 STATE_DRAINING = 'draining'
+# No engine takes longer than this to become warm.
+MAX_COLD_S = 60.0
+MILLISECONDS_PER_SECOND = 1000
 
 
 class _Wire(BaseModel):
@@ -33,6 +36,8 @@
     staged: tuple[str, ...] = Field(alias='Staged', default=(), strict=False)
     group: _Group | None = None
     born: int = 0
+    # Any value, so that a malformed one leaves the other fields readable.
+    cold_remaining_ms: object = Field(alias='ColdRemainingMs', default=None)
 
 
 class _Report(_Wire):
@@ -79,6 +84,7 @@
         return None
     if entry.state not in {STATE_READY, STATE_DRAINING}:
         return None
+    cold_remaining_s, cold_time = _cold_time(entry.cold_remaining_ms)
     return Engine(
         engine_id=engine_id,
         service=entry.service,
@@ -90,6 +96,8 @@
         staged=entry.staged,
         membership=_membership(entry.group),
         born_ms=entry.born,
+        cold_remaining_s=cold_remaining_s,
+        cold_time=cold_time,
     )
 
 
@@ -123,6 +131,25 @@
     )
 
 
+def _cold_time(remaining_ms: object) -> tuple[float, ColdTime]:
+    """Return how long an engine stays cold, and whether that was readable.
+
+    Examples
+    ========
+    >>> [_cold_time(each)[0] for each in (1500, None, -1, 'soon', True, 10**9)]
+    [1.5, 0, 0, 0, 0, 60.0]
+    """
+    if remaining_ms is None:
+        return 0, ColdTime.ABSENT
+    if isinstance(remaining_ms, bool):
+        return 0, ColdTime.MALFORMED
+    if not isinstance(remaining_ms, int | float) or not remaining_ms >= 0:
+        return 0, ColdTime.MALFORMED
+    if remaining_ms > MAX_COLD_S * MILLISECONDS_PER_SECOND:
+        return MAX_COLD_S, ColdTime.TOO_LONG
+    return remaining_ms / MILLISECONDS_PER_SECOND, ColdTime.READ
+
+
 def _membership(group: _Group | None) -> Membership | None:
     if group is None or not group.name:
         return None
--- a/primroserudder/testing/limitsite.py
+++ b/primroserudder/testing/limitsite.py
@@ -12,9 +12,15 @@
 from collections.abc import Collection, Sequence
 from dataclasses import dataclass, field
 
-from ..fleet.enginelimits import LimitGate, LimitRegistry, incarnation_key
+from ..fleet.enginelimits import (
+    LimitGate,
+    build_limit_gate,
+    incarnation_key,
+)
 from ..fleet.membership import InFlightCounts
 from ..fleet.model import Target
+from ..process.metrics import Metrics
+from .colddata import no_cold_engines
 from .fleetdata import ManualClock, target
 
 STEP_S = 0.02
@@ -100,7 +106,7 @@
         """Return the most requests that one engine got in a window."""
         return max(
             (
-                _most_in_window([at for at in times if at >= since], window_s)
+                most_in_window([at for at in times if at >= since], window_s)
                 for times in self.sent_at_by_engine.values()
             ),
             default=0,
@@ -114,16 +120,18 @@
         return self.served / (wanted * self.pattern.duration_s)
 
     def _new_vm(self, number: int) -> LimitedVm:
-        registry = LimitRegistry(self.clock)
-        gate = LimitGate(
-            registry,
+        gate = build_limit_gate(
             InFlightCounts(),
             self.clock,
             lambda: self.pattern.vms,
+            no_cold_engines(self.clock),
+            Metrics(),
             random.Random(f'{self.seed}/{number}'),
         )
         for engine in self.targets:
-            registry.note(incarnation_key(engine), self.pattern.limit_per_s)
+            gate.registry.note(
+                incarnation_key(engine), self.pattern.limit_per_s
+            )
         return LimitedVm(gate)
 
     def _tell(self) -> None:
@@ -189,7 +197,7 @@
     return _Told(Counter(gate.sent_by_key()), Counter(gate.looks_by_key()))
 
 
-def _most_in_window(times: Sequence[float], window_s: float) -> int:
+def most_in_window(times: Sequence[float], window_s: float) -> int:
     return max(
         (
             sum(start <= at < start + window_s for at in times[number:])
