--- a/primroserudder/fleet/membership/tests/test_exchange.py
+++ b/primroserudder/fleet/membership/tests/test_exchange.py
@@ -68,6 +68,19 @@
     assert _running(network) == {60}
 
 
+def test_every_vm_hears_how_many_others_know_an_engine_as_cold() -> None:
+    network = notice_network(3, 7)
+    for exchange in network.exchanges.values():
+        exchange.links.own_limits.cold = lambda: {5: 1}
+    network.tick(20)
+    heard = {counts.others_cold.get(5) for counts in network.counts.values()}
+    assert heard == {20}
+    for exchange in network.exchanges.values():
+        exchange.links.own_limits.cold = dict
+    network.tick(20)
+    assert not any(counts.others_cold for counts in network.counts.values())
+
+
 @pytest.mark.parametrize('lost', ['10.0.0.1:7', '10.0.0.2:7', '10.0.0.30:7'])
 def test_lost_vm_is_replaced_in_the_tree(lost: str) -> None:
     network = notice_network(3, 30)
--- a/primroserudder/platform/tests/test_decoding.py
+++ b/primroserudder/platform/tests/test_decoding.py
@@ -155,3 +155,27 @@
     assert confirms_not_run(503, _headers(X_Primroserudder_Not_Executed='1'))
     assert not confirms_not_run(503, _headers())
     assert not confirms_not_run(500, _headers())
+
+
+def test_services_name_what_cold_engines_take() -> None:
+    services = [
+        {'Name': 'model', 'ColdStartS': 3.0, 'ColdPerS': 18.0},
+        {'Name': 'ledger'},
+    ]
+    decoded = decode_configuration(configuration(Services=services))
+    model = decoded.services_by_name['model']
+    assert (model.cold_start_s, model.cold_per_s) == (3, 18)
+    assert model.limits_cold_engines
+    assert not decoded.services_by_name['ledger'].limits_cold_engines
+
+
+@pytest.mark.parametrize(
+    ('remaining_ms', 'cold_s'), [(1500, 1.5), ('soon', 0), (-1, 0), (1e12, 60)]
+)
+def test_cold_time_of_any_form_leaves_an_entry_readable(
+    remaining_ms: object, cold_s: float
+) -> None:
+    engine = decode_engine('i-1', {**ENTRY, 'ColdRemainingMs': remaining_ms})
+    assert engine is not None
+    assert engine.cold_remaining_s == cold_s
+    assert engine.slots == 13
--- a/primroserudder/standins/groupengine.py
+++ b/primroserudder/standins/groupengine.py
@@ -122,6 +122,8 @@
     orders: list[Json] = field(default_factory=list)
     is_draining: bool = False
     born: int = 1
+    # For how long the engine is cold, as its entry tells.
+    cold_remaining_ms: float = 0
     running: int = 0
     cancelled: int = 0
     refused: int = 0
@@ -178,7 +180,7 @@
             'Slots': 4,
             'State': 'draining' if self.is_draining else 'ready',
             'Sequence': len(self.orders),
-            'ColdRemainingMs': 0,
+            'ColdRemainingMs': self.cold_remaining_ms,
             'born': self.born,
         }
         if self.is_plain:
--- a/primroserudder/testing/limitedload.py
+++ b/primroserudder/testing/limitedload.py
@@ -15,6 +15,9 @@
 
     Parameters
     ==========
+    parts : tuple of int
+        Of so many requests each router gets this number, by the balancer;
+        equally many if it is empty.
     statuses : list of int
         Statuses of the responses that arrived, in order of arrival.
     """
@@ -22,6 +25,7 @@
     site: PlatformSite
     path: str
     rate_per_s: float
+    parts: tuple[int, ...] = ()
     statuses: list[int] = field(default_factory=list)
 
     async def run(self, duration_s: float) -> None:
@@ -37,11 +41,21 @@
                 sends.create_task(self._send(number))
 
     async def _send(self, number: int) -> None:
-        router = number % len(self.site.routers)
+        router = self._router(number)
         async with self.site.request(self.path, router=router) as response:
             await response.read()
             self.statuses.append(response.status)
 
+    def _router(self, number: int) -> int:
+        if not self.parts:
+            return number % len(self.site.routers)
+        turn = [
+            router
+            for router, count in enumerate(self.parts)
+            for _ in range(count)
+        ]
+        return turn[number % len(turn)]
+
 
 def most_received(engine: GroupEngine, since: float, window_s: float) -> int:
     """Return the most requests that an engine got in any window of a length.
