--- a/primroserudder/fleet/site_view.py
+++ b/primroserudder/fleet/site_view.py
@@ -20,6 +20,7 @@
 from .active_configuration import ActiveConfiguration
 from .crashes.strikestore import STRIKES_TABLE
 from .directory import Directory
+from .enginelimits import ColdEngines, ColdServices
 from .evacuation import Evacuations
 from .model import Configuration
 
@@ -44,6 +45,8 @@
     log: DecisionLog
     pause_s: Callable[[], float]
     on_change: Callable[[], None]
+    has_traffic: Callable[[], bool]
+    cold_engines: ColdEngines = field(init=False)
     directory: Directory = field(init=False)
     active: ActiveConfiguration = field(init=False)
     evacuations: Evacuations = field(init=False)
@@ -54,9 +57,16 @@
 
     def __post_init__(self) -> None:
         """Create the table followers."""
-        self.directory = Directory(decode_engine)
         self.active = ActiveConfiguration(decode_configuration, self.log)
         self.evacuations = Evacuations(decode_evacuations, self.clock, self.log)
+        self.cold_engines = ColdEngines(
+            self.clock,
+            self.log,
+            ColdServices(self.configuration),
+            self.has_traffic,
+            self.evacuations.ended_at,
+        )
+        self.directory = Directory(decode_engine, self.cold_engines.note_entry)
         self.configurations = self._follower(OPERATOR_TABLE)
         self.configurations.rows.kept_s = OPERATOR_ROWS_KEPT_S
         # A domain that the store names is evacuated, whatever was before.
@@ -138,4 +148,6 @@
 
     def _on_engines(self) -> None:
         self.directory.update(self.engines.rows_by_key, self.active.current)
+        if self.engines.is_loaded:
+            self.cold_engines.note_list_read()
         self.on_change()
