Let two tests of evacuations tell their mutants

A waiting request that may have run was not woken by an evacuation in its test, and the test of relays counted answers before they were judged.

--- a/primroserudder/fleet/evacuation/tests/test_selection.py
+++ b/primroserudder/fleet/evacuation/tests/test_selection.py
@@ -304,6 +304,8 @@
     request.retry_state.runs = 1
     vm.evacuate('fd-1')
     waiting = asyncio.ensure_future(_acquire(vm, request))
+    await asyncio.sleep(0)
+    vm.evacuate('fd-1', 'fd-2')
     await asyncio.sleep(0.1)
     assert not waiting.done()
     vm.evacuate()
--- a/primroserudder/fleet/tests/test_tablerelay.py
+++ b/primroserudder/fleet/tests/test_tablerelay.py
@@ -167,12 +167,13 @@
         pair.standin.rows.put('things', 'a', {'number': 1})
         pair.standin.rows.put('things', 'b', {'number': 2})
         await asyncio.sleep(0.1)
+        began_at = pair.tables.source_changed_at
         await pair.tables.read_table('things')
         pair.standin.rows.remove('things', 'b')
         await asyncio.sleep(0.1)
         page = await pair.tables.read_table('things')
         assert [row.key for row in page.rows] == ['things/a']
-        assert pair.tables.relayed_reads == 2
+        assert pair.tables.source_changed_at == began_at
 
 
 async def test_relay_with_a_lower_store_version_stays_in_use() -> None:
