Refuse what evacuations leave no target before asking other routers

A router without links to engines passed such a request on to one router after another, each of which refused it. It is refused at once now. The new test fails without the change.

--- a/primroserudder/fleet/evacuation/tests/test_selection.py
+++ b/primroserudder/fleet/evacuation/tests/test_selection.py
@@ -197,6 +197,17 @@
     assert _requests(vm, 'refused') == 1
 
 
+async def test_other_routers_get_no_request_that_they_would_refuse() -> None:
+    # Each of them would be asked in turn.
+    vm = _vm('fd-1')
+    vm.selector.forwarder.reach.is_cut_off = True
+    vm.selector.forwarder.peers = cast(Any, _Peers())
+    assert (await _acquire(vm, _call())).is_router
+    vm.evacuate('fd-1')
+    with pytest.raises(NoFreeSlot, match='evacuated'):
+        await _acquire(vm, _call())
+
+
 async def test_request_without_any_target_is_no_matter_of_evacuations() -> None:
     vm = _vm()
     vm.evacuate('fd-1')
@@ -371,6 +382,19 @@
         return True
 
 
+class _Peers:
+    """Another router, in an evacuated domain, reaches engines."""
+
+    def __init__(self) -> None:
+        """Create the router's target."""
+        router = Target('router/1', '127.0.0.1:1', 'fd-1', 9, is_router=True)
+        self._targets = (router,)
+
+    def targets(self) -> tuple[Target, ...]:
+        """Return the router."""
+        return self._targets
+
+
 class _Calm:
     """Refuses nothing."""
 
--- a/primroserudder/fleet/serving.py
+++ b/primroserudder/fleet/serving.py
@@ -167,13 +167,16 @@
         if has_run:
             # A request that may have run is retried up to its deadline.
             wait_s = call.remaining_s
+        refusal = None if has_run else self.guard.refusal(call)
+        if refusal is not None:
+            raise refusal
         if self.selector.is_forwarding(call):
             # The other router knows its engines better.
             return await self.slots.acquire(
                 call, partial(self.selector.find, call), max(wait_s, 0)
             )
         if not has_run and not self.selector.has_targets(call):
-            raise self.guard.refusal(call) or NoFreeSlot(
+            raise NoFreeSlot(
                 'no group serves the model',
                 retry_after=RETRY_AFTER_NO_GROUP_S,
             )
