--- a/primroserudder/fleet/evacuation/tests/test_evacuation_model.py
+++ b/primroserudder/fleet/evacuation/tests/test_evacuation_model.py
@@ -32,6 +32,7 @@
         model = run_virtually(_played(vms, seed, trouble))
         is_unstable = trouble is Trouble.STORE_UNSTABLE
         bound_s = BOUND_S if is_unstable else HEARD_WITHIN_S
+        assert model.heard_within_s <= bound_s, seed
         assert model.latest_s() <= bound_s, seed
         assert model.served_share_after() >= SERVED_SHARE, seed
         if trouble is Trouble.NONE:
--- a/primroserudder/testing/evacuationmodel.py
+++ b/primroserudder/testing/evacuationmodel.py
@@ -364,6 +364,9 @@
                     )
 
     def _on_change(self) -> None:
+        if self.view.evacuations.is_evacuated(EVACUATED):
+            now = asyncio.get_running_loop().time()
+            self.site.heard_at_by_address.setdefault(self.address, now)
         self.slots.refuse_waiting()
         self.slots.grant_free_slots()
 
@@ -405,6 +408,8 @@
     directory: Directory = field(init=False)
     arrivals: list[Arrival] = field(default_factory=list)
     refused: int = 0
+    heard_at_by_address: dict[str, float] = field(default_factory=dict)
+    heard_within_s: float = 0
     _tasks: set[asyncio.Task[None]] = field(default_factory=set)
 
     def __post_init__(self) -> None:
@@ -436,6 +441,7 @@
         self.store.rows.remove(TABLE, ROW_KEY)
         await asyncio.sleep(END_S - REVOKED_AT_S)
         load.cancel()
+        self.heard_within_s = self._heard_within_s()
         for vm in self.vms:
             vm.stop()
 
@@ -501,6 +507,20 @@
         meanwhile = self.served(REVOKED_AT_S - RATE_WINDOW_S, REVOKED_AT_S)
         return meanwhile / self._served_before()
 
+    def _heard_within_s(self) -> float:
+        """Return in what time the last VM heard of the row, in seconds.
+
+        Explanation
+        ===========
+        VMs out of touch, and those that stopped meanwhile, don't count.
+        """
+        heard_at = [
+            self.heard_at_by_address.get(vm.address, float('inf'))
+            for vm in self.vms
+            if vm.died_at > END_S and not vm.store.is_cut
+        ]
+        return max(heard_at, default=EVACUATED_AT_S) - EVACUATED_AT_S
+
     def _served_before(self) -> int:
         until = EVACUATED_AT_S - TROUBLE_S
         return self.served(until - RATE_WINDOW_S, until)
