--- a/primroserudder/fleet/evacuation/tests/test_evacuated_site.py
+++ b/primroserudder/fleet/evacuation/tests/test_evacuated_site.py
@@ -217,6 +217,11 @@
         await until_heard(site)
 
 
+async def _send_to_all(site: PlatformSite) -> None:
+    for number, _ in enumerate(site.routers):
+        await statuses(site, '/refunds/1', 2, number)
+
+
 async def test_domain_that_a_restored_store_lacks_stays_evacuated() -> None:
     # Operators write the row again within 4 s.
     async with site_of_domains(routers=3) as site:
@@ -228,8 +233,7 @@
         while _now() < since + KEPT_S - MARGIN_S:
             for engine in site.engines_by_id.values():
                 engine.register()
-            for number in range(len(site.routers)):
-                await statuses(site, '/refunds/1', 2, number)
+            await _send_to_all(site)
             assert not received_by_domain(site, since, {'fd-1'})
             await asyncio.sleep(MARGIN_S)
         async with asyncio.timeout(HEARD_WITHIN_S + MARGIN_S):
@@ -248,8 +252,7 @@
         while _now() < since + KEPT_S + 2:
             for engine in site.engines_by_id.values():
                 engine.register()
-            for number in range(len(site.routers)):
-                await statuses(site, '/refunds/1', 2, number)
+            await _send_to_all(site)
             await asyncio.sleep(MARGIN_S)
         assert not received_by_domain(site, since, {'fd-1'})
 
--- a/primroserudder/fleet/evacuation/tests/test_evacuation_model.py
+++ b/primroserudder/fleet/evacuation/tests/test_evacuation_model.py
@@ -10,6 +10,7 @@
 import pytest
 
 from ....testing.evacuationmodel import EvacuationModel, Trouble
+from ....testing.evacuationoutcome import Outcome
 from ....testing.virtualtime import run_virtually
 
 BOUND_S = 5.0
@@ -19,22 +20,22 @@
 SEEDS_BY_VMS = {1: 11, 7: 11, 63: 1, 106: 1, 195: 1}
 
 
-async def _played(vms: int, seed: int, trouble: Trouble) -> EvacuationModel:
+async def _played(vms: int, seed: int, trouble: Trouble) -> Outcome:
     model = EvacuationModel(vms, seed, trouble)
     await model.play()
-    return model
+    return model.outcome
 
 
 @pytest.mark.parametrize('trouble', Trouble, ids=lambda kind: kind.name)
 @pytest.mark.parametrize('vms', SEEDS_BY_VMS)
 def test_bounds_of_an_evacuation_are_kept(vms: int, trouble: Trouble) -> None:
     for seed in range(SEEDS_BY_VMS[vms]):
-        model = run_virtually(_played(vms, seed, trouble))
+        outcome = run_virtually(_played(vms, seed, trouble))
         is_unstable = trouble is Trouble.STORE_UNSTABLE
         bound_s = BOUND_S if is_unstable else HEARD_WITHIN_S
-        assert model.heard_within_s <= bound_s, seed
-        assert model.latest_s() <= bound_s, seed
-        assert model.served_share_after() >= SERVED_SHARE, seed
+        assert outcome.heard_within_s <= bound_s, seed
+        assert outcome.latest_s() <= bound_s, seed
+        assert outcome.served_share_after() >= SERVED_SHARE, seed
         if trouble is Trouble.NONE:
             # The load is such that the site needs the domain.
-            assert model.served_share_meanwhile() < SERVED_SHARE, seed
+            assert outcome.served_share_meanwhile() < SERVED_SHARE, seed
--- a/primroserudder/fleet/evacuation/tests/test_selection.py
+++ b/primroserudder/fleet/evacuation/tests/test_selection.py
@@ -69,7 +69,7 @@
             self.health,
             limits,
             Forwarder(reach, no_part, 'fd-1'),
-            lambda: (),
+            tuple,
             self.evacuations,
         )
         self.slots = SlotQueues(self.counts, self.clock, limits.note_send)
@@ -303,8 +303,8 @@
     assert not any(request.done() for request in waiting)
     vm.evacuate('fd-1', 'fd-2')
     async with asyncio.timeout(AT_ONCE_S):
-        results = await asyncio.gather(*waiting, return_exceptions=True)
-    assert all('evacuated' in str(error) for error in results)
+        errors = await asyncio.gather(*waiting, return_exceptions=True)
+    assert all('evacuated' in str(error) for error in errors)
     assert not vm.counts.waiting('ledger/')
 
 
@@ -343,7 +343,7 @@
         cast(Any, None),
         vm.clock,
         DecisionLog('vm', vm.clock),
-        lambda: False,
+        bool,
         vm.evacuations,
     )
     vm.counts.begin('fd-1')
