--- a/primroserudder/fleet/evacuation/tests/test_selection.py
+++ b/primroserudder/fleet/evacuation/tests/test_selection.py
@@ -67,7 +67,7 @@
             self.health,
             limits,
             Forwarder(reach, no_part, 'fd-1'),
-            lambda: (),
+            tuple,
             self.evacuations,
         )
         self.slots = SlotQueues(self.counts, self.clock, limits.note_send)
@@ -195,6 +195,17 @@
     assert _requests(vm, 'refused') == 1
 
 
+async def test_other_routers_get_no_request_that_they_would_refuse() -> None:
+    # Each of them would be asked in turn.
+    vm = _vm('fd-1')
+    vm.selector.forwarder.reach.is_cut_off = True
+    vm.selector.forwarder.peers = cast(Any, _Peers())
+    assert (await _acquire(vm, _call())).is_router
+    vm.evacuate('fd-1')
+    with pytest.raises(NoFreeSlot, match='evacuated'):
+        await _acquire(vm, _call())
+
+
 async def test_request_without_any_target_is_no_matter_of_evacuations() -> None:
     vm = _vm()
     vm.evacuate('fd-1')
@@ -290,8 +301,8 @@
     assert not any(request.done() for request in waiting)
     vm.evacuate('fd-1', 'fd-2')
     async with asyncio.timeout(AT_ONCE_S):
-        results = await asyncio.gather(*waiting, return_exceptions=True)
-    assert all('evacuated' in str(error) for error in results)
+        errors = await asyncio.gather(*waiting, return_exceptions=True)
+    assert all('evacuated' in str(error) for error in errors)
     assert not vm.counts.waiting('ledger/')
 
 
@@ -302,6 +313,8 @@
     request.retry_state.runs = 1
     vm.evacuate('fd-1')
     waiting = asyncio.ensure_future(_acquire(vm, request))
+    await asyncio.sleep(0)
+    vm.evacuate('fd-1', 'fd-2')
     await asyncio.sleep(0.1)
     assert not waiting.done()
     vm.evacuate()
@@ -328,7 +341,7 @@
         cast(Any, None),
         vm.clock,
         DecisionLog('vm', vm.clock),
-        lambda: False,
+        bool,
         vm.evacuations,
     )
     vm.counts.begin('fd-1')
@@ -367,6 +380,19 @@
         return True
 
 
+class _Peers:
+    """Another router, in an evacuated domain, reaches engines."""
+
+    def __init__(self) -> None:
+        """Create the router's target."""
+        router = Target('router/1', '127.0.0.1:1', 'fd-1', 9, is_router=True)
+        self._targets = (router,)
+
+    def targets(self) -> tuple[Target, ...]:
+        """Return the router."""
+        return self._targets
+
+
 class _Calm:
     """Refuses nothing."""
 
