Keep requests within the regions of their route and workspace

Cause: AllowedRegions of routes and workspaces was ignored, so that requests reached engines of all regions.

Change: fleet/regions/ decides which targets are in allowed regions; the target selector leaves the others out of every pool, of engines and of routers, so that choice, retry, resumed streams and forwarding follow. Requests bound to regions wait in queues of their own: in one queue, the first that finds no slot in its regions held up those that may go elsewhere. A list that can't be read binds nothing and is logged once. Settings have regions_by_domain, from Zones.

--- a/primroserudder/fleet/active_configuration.py
+++ b/primroserudder/fleet/active_configuration.py
@@ -43,4 +43,8 @@
         self.log.note(
             'configuration', version=decoded.version, was=current_version
         )
+        for name in decoded.unreadable_regions:
+            self.log.note(
+                'regions_malformed', name=name, version=decoded.version
+            )
         return True
--- a/primroserudder/fleet/call.py
+++ b/primroserudder/fleet/call.py
@@ -13,6 +13,7 @@
 from .crashes.suspects import suspects_of
 from .directorynames import pool_name
 from .model import Target
+from .regions import allowed_regions
 from .retries import RetryState
 from .routes import Destination
 
@@ -32,6 +33,7 @@
     digest, and the shared parts of the prompt. ``reserved_target`` has a slot
     for the next attempt; ``is_leaving_attempt`` is true while a running
     attempt looks for one. ``is_forwarded`` is true if another router sent it.
+    ``regions`` are the regions that it is bound to, ``None`` if to none.
     """
 
     method: str
@@ -51,14 +53,18 @@
     is_forwarded: bool = False
     digest: str = field(init=False)
     suspects: tuple[str, ...] = field(init=False)
+    regions: frozenset[str] | None = field(init=False)
 
     def __post_init__(self) -> None:
-        """Compute the digest of the content."""
+        """Compute the digest of the content, and what binds the request."""
         hasher = xxhash.xxh3_64(self.raw_path.encode())
         hasher.update(self.destination.workspace.name.encode())
         hasher.update(self.body)
         self.digest = hasher.hexdigest()
         self.suspects = suspects_of(self.digest, self.metadata.shared_parts)
+        self.regions = allowed_regions(
+            self.destination.route, self.destination.workspace
+        )
 
     @contextmanager
     def leaving_attempt(self) -> Iterator[None]:
--- a/primroserudder/fleet/enginelimits/tests/test_cold.py
+++ b/primroserudder/fleet/enginelimits/tests/test_cold.py
@@ -3,6 +3,7 @@
 import pytest
 
 from ....platform import decode_engine
+from ....process.platform import Row
 from ....testing.colddata import (
     COLD_START_S,
     NotedLog,
@@ -11,6 +12,7 @@
     cold_target,
 )
 from ....testing.fleetdata import ManualClock, engine, formation, joined_engine
+from ...directory import Directory
 from ...model import ColdTime, Engine
 from ..cold import LIST_AGE_S, ColdEngines
 from ..coldservices import ColdServices
@@ -226,3 +228,16 @@
     assert not _is_cold(engines)
     assert [inputs['engine'] for inputs in log.named('engine_cold')] == ['a']
     assert [inputs['seconds'] for inputs in log.named('engine_warm')] == [3]
+
+
+def test_entry_that_is_read_again_unchanged_does_not_count_anew() -> None:
+    # A table that is read from another VM has all of its rows anew.
+    clock = ManualClock()
+    engines = cold_engines(clock)
+    directory = Directory(decode_engine, engines.note_entry)
+    fields = {**ENTRY, 'ColdRemainingMs': 1500}
+    for _ in range(4):
+        row = Row('servers/a', 1, dict(fields))
+        directory.update({row.key: row}, cold_configuration())
+        clock.advance(0.5)
+    assert not _is_cold(engines)
--- a/primroserudder/fleet/enginelimits/tests/test_cold_site.py
+++ b/primroserudder/fleet/enginelimits/tests/test_cold_site.py
@@ -40,7 +40,7 @@
     def check(router: Router) -> bool:
         targets = router.view.directory.targets_by_pool().get('ledger/', ())
         limits = [target.cold_per_s for target in targets]
-        return limits == [COLD_PER_S] * plain
+        return len(limits) == plain and set(limits) == {COLD_PER_S}
 
     return check
 
--- a/primroserudder/fleet/model.py
+++ b/primroserudder/fleet/model.py
@@ -29,7 +29,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Route:
-    """Routing rules and limits for one host and path prefix."""
+    """Routing rules and limits for one host and path prefix.
+
+    Explanation
+    ===========
+    ``regions`` are the regions that its requests are bound to, ``None`` if to
+    none.
+    """
 
     name: str
     host: str
@@ -43,6 +49,7 @@
     max_attempts: int = 1
     is_anonymous: bool = False
     is_resumable: bool = False
+    regions: frozenset[str] | None = None
 
     @property
     def may_repeat(self) -> bool:
@@ -109,10 +116,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Workspace:
-    """A customer of the system."""
+    """A customer of the system.
+
+    Explanation
+    ===========
+    ``regions`` are the regions that its requests are bound to, ``None`` if to
+    none.
+    """
 
     name: str
     priority: int | None = None
+    regions: frozenset[str] | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -127,7 +141,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Configuration:
-    """One accepted version of the operators' configuration."""
+    """One accepted version of the operators' configuration.
+
+    Explanation
+    ===========
+    ``unreadable_regions`` names the routes and workspaces whose list of regions
+    can't be read, and which therefore are bound to none.
+    """
 
     version: int
     routes_by_host: Mapping[str, tuple[Route, ...]]
@@ -135,6 +155,7 @@
     workspaces_by_key: Mapping[str, Workspace]
     has_workspaces: bool
     limits: CallerLimits = CallerLimits()
+    unreadable_regions: tuple[str, ...] = ()
 
 
 class GroupState(enum.StrEnum):
--- a/primroserudder/fleet/serverassembly.py
+++ b/primroserudder/fleet/serverassembly.py
@@ -14,6 +14,7 @@
 from .forwarding import Forwarder
 from .health import TargetHealth
 from .membership import InFlightCounts
+from .regions import RegionMap
 from .retries import RetryBudgets
 from .serving import Server
 from .site_view import SiteView
@@ -74,6 +75,11 @@
         limits,
         forwarder,
         control.broken_groups,
+        RegionMap(
+            context.settings.regions_by_domain,
+            context.settings.failure_domain,
+            context.settings.region,
+        ),
     )
     charger = RetryCharger(
         RetryBudgets(
--- a/primroserudder/fleet/serving.py
+++ b/primroserudder/fleet/serving.py
@@ -148,6 +148,11 @@
             # A request that may have run is retried up to its deadline.
             wait_s = call.remaining_s
         if self.selector.is_forwarding(call):
+            if not has_run and not self.selector.has_routers(call):
+                raise NoFreeSlot(
+                    'no router in the allowed regions reaches engines',
+                    retry_after=RETRY_AFTER_NO_GROUP_S,
+                )
             # The other router knows its engines better.
             return await self.slots.acquire(
                 call, partial(self.selector.find, call), max(wait_s, 0)
--- a/primroserudder/fleet/settings.py
+++ b/primroserudder/fleet/settings.py
@@ -2,7 +2,7 @@
 
 from typing import Annotated
 
-from pydantic import BaseModel, ConfigDict, Field
+from pydantic import BaseModel, ConfigDict, Field, field_validator
 
 Address = Annotated[str, Field(pattern=r'^[0-9.]+:\d{1,5}$')]
 METRICS_PORT = 9464
@@ -36,6 +36,10 @@
 
     Parameters
     ==========
+    region : str
+        Region of the VM.
+    regions_by_domain : dict
+        Region of each failure domain.
     inner_ports : tuple of int
         First and last port reserved for traffic between routers.
     stall_ms : float
@@ -57,6 +61,7 @@
     ip: str = Field(pattern=r'^[0-9.]+$')
     failure_domain: str = Field(min_length=1)
     region: str = ''
+    regions_by_domain: dict[str, str] = {}
     callers: Address
     readiness: Address
     inner_ports: tuple[int, int]
@@ -98,3 +103,9 @@
     def exchange_endpoint(self) -> str:
         """Return the exchange address as ``host:port``."""
         return f'{self.ip}:{self.inner_ports[0]}'
+
+    @field_validator('regions_by_domain', mode='before')
+    @classmethod
+    def _default_regions(cls, regions_by_domain: object) -> object:
+        """Take a missing map for an empty one: platforms may have none."""
+        return regions_by_domain or {}
--- a/primroserudder/fleet/slotqueues.py
+++ b/primroserudder/fleet/slotqueues.py
@@ -1,4 +1,4 @@
-"""The queues of requests that wait for slots, one for each pool."""
+"""The queues of requests that wait for slots, by pool and regions."""
 
 from dataclasses import dataclass, field
 
@@ -6,8 +6,11 @@
 from .call import Call
 from .membership import InFlightCounts
 from .model import Target
+from .regions.rules import Regions
 from .waitqueue import FindTarget, NoteSend, WaitQueue
 
+QueueKey = tuple[str, Regions | None]
+
 
 @dataclass(slots=True)
 class SlotQueues:
@@ -16,7 +19,7 @@
     in_flight_counts: InFlightCounts
     clock: Clock
     note_send: NoteSend
-    queues_by_pool: dict[str, WaitQueue] = field(default_factory=dict)
+    queues_by_pool: dict[QueueKey, WaitQueue] = field(default_factory=dict)
 
     async def acquire(
         self, call: Call, find: FindTarget, max_wait_s: float
@@ -34,7 +37,7 @@
         """
         has_run = call.retry_state.runs or call.is_leaving_attempt
         rank = (0 if has_run else 1, float(call.destination.priority))
-        return await self._queue(call.pool).acquire(find, rank, max_wait_s)
+        return await self._queue(call).acquire(find, rank, max_wait_s)
 
     def waiting(self, call: Call) -> int:
         """Return how many requests of all VMs wait for a request's pool."""
@@ -42,7 +45,7 @@
 
     def release(self, call: Call, target: Target) -> None:
         """Release a request's slot and assign it to the next request."""
-        self._queue(call.pool).release(target)
+        self._queue(call).release(target)
 
     def release_reserved(self, call: Call) -> None:
         """Release the slot that a request reserved and did not use."""
@@ -55,11 +58,19 @@
         for queue in self.queues_by_pool.values():
             queue.grant_free_slots()
 
-    def _queue(self, pool: str) -> WaitQueue:
-        queue = self.queues_by_pool.get(pool)
+    def _queue(self, call: Call) -> WaitQueue:
+        """Return the queue of a request's pool and regions.
+
+        Explanation
+        ===========
+        In one queue, a request whose regions have no free slot would hold up
+        those behind it that may go elsewhere.
+        """
+        key = call.pool, call.regions
+        queue = self.queues_by_pool.get(key)
         if queue is None:
             queue = WaitQueue(
-                pool, self.in_flight_counts, self.clock, self.note_send
+                call.pool, self.in_flight_counts, self.clock, self.note_send
             )
-            self.queues_by_pool[pool] = queue
+            self.queues_by_pool[key] = queue
         return queue
--- a/primroserudder/fleet/target_selector.py
+++ b/primroserudder/fleet/target_selector.py
@@ -11,6 +11,12 @@
 from .health import TargetHealth
 from .membership import short_key
 from .model import Target
+from .regions import RegionMap
+from .regions.rules import Regions
+
+# Name of the pool of other routers; pools of engines have a slash.
+ROUTERS = 'routers'
+PoolKey = tuple[str, Regions | None]
 
 
 @dataclass(frozen=True, slots=True)
@@ -37,6 +43,14 @@
         )
 
 
+@dataclass(frozen=True, slots=True)
+class _SplitPool:
+    """A pool, and the list of targets that it was split from."""
+
+    listed: Sequence[Target]
+    pool: TargetPool
+
+
 @dataclass(slots=True)
 class TargetSelector:
     """Selects targets by their load and by what is known of their health.
@@ -54,7 +68,8 @@
     limits: LimitGate
     forwarder: Forwarder
     broken_groups: Callable[[], Collection[int]]
-    _pools: dict[str, TargetPool] = field(default_factory=dict)
+    regions: RegionMap
+    _pools: dict[PoolKey, _SplitPool] = field(default_factory=dict)
 
     def has_targets(self, call: Call) -> bool:
         """Return whether an intact target serves a request's model."""
@@ -62,6 +77,10 @@
         targets = self._pool(call).targets
         return any(_is_intact(target, broken) for target in targets)
 
+    def has_routers(self, call: Call) -> bool:
+        """Return whether a request may be forwarded to any other router."""
+        return bool(self._routers(call).targets)
+
     def is_forwarding(self, call: Call) -> bool:
         """Return whether a request goes to another router now."""
         return self.forwarder.is_active and not call.is_forwarded
@@ -81,7 +100,7 @@
         others.
         """
         is_forwarding = self.is_forwarding(call)
-        pool = self.forwarder.pool() if is_forwarding else self._pool(call)
+        pool = self._routers(call) if is_forwarding else self._pool(call)
         broken = self.broken_groups()
         cut_off = self._cut_off_domains(pool, broken)
         tried = {leaving, *call.tried_engines}
@@ -128,15 +147,29 @@
         return min(back_offs_s, default=0)
 
     def _pool(self, call: Call) -> TargetPool:
-        """Return the pool of a request, split once for each list of targets."""
-        targets: Sequence[Target] = self.directory.targets(
+        """Return the targets that a request is not barred from."""
+        targets = self.directory.targets(
             call.destination.service, call.metadata.model
         )
-        pool = self._pools.get(call.pool)
-        if pool is None or pool.targets is not targets:
-            pool = split_pool(targets, self.failure_domain)
-            self._pools[call.pool] = pool
-        return pool
+        return self._split(call.pool, targets, call.regions)
+
+    def _routers(self, call: Call) -> TargetPool:
+        """Return the routers that may get a request's body."""
+        pool = self.forwarder.pool()
+        if call.regions is None:
+            return pool
+        return self._split(ROUTERS, pool.targets, call.regions)
+
+    def _split(
+        self, name: str, targets: Sequence[Target], regions: Regions | None
+    ) -> TargetPool:
+        """Return a pool, split once for each list of targets and regions."""
+        known = self._pools.get((name, regions))
+        if known is None or known.listed is not targets:
+            inside = self.regions.inside(targets, regions)
+            known = _SplitPool(targets, split_pool(inside, self.failure_domain))
+            self._pools[name, regions] = known
+        return known.pool
 
     def _cut_off_domains(
         self, pool: TargetPool, broken: Collection[int]
--- a/primroserudder/platform/configuration.py
+++ b/primroserudder/platform/configuration.py
@@ -25,6 +25,7 @@
     Workspace,
 )
 from ..process.settings import describe
+from .regionlist import BoundPart, decode_regions, unreadable_names
 
 MILLISECONDS_PER_SECOND = 1000
 _KINDS = MappingProxyType(
@@ -56,8 +57,7 @@
     weight: float = Field(alias='Weight', default=1)
 
 
-class _Route(_Wire):
-    name: str = Field(alias='Name', default='')
+class _Route(BoundPart):
     host: str = Field(alias='Host')
     prefix: str = Field(alias='Prefix')
     kind: str = Field(alias='RouteKind')
@@ -103,7 +103,7 @@
     cold_per_s: float = Field(alias='ColdPerS', default=0)
 
 
-class _Tenant(_Wire):
+class _Tenant(BoundPart):
     name: str = Field(alias='Name')
     keys: tuple[str, ...] = Field(alias='ApiKeys', default=())
     priority: int | None = Field(alias='Priority', default=None)
@@ -145,7 +145,9 @@
     except ValidationError as invalid:
         raise UnreadableConfiguration(describe(invalid)) from invalid
     workspaces = {
-        key: Workspace(tenant.name, tenant.priority)
+        key: Workspace(
+            tenant.name, tenant.priority, decode_regions(tenant.regions)
+        )
         for tenant in document.tenants or ()
         for key in tenant.keys
     }
@@ -164,6 +166,9 @@
             limits.header_ms / MILLISECONDS_PER_SECOND,
             limits.idle_ms / MILLISECONDS_PER_SECOND,
         ),
+        unreadable_regions=unreadable_names(
+            (*document.routes, *(document.tenants or ()))
+        ),
     )
 
 
@@ -198,6 +203,7 @@
         max_attempts=route.attempts,
         is_anonymous=route.is_anonymous,
         is_resumable=route.is_resumable,
+        regions=decode_regions(route.regions),
     )
 
 
--- a/primroserudder/programs/tests/test_router.py
+++ b/primroserudder/programs/tests/test_router.py
@@ -95,6 +95,12 @@
     assert all(f'"{name}"' in template for name in required)
 
 
+@pytest.mark.parametrize('zones', [{}, None])
+def test_settings_without_regions_are_valid(zones: object) -> None:
+    fields = {**VALID_SETTINGS, 'regions_by_domain': zones}
+    assert RouterSettings.model_validate(fields).regions_by_domain == {}
+
+
 async def test_port_in_use_is_reported() -> None:
     ports = free_ports(4)
     with socket.socket() as listener:
--- a/primroserudder/standins/groupengine.py
+++ b/primroserudder/standins/groupengine.py
@@ -108,6 +108,7 @@
     address: str
     store: TableStore
     domain: str = 'd0'
+    zone: str = 'fd-1'
     service: str = SERVICE
     is_plain: bool = False
     events: int = 5
@@ -175,7 +176,7 @@
         entry = {
             'Service': self.service,
             'Address': self.address,
-            'Zone': 'fd-1',
+            'Zone': self.zone,
             'Version': 'v1',
             'Slots': 4,
             'State': 'draining' if self.is_draining else 'ready',
--- a/primroserudder/testing/platformsite.py
+++ b/primroserudder/testing/platformsite.py
@@ -205,6 +205,8 @@
         node=f'vm-{number}',
         ip=LOOPBACK,
         failure_domain='fd-1',
+        region='north',
+        regions_by_domain={'fd-1': 'north', 'fd-2': 'south'},
         callers=f'{LOOPBACK}:{ports[0]}',
         readiness=f'{LOOPBACK}:{ports[1]}',
         inner_ports=(ports[2], ports[3]),
