--- a/primroserudder/fleet/enginelimits/gate.py
+++ b/primroserudder/fleet/enginelimits/gate.py
@@ -63,6 +63,8 @@
 
     def may_send(self, target: Target) -> bool:
         """Return whether a request may be sent to a target now."""
+        if not target.cold_per_s:
+            return self._may_send_named(target)
         return self._may_send_named(target) and self.cold.may_send(target)
 
     def note_send(self, target: Target) -> None:
--- a/primroserudder/fleet/membership/tests/test_exchange.py
+++ b/primroserudder/fleet/membership/tests/test_exchange.py
@@ -2,6 +2,7 @@
 
 import itertools
 
+import msgspec
 import pytest
 
 from ....testing.noticenetwork import (
@@ -19,6 +20,7 @@
     LoadPart,
     Notice,
     Strikes,
+    decode_notice,
     encode_notice,
 )
 from ..tree import PARENT_TIMEOUT_S, SETTLING_S
@@ -277,3 +279,21 @@
     network = notice_network(1, 2)
     network.deliver('10.0.0.1:7', '10.0.0.2:7', packet)
     assert network.exchanges['10.0.0.2:7'].unreadable_datagrams == 1
+
+
+def test_notice_without_cold_engines_is_read_as_one_that_knows_none() -> None:
+    # As 08c7865 sends it: its load has no field for them.
+    notice = Notice(Direction.TO_PARENT, 1, 1, 'fd-1', load=LoadPart(vms=3))
+    fields = msgspec.msgpack.decode(encode_notice(notice))
+    load = fields[7]
+    assert load[-2:] == [3, {}]
+    load.pop()
+    read = decode_notice(msgspec.msgpack.encode(fields))
+    assert read == notice
+
+
+def test_fields_that_are_not_known_yet_are_skipped() -> None:
+    notice = Notice(Direction.TO_PARENT, 1, 1, 'fd-1', load=LoadPart(vms=3))
+    fields = msgspec.msgpack.decode(encode_notice(notice))
+    fields[7].append({'5': 1})
+    assert decode_notice(msgspec.msgpack.encode(fields)) == notice
--- a/primroserudder/fleet/regions/tests/test_region_site.py
+++ b/primroserudder/fleet/regions/tests/test_region_site.py
@@ -134,6 +134,9 @@
             await site.until(lambda: bool(first.forwarder.peers.targets()))
             async with site.request('/refunds/1') as response:
                 assert response.status == status
+                text = await response.text()
+        # It is refused without waiting for a slot.
+        assert ('in the allowed regions' in text) == (status == 503)
         other = site.routers[1].dump()['requests']
         assert isinstance(other, dict)
         assert bool(other['read']) == (status == 200)
