--- a/primroserudder/fleet/evacuation/tests/test_selection.py
+++ b/primroserudder/fleet/evacuation/tests/test_selection.py
@@ -11,7 +11,7 @@
 from ....process.decisions import DecisionLog
 from ....process.metrics import Metrics
 from ....process.platform import Row
-from ....testing.colddata import unlimited_gate
+from ....testing.colddata import no_regions, unlimited_gate
 from ....testing.fleetdata import ManualClock, call, engine, route
 from ....testing.platformsite import configuration
 from ...attempt import AttemptResult
@@ -69,6 +69,7 @@
             Forwarder(reach, no_part, 'fd-1'),
             tuple,
             self.evacuations,
+            no_regions(),
         )
         self.slots = SlotQueues(self.counts, self.clock, limits.note_send)
         self.server = Server(
--- a/primroserudder/fleet/membership/tests/test_exchange.py
+++ b/primroserudder/fleet/membership/tests/test_exchange.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 
+import msgspec
 import pytest
 
 from ....testing.noticenetwork import (
@@ -21,6 +22,7 @@
     LoadPart,
     Notice,
     Strikes,
+    decode_notice,
     encode_notice,
 )
 from ..tree import PARENT_TIMEOUT_S, SETTLING_S
@@ -307,3 +309,21 @@
     busy = await _ticks_in_a_second(monkeypatch, 0.01)
     assert idle <= 1 / IDLE_TICK_INTERVAL_S + 3
     assert busy >= 1 / tick_interval_s(2) - 2
+
+
+def test_notice_without_cold_engines_is_read_as_one_that_knows_none() -> None:
+    # As 08c7865 sends it: its load has no field for them.
+    notice = Notice(Direction.TO_PARENT, 1, 1, 'fd-1', load=LoadPart(vms=3))
+    fields = msgspec.msgpack.decode(encode_notice(notice))
+    load = fields[7]
+    assert load[-2:] == [3, {}]
+    load.pop()
+    read = decode_notice(msgspec.msgpack.encode(fields))
+    assert read == notice
+
+
+def test_fields_that_are_not_known_yet_are_skipped() -> None:
+    notice = Notice(Direction.TO_PARENT, 1, 1, 'fd-1', load=LoadPart(vms=3))
+    fields = msgspec.msgpack.decode(encode_notice(notice))
+    fields[7].append({'5': 1})
+    assert decode_notice(msgspec.msgpack.encode(fields)) == notice
--- a/primroserudder/fleet/serverassembly.py
+++ b/primroserudder/fleet/serverassembly.py
@@ -15,6 +15,7 @@
 from .forwarding import Forwarder
 from .health import TargetHealth
 from .membership import InFlightCounts
+from .regions import RegionMap
 from .retries import RetryBudgets
 from .serving import Server
 from .site_view import SiteView
@@ -76,6 +77,11 @@
         forwarder,
         control.broken_groups,
         view.evacuations,
+        RegionMap(
+            context.settings.regions_by_domain,
+            context.settings.failure_domain,
+            context.settings.region,
+        ),
     )
     charger = RetryCharger(
         RetryBudgets(
--- a/primroserudder/fleet/target_selector.py
+++ b/primroserudder/fleet/target_selector.py
@@ -12,6 +12,12 @@
 from .health import TargetHealth
 from .membership import short_key
 from .model import Target
+from .regions import RegionMap
+from .regions.rules import Regions
+
+# Name of the pool of other routers; pools of engines have a slash.
+ROUTERS = 'routers'
+PoolKey = tuple[str, Regions | None]
 
 
 @dataclass(frozen=True, slots=True)
@@ -39,7 +45,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class _KnownPool:
+class _SplitPool:
     """A pool, and the lists from which it was made."""
 
     listed: Sequence[Target]
@@ -65,7 +71,8 @@
     forwarder: Forwarder
     broken_groups: Callable[[], Collection[int]]
     evacuations: Evacuations
-    _pools: dict[str, _KnownPool] = field(default_factory=dict)
+    regions: RegionMap
+    _pools: dict[PoolKey, _SplitPool] = field(default_factory=dict)
 
     def has_targets(self, call: Call) -> bool:
         """Return whether an intact target serves a request's model."""
@@ -80,6 +87,10 @@
         broken = self.broken_groups()
         return any(_is_intact(target, broken) for target in self._listed(call))
 
+    def has_routers(self, call: Call) -> bool:
+        """Return whether a request may be forwarded to any other router."""
+        return bool(self._routers(call).targets)
+
     def is_forwarding(self, call: Call) -> bool:
         """Return whether a request goes to another router now."""
         return self.forwarder.is_active and not call.is_forwarded
@@ -99,7 +110,7 @@
         others.
         """
         is_forwarding = self.is_forwarding(call)
-        pool = self.forwarder.pool() if is_forwarding else self._pool(call)
+        pool = self._routers(call) if is_forwarding else self._pool(call)
         broken = self.broken_groups()
         cut_off = self._cut_off_domains(pool, broken)
         tried = {leaving, *call.tried_engines}
@@ -146,32 +157,45 @@
         return min(back_offs_s, default=0)
 
     def _pool(self, call: Call) -> TargetPool:
-        """Return the usable targets of a request.
+        """Return the targets that a request is not barred from."""
+        return self._split(call.pool, self._listed(call), call.regions)
+
+    def _listed(self, call: Call) -> Sequence[Target]:
+        return self.directory.targets(
+            call.destination.service, call.metadata.model
+        )
+
+    def _routers(self, call: Call) -> TargetPool:
+        """Return the routers that may get a request's body."""
+        pool = self.forwarder.pool()
+        if call.regions is None:
+            return pool
+        return self._split(ROUTERS, pool.targets, call.regions)
+
+    def _split(
+        self, name: str, targets: Sequence[Target], regions: Regions | None
+    ) -> TargetPool:
+        """Return a pool without evacuated domains and other regions.
 
         Explanation
         ===========
-        They are split once for each list of targets and set of evacuated
-        domains, so that evacuations cost a request one comparison.
+        It is split once for each list of targets, set of evacuated domains and
+        list of regions, so that they cost a request two comparisons.
         """
-        listed = self._listed(call)
         evacuated = self.evacuations.domains
-        known = self._pools.get(call.pool)
+        known = self._pools.get((name, regions))
         if (
             known is None
-            or known.listed is not listed
+            or known.listed is not targets
             or known.evacuated is not evacuated
         ):
-            usable = self.evacuations.usable(listed)
-            pool = split_pool(usable, self.failure_domain)
-            known = _KnownPool(listed, evacuated, pool)
-            self._pools[call.pool] = known
+            usable = self.evacuations.usable(targets)
+            inside = self.regions.inside(usable, regions)
+            pool = split_pool(inside, self.failure_domain)
+            known = _SplitPool(targets, evacuated, pool)
+            self._pools[name, regions] = known
         return known.pool
 
-    def _listed(self, call: Call) -> Sequence[Target]:
-        return self.directory.targets(
-            call.destination.service, call.metadata.model
-        )
-
     def _cut_off_domains(
         self, pool: TargetPool, broken: Collection[int]
     ) -> Collection[str]:
--- a/primroserudder/testing/colddata.py
+++ b/primroserudder/testing/colddata.py
@@ -8,8 +8,11 @@
     LimitGate,
     build_limit_gate,
 )
+from ..fleet.evacuation import Evacuations
 from ..fleet.membership import InFlightCounts
 from ..fleet.model import Configuration, Service, Target
+from ..fleet.regions import RegionMap
+from ..platform import decode_evacuations
 from ..process.clock import Clock
 from ..process.decisions import DecisionLog
 from ..process.metrics import Metrics
@@ -96,3 +99,13 @@
     return build_limit_gate(
         counts, clock, lambda: known_vms, no_cold_engines(clock), Metrics()
     )
+
+
+def no_evacuations(clock: Clock) -> Evacuations:
+    """Return the evacuations of a VM that knows of none."""
+    return Evacuations(decode_evacuations, clock, DecisionLog('vm', clock))
+
+
+def no_regions(failure_domain: str = 'fd-1') -> RegionMap:
+    """Return the regions of a site that has none."""
+    return RegionMap({}, failure_domain, '')
--- a/primroserudder/testing/evacuationvm.py
+++ b/primroserudder/testing/evacuationvm.py
@@ -5,7 +5,7 @@
 from functools import partial
 from typing import TYPE_CHECKING, Any, cast
 
-from .colddata import unlimited_gate
+from .colddata import no_regions, unlimited_gate
 from ..fleet.balancing import Balancer
 from ..fleet.call import Call
 from ..fleet.evacuation.guard import EvacuationGuard
@@ -171,6 +171,7 @@
             Forwarder(reach, cast(Any, None), self.domain),
             tuple,
             self.view.evacuations,
+            no_regions(self.domain),
         )
         self.slots = SlotQueues(site.counts, clock, limits.note_send)
         self.guard = EvacuationGuard(self.selector, self.slots, Metrics())
