--- a/primroserudder/standins/groupengine.py
+++ b/primroserudder/standins/groupengine.py
@@ -110,8 +110,11 @@
     domain: str = 'd0'
     service: str = SERVICE
     is_plain: bool = False
+    slots: int = 4
     events: int = 5
     event_s: float = 0.01
+    # Bytes of text that each event, or answer, has besides.
+    event_bytes: int = 0
     # Before the answer of a plain engine.
     answer_delay_s: float = 0
     join_s: float = 0.02
@@ -175,7 +178,7 @@
             'Address': self.address,
             'Zone': 'fd-1',
             'Version': 'v1',
-            'Slots': 4,
+            'Slots': self.slots,
             'State': 'draining' if self.is_draining else 'ready',
             'Sequence': len(self.orders),
             'ColdRemainingMs': 0,
@@ -288,7 +291,8 @@
             return abort(request)
         if self.is_plain:
             await asyncio.sleep(self.answer_delay_s)
-            text = f'answer of {self.engine_id}'
+            padding = 'x' * self.event_bytes
+            text = f'answer of {self.engine_id}{padding}'
             return web.Response(headers=headers, text=text)
         return await self._stream(request, headers)
 
@@ -310,7 +314,7 @@
             if self.faults.is_unresponsive:
                 await asyncio.sleep(HANG_S)
             await self.faults.wait_while_silent()
-            await response.write(event(number))
+            await response.write(event(number, self.event_bytes))
             await asyncio.sleep(self.event_s)
         await response.write_eof()
         return response
@@ -348,6 +352,7 @@
     return {**leaving, **limit}
 
 
-def event(number: int) -> bytes:
+def event(number: int, padding: int = 0) -> bytes:
     """Return one event of a stream."""
-    return f'id: {number}\ndata: piece {number}\n\n'.encode()
+    text = 'x' * padding
+    return f'id: {number}\ndata: piece {number}{text}\n\n'.encode()
--- a/primroserudder/testing/platformsite.py
+++ b/primroserudder/testing/platformsite.py
@@ -25,12 +25,18 @@
 KEY = 'key-of-north'
 WORKSPACE = 'north'
 NO_FIELDS: Mapping[str, str] = MappingProxyType({})
+NO_CHANGES: Mapping[str, object] = MappingProxyType({})
 POLL_INTERVAL_S = 0.01
 GROUP_SIZE = 2
+SLOTS = 4
+TIMEOUT_MS = 4000
+OBJECTIVE_MS = 400
 PORTS = range(10_000, 30_000)
 PORT_STEP = 1009
 # Longer than the notice that a stopping router gives.
 GRACE_S = 5
+# The process of a test holds the callers and engines too.
+MEMORY_MB = 4000
 
 
 @dataclass(slots=True)
@@ -101,15 +107,22 @@
             await asyncio.sleep(POLL_INTERVAL_S)
 
 
-def configuration(version: int = 1, **changes: object) -> Mapping[str, object]:
+def configuration(
+    version: int = 1,
+    *,
+    slots: int = SLOTS,
+    timeout_ms: int = TIMEOUT_MS,
+    objective_ms: int = OBJECTIVE_MS,
+    **changes: object,
+) -> Mapping[str, object]:
     """Return a configuration in the format that operators submit."""
     stream = {
         'Name': 'notes',
         'Host': HOST,
         'Prefix': '/notes/',
         'RouteKind': 'streaming',
-        'TimeoutMs': 4000,
-        'SloMs': 400,
+        'TimeoutMs': timeout_ms,
+        'SloMs': objective_ms,
         'Service': 'model',
         'MaxAttempts': 3,
         'Resumable': True,
@@ -139,7 +152,7 @@
         'WarmS': 0.02,
     }
     engine = {
-        'Slots': 4,
+        'Slots': slots,
         'Models': [model],
         'LoadsPerS': 100,
         'loads_at_once': 8,
@@ -163,6 +176,10 @@
     routers: int = 1,
     *,
     is_configured: bool = True,
+    slots: int = SLOTS,
+    timeout_ms: int = TIMEOUT_MS,
+    objective_ms: int = OBJECTIVE_MS,
+    router_changes: Mapping[str, object] = NO_CHANGES,
 ) -> AsyncIterator[PlatformSite]:
     """Run a site; its engines are listed and its routers are started."""
     site = PlatformSite(TableStore())
@@ -172,11 +189,21 @@
         )
         site.store_address = await _serve(stack, site.store.app())
         if is_configured:
-            site.store.rows.put('op', 'config', configuration())
+            site.store.rows.put(
+                'op',
+                'config',
+                configuration(
+                    slots=slots,
+                    timeout_ms=timeout_ms,
+                    objective_ms=objective_ms,
+                ),
+            )
         for number in range(engines + plain):
-            await _add_engine(stack, site, number, is_plain=number >= engines)
+            await _add_engine(
+                stack, site, number, slots, is_plain=number >= engines
+            )
         for number in range(routers):
-            await _add_router(stack, site, number)
+            await _add_router(stack, site, number, router_changes)
         yield site
 
 
@@ -184,10 +211,13 @@
     stack: AsyncExitStack,
     site: PlatformSite,
     number: int,
+    slots: int,
     *,
     is_plain: bool,
 ) -> None:
-    engine = GroupEngine(f'i-{number}', '', site.store, is_plain=is_plain)
+    engine = GroupEngine(
+        f'i-{number}', '', site.store, is_plain=is_plain, slots=slots
+    )
     if is_plain:
         engine.service = 'ledger'
     engine.address = await _serve(stack, engine.app())
@@ -199,18 +229,23 @@
     stack: AsyncExitStack,
     site: PlatformSite,
     number: int,
+    changes: Mapping[str, object],
 ) -> None:
     ports = free_ports(5)
-    settings = RouterSettings(
-        node=f'vm-{number}',
-        ip=LOOPBACK,
-        failure_domain='fd-1',
-        callers=f'{LOOPBACK}:{ports[0]}',
-        readiness=f'{LOOPBACK}:{ports[1]}',
-        inner_ports=(ports[2], ports[3]),
-        store=site.store_address,
-        metrics_port=ports[4],
-        grace_s=GRACE_S,
+    settings = RouterSettings.model_validate(
+        {
+            'node': f'vm-{number}',
+            'ip': LOOPBACK,
+            'failure_domain': 'fd-1',
+            'callers': f'{LOOPBACK}:{ports[0]}',
+            'readiness': f'{LOOPBACK}:{ports[1]}',
+            'inner_ports': (ports[2], ports[3]),
+            'store': site.store_address,
+            'metrics_port': ports[4],
+            'grace_s': GRACE_S,
+            'memory_mb': MEMORY_MB,
+            **changes,
+        }
     )
     router = Router(settings)
     await router.start()
--- a/primroserudder/testing/routercost.py
+++ b/primroserudder/testing/routercost.py
@@ -14,7 +14,6 @@
 import pathlib
 import sys
 import tempfile
-from asyncio.subprocess import Process
 from collections.abc import AsyncIterator
 from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import dataclass
@@ -22,14 +21,8 @@
 import orjson
 from aiohttp import ClientSession, DummyCookieJar
 
-from .platformsite import (
-    HOST,
-    KEY,
-    LOOPBACK,
-    PlatformSite,
-    free_ports,
-    platform_site,
-)
+from .platformsite import HOST, KEY, PlatformSite, platform_site
+from .routerprocess import router_settings, start_router
 
 SHORT_EVENTS = 1
 LONG_EVENTS = 41
@@ -44,7 +37,6 @@
 # Fields of /proc/PID/stat after the name, counted from the state.
 USER_TIME = 11
 SYSTEM_TIME = 12
-PROGRAM = 'primroserudder.programs.router'
 
 
 @dataclass(frozen=True, slots=True)
@@ -124,11 +116,11 @@
         site = await stack.enter_async_context(
             platform_site(engines=ENGINES, routers=0)
         )
-        settings = _settings(site.store_address)
+        settings = router_settings(site.store_address)
         folder = stack.enter_context(tempfile.TemporaryDirectory())
         path = pathlib.Path(folder) / 'router.json'
         path.write_bytes(orjson.dumps(settings))
-        process = await _start(source, path, profile)
+        process = await start_router(source, path, profile)
         session = await stack.enter_async_context(
             ClientSession(cookie_jar=DummyCookieJar())
         )
@@ -141,38 +133,6 @@
         await process.wait()
 
 
-def _settings(store: str) -> dict[str, object]:
-    ports = free_ports(5)
-    return {
-        'node': 'vm-0',
-        'ip': LOOPBACK,
-        'failure_domain': 'fd-1',
-        'callers': f'{LOOPBACK}:{ports[0]}',
-        'readiness': f'{LOOPBACK}:{ports[1]}',
-        'inner_ports': [ports[2], ports[3]],
-        'store': store,
-        'metrics_port': ports[4],
-        'grace_s': 2,
-    }
-
-
-async def _start(
-    source: pathlib.Path, settings: pathlib.Path, profile: str
-) -> Process:
-    profiler = ('-m', 'cProfile', '-o', profile) if profile else ()
-    return await asyncio.create_subprocess_exec(
-        sys.executable,
-        *profiler,
-        '-m',
-        PROGRAM,
-        '--settings',
-        str(settings),
-        cwd=source,
-        stdout=asyncio.subprocess.DEVNULL,
-        env={**os.environ, 'PYTHONPATH': str(source)},
-    )
-
-
 async def measure(
     source: pathlib.Path, requests: int, profile: str = ''
 ) -> RouterCost:
