--- a/primroserudder/fleet/forwarding/messages.py
+++ b/primroserudder/fleet/forwarding/messages.py
@@ -12,6 +12,8 @@
 
 # How many engines the request may still run on; marks it as forwarded.
 ATTEMPTS_LEFT = 'Rudder-Attempts-Left'
+# Names of fields between routers begin with it, in lower case here.
+ROUTER_PREFIX = 'rudder-'
 REACH_PATH = '/reach'
 # Answers of a router on whether it takes requests of others; 200 if it does.
 CUT_OFF = HTTPStatus.SERVICE_UNAVAILABLE
@@ -74,10 +76,22 @@
 
 
 def headers_of_forwarded(headers: Headers) -> Headers:
-    """Return the fields of a forwarded request as its caller sent them."""
-    fields = CIMultiDict(headers)
-    fields.popall(ATTEMPTS_LEFT, None)
-    return CIMultiDictProxy(fields)
+    """Return the fields of a request as its caller sent them.
+
+    Explanation
+    ===========
+    Of a forwarded request, all fields of the routers are left out, also those
+    that a later build adds. A caller's field of such a name is its own, except
+    ``ATTEMPTS_LEFT``.
+    """
+    is_forwarded = ATTEMPTS_LEFT in headers
+    return CIMultiDictProxy(
+        CIMultiDict(
+            (name, text)
+            for name, text in headers.items()
+            if not (is_forwarded and name.lower().startswith(ROUTER_PREFIX))
+        )
+    )
 
 
 def mark_not_run(headers: CIMultiDict[str]) -> None:
--- a/primroserudder/fleet/membership/link.py
+++ b/primroserudder/fleet/membership/link.py
@@ -106,6 +106,7 @@
     counts: InFlightCounts
     facts: Facts = Facts()
     received_at: float = 0
+    version: int = 0
     outbox: Outbox = field(default_factory=Outbox)
     _last: tuple[int, int] = (0, 0)
     _load_by_part: dict[int, LoadPart] = field(default_factory=dict)
@@ -119,6 +120,7 @@
         self._last = stamp
         self.received_at = now
         self.facts = notice.facts
+        self.version = notice.version
         if notice.load is not None:
             self._receive_load(notice.load)
         return True
--- a/primroserudder/fleet/membership/links.py
+++ b/primroserudder/fleet/membership/links.py
@@ -1,6 +1,6 @@
 """The links to all neighbours, and what to send over each of them."""
 
-from collections.abc import Callable, Collection, Iterable, Sequence
+from collections.abc import Mapping, Callable, Collection, Iterable, Sequence
 from dataclasses import dataclass, field
 
 from .in_flight import InFlightCounts, add_counts
@@ -76,6 +76,12 @@
         own = self.own_facts()
         return merge_facts((own, *known)) if known else own
 
+    def formats(self) -> Mapping[str, int]:
+        """Return the version of the notices of each neighbour."""
+        return {
+            address: link.version for address, link in self.by_address.items()
+        }
+
     def facts_of_others(self) -> Sequence[Facts]:
         """Return what each neighbour knows."""
         return [link.facts for link in self.by_address.values()]
--- a/primroserudder/fleet/membership/notice.py
+++ b/primroserudder/fleet/membership/notice.py
@@ -7,6 +7,8 @@
 
 import msgspec
 
+from ..upgrades.formats import OLDEST_NOTICE_FORMAT
+
 # Fits a datagram into one packet on every usual network.
 MAX_DATAGRAM_BYTES = 1200
 # An address that can be sent to, or none.
@@ -132,6 +134,12 @@
 class Notice(msgspec.Struct, frozen=True, array_like=True):
     """A datagram from one router to another.
 
+    Explanation
+    ===========
+    Fields of all structs here are appended, with defaults, and keep their
+    places: builds that don't know a field skip it, and builds that don't send
+    it leave its default.
+
     Parameters
     ==========
     incarnation : int
@@ -155,6 +163,8 @@
         Whether the sender is no child of the receiver any more.
     origin : str
         Address of the representative that sent it, for other domains.
+    version : int
+        Version of the sender's format; 0 of builds that don't name it.
     """
 
     direction: Direction
@@ -171,10 +181,11 @@
     redirect: Address = ''
     is_leaving: bool = False
     origin: Address = ''
+    version: Count = 0
 
 
 class UnreadableNotice(ValueError):
-    """A datagram is not a valid notice of this version."""
+    """A datagram is no notice, or one of a version that is not read."""
 
 
 _DECODER = msgspec.msgpack.Decoder(Notice)
@@ -192,12 +203,15 @@
     Raises
     ======
     UnreadableNotice
-        The bytes are no notice of this version.
+        The bytes are no notice, or one of a version that is too old.
     """
     try:
-        return _DECODER.decode(packet)
+        notice = _DECODER.decode(packet)
     except (msgspec.MsgspecError, UnicodeDecodeError) as error:
         raise UnreadableNotice(str(error)) from error
+    if notice.version < OLDEST_NOTICE_FORMAT:
+        raise UnreadableNotice(f'the format {notice.version} is too old')
+    return notice
 
 
 def merge_facts(facts: Iterable[Facts]) -> Facts:
--- a/primroserudder/fleet/membership/noticesender.py
+++ b/primroserudder/fleet/membership/noticesender.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 
+from ..upgrades.formats import NOTICE_FORMAT
 from .bytebudget import ByteBudget
 from .link import Link
 from .notice import (
@@ -141,6 +142,7 @@
             self._sequence,
             self.peers.failure_domain,
             self.peers.own_speed,
+            version=NOTICE_FORMAT,
             **fields,  # type: ignore[arg-type]
         )
 
--- a/primroserudder/fleet/router.py
+++ b/primroserudder/fleet/router.py
@@ -44,6 +44,7 @@
 from .site_view import SiteView
 from .supervision import Supervisor
 from .tablerelay import TableRelay
+from .upgrades import build_name
 
 # The balancer checks health once a second and acts after two equal results.
 # What is taken later has too little of the grace period left to end.
@@ -94,7 +95,9 @@
     async def start(self) -> None:
         """Open the ports and start to follow the store's tables."""
         self._assemble()
-        self.log.note('start', domain=self.settings.failure_domain)
+        self.log.note(
+            'start', domain=self.settings.failure_domain, build=build_name()
+        )
         await self.ports.open()
         await self.exchange.start()
         self.supervisor.start(
@@ -164,6 +167,9 @@
             'running': dict(self.in_flight_counts.running_by_engine),
             'limits': self.limits.dump(),
             'peers': sorted(self.exchange.links.by_address),
+            'build': build_name(),
+            'builds': self.registry.builds(),
+            'notice_formats': self.exchange.links.formats(),
             'store_reachable': self.view.engines.is_reachable,
             'store_era': self.view.store_era(),
             'strikes': self.server.quarantine.strikes.shared(),
@@ -234,7 +240,12 @@
         )
         self.exchange.listeners.append(self._on_facts)
         self.registry = NodeRegistry(
-            store, peers, self.view.nodes, self.log, settings.node
+            store,
+            peers,
+            self.view.nodes,
+            self.log,
+            settings.node,
+            build_name(),
         )
         health = TargetHealth(self.clock)
         self.forwarder = build_forwarder(
--- a/primroserudder/programs/routerprogram.py
+++ b/primroserudder/programs/routerprogram.py
@@ -10,6 +10,7 @@
 from ..errors import RudderError
 from ..fleet.router import Router
 from ..fleet.settings import RouterSettings
+from ..fleet.upgrades import build_name
 from ..process.decisions import log_to_stdout
 from ..process.settings import read_settings
 
@@ -23,6 +24,9 @@
 def run() -> int:
     """Run until SIGTERM or SIGINT and return the exit code."""
     arguments = _parser().parse_args()
+    if arguments.build:
+        sys.stdout.write(f'{build_name()}\n')
+        return EXIT_OK
     try:
         settings = read_settings(arguments.settings, RouterSettings)
     except RudderError as error:
@@ -39,16 +43,21 @@
         prog='rudder-router',
         description='Serves callers on the VMs of the platform.',
     )
-    router_parser.add_argument(
+    wanted = router_parser.add_mutually_exclusive_group(required=True)
+    wanted.add_argument(
         '--settings',
         type=pathlib.Path,
-        required=True,
         metavar='FILE',
         help='settings of the router, in JSON',
     )
     router_parser.add_argument(
         '--check', action='store_true', help='check the settings and exit'
     )
+    wanted.add_argument(
+        '--build',
+        action='store_true',
+        help='print the name of this build and exit',
+    )
     return router_parser
 
 
