Split the data model in two modules, and refusals out of the slot search

Server._take_slot decided on four refusals; those of requests that no target is left for are a method. The test site takes the times of its route as one value.

--- a/primroserudder/fleet/memory/tests/test_slow_callers.py
+++ b/primroserudder/fleet/memory/tests/test_slow_callers.py
@@ -9,7 +9,7 @@
 
 from ....standins.groupengine import event
 from ....testing.enginecuts import CutKind, cut_off_from_engines
-from ....testing.platformsite import PlatformSite, platform_site
+from ....testing.platformsite import RouteTimes, PlatformSite, platform_site
 from ....testing.rawcaller import head
 from .. import slowcallers
 from ..budget import COPIES_OF_BODY
@@ -32,8 +32,7 @@
     async with platform_site(
         routers=routers,
         slots=slots,
-        timeout_ms=60_000,
-        objective_ms=10_000,
+        times=RouteTimes(60_000, 10_000),
         router_changes={'memory_mb': memory_mb},
     ) as site:
         for router in site.routers:
--- /dev/null
+++ b/primroserudder/fleet/model/__init__.py
@@ -0,0 +1,47 @@
+"""Data model of the fleet: configuration, engines and groups.
+
+Explanation
+===========
+The platform adapter decodes its rows into these types, and all decisions are
+made on them.
+"""
+
+from .configuration import (
+    CallerLimits,
+    Configuration,
+    EngineSpec,
+    EngineTimes,
+    ModelSpec,
+    RequestKind,
+    Route,
+    Service,
+    ServiceShare,
+    Workspace,
+)
+from .engines import (
+    ColdTime,
+    Engine,
+    Formation,
+    GroupState,
+    Membership,
+    Target,
+)
+
+__all__ = (
+    'CallerLimits',
+    'ColdTime',
+    'Configuration',
+    'Engine',
+    'EngineSpec',
+    'EngineTimes',
+    'Formation',
+    'GroupState',
+    'Membership',
+    'ModelSpec',
+    'RequestKind',
+    'Route',
+    'Service',
+    'ServiceShare',
+    'Target',
+    'Workspace',
+)
--- a/primroserudder/fleet/serving.py
+++ b/primroserudder/fleet/serving.py
@@ -167,24 +167,13 @@
         if has_run:
             # A request that may have run is retried up to its deadline.
             wait_s = call.remaining_s
-        refusal = None if has_run else self.guard.refusal(call)
-        if refusal is not None:
-            raise refusal
+        else:
+            self._refuse_without_targets(call)
         if self.selector.is_forwarding(call):
-            if not has_run and not self.selector.has_routers(call):
-                raise NoFreeSlot(
-                    'no router in the allowed regions reaches engines',
-                    retry_after=RETRY_AFTER_NO_GROUP_S,
-                )
             # The other router knows its engines better.
             return await self.slots.acquire(
                 call, partial(self.selector.find, call), max(wait_s, 0)
             )
-        if not has_run and not self.selector.has_targets(call):
-            raise NoFreeSlot(
-                'no group serves the model',
-                retry_after=RETRY_AFTER_NO_GROUP_S,
-            )
         back_off_s = self.selector.back_off_s(call, self.slots.waiting(call))
         if back_off_s > max(wait_s, 0):
             raise NoFreeSlot(
@@ -198,6 +187,26 @@
             keep_waiting if has_run else partial(self.guard.refusal, call),
         )
 
+    def _refuse_without_targets(self, call: Call) -> None:
+        """Refuse a request that no target is left for.
+
+        Raises
+        ======
+        NoFreeSlot
+            All targets are evacuated, in other regions or gone.
+        """
+        refusal = self.guard.refusal(call)
+        if refusal is not None:
+            raise refusal
+        if self.selector.is_forwarding(call):
+            reason = 'no router in the allowed regions reaches engines'
+            is_possible = self.selector.has_routers(call)
+        else:
+            reason = 'no group serves the model'
+            is_possible = self.selector.has_targets(call)
+        if not is_possible:
+            raise NoFreeSlot(reason, retry_after=RETRY_AFTER_NO_GROUP_S)
+
     async def _attempt(
         self,
         call: Call,
--- a/primroserudder/testing/memorybound.py
+++ b/primroserudder/testing/memorybound.py
@@ -24,7 +24,14 @@
 import orjson
 from aiohttp import ClientSession, DummyCookieJar
 
-from .platformsite import HOST, KEY, LOOPBACK, PlatformSite, platform_site
+from .platformsite import (
+    HOST,
+    KEY,
+    LOOPBACK,
+    PlatformSite,
+    RouteTimes,
+    platform_site,
+)
 from .routerprocess import router_settings, start_router
 
 SMALLEST_VM_MB = 152
@@ -225,8 +232,7 @@
                 engines=ENGINES,
                 routers=0,
                 slots=SLOTS,
-                timeout_ms=TIMEOUT_MS,
-                objective_ms=OBJECTIVE_MS,
+                times=RouteTimes(TIMEOUT_MS, OBJECTIVE_MS),
             )
         )
         settings = router_settings(site.store_address, memory_mb=load.memory_mb)
--- a/primroserudder/testing/platformsite.py
+++ b/primroserudder/testing/platformsite.py
@@ -40,6 +40,17 @@
 MEMORY_MB = 4000
 
 
+@dataclass(frozen=True, slots=True)
+class RouteTimes:
+    """Times of the route of streams, in milliseconds."""
+
+    timeout_ms: int = TIMEOUT_MS
+    objective_ms: int = OBJECTIVE_MS
+
+
+USUAL_TIMES = RouteTimes()
+
+
 @dataclass(slots=True)
 class PlatformSite:
     """The running parts of the site and their addresses."""
@@ -179,8 +190,7 @@
     is_configured: bool = True,
     domains: Sequence[str] = (FAILURE_DOMAIN,),
     slots: int = SLOTS,
-    timeout_ms: int = TIMEOUT_MS,
-    objective_ms: int = OBJECTIVE_MS,
+    times: RouteTimes = USUAL_TIMES,
     router_changes: Mapping[str, object] = NO_CHANGES,
 ) -> AsyncIterator[PlatformSite]:
     """Run a site; its engines are listed and its routers are started.
@@ -203,8 +213,8 @@
                 'config',
                 configuration(
                     slots=slots,
-                    timeout_ms=timeout_ms,
-                    objective_ms=objective_ms,
+                    timeout_ms=times.timeout_ms,
+                    objective_ms=times.objective_ms,
                 ),
             )
         for number in range(engines + plain):
