--- a/primroserudder/fleet/call.py
+++ b/primroserudder/fleet/call.py
@@ -1,7 +1,7 @@
 """A caller's request while it is served."""
 
 import asyncio
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, field
 
@@ -13,7 +13,9 @@
 from .cost import CostedRequest
 from .crashes.suspects import suspects_of
 from .directorynames import pool_name
+from .memory import Holding
 from .model import Target
+from .regions import allowed_regions
 from .retries import RetryState
 from .routes import Destination
 
@@ -33,6 +35,9 @@
     digest, and the shared parts of the prompt. ``reserved_target`` has a slot
     for the next attempt; ``is_leaving_attempt`` is true while a running
     attempt looks for one. ``is_forwarded`` is true if another router sent it.
+    ``regions`` are the regions that it is bound to, ``None`` if to none.
+    ``is_caller_blocked`` returns whether the caller has not accepted all that
+    was sent to it.
     ``cost`` is ``None`` if targets are chosen by the share of slots in use.
     """
 
@@ -51,17 +56,23 @@
     reserved_target: Target | None = None
     is_leaving_attempt: bool = False
     is_forwarded: bool = False
+    holding: Holding = field(default_factory=Holding)
+    is_caller_blocked: Callable[[], bool] = bool
     cost: CostedRequest | None = None
     digest: str = field(init=False)
     suspects: tuple[str, ...] = field(init=False)
+    regions: frozenset[str] | None = field(init=False)
 
     def __post_init__(self) -> None:
-        """Compute the digest of the content."""
+        """Compute the digest of the content, and what binds the request."""
         hasher = xxhash.xxh3_64(self.raw_path.encode())
         hasher.update(self.destination.workspace.name.encode())
         hasher.update(self.body)
         self.digest = hasher.hexdigest()
         self.suspects = suspects_of(self.digest, self.metadata.shared_parts)
+        self.regions = allowed_regions(
+            self.destination.route, self.destination.workspace
+        )
 
     @contextmanager
     def leaving_attempt(self) -> Iterator[None]:
--- a/primroserudder/fleet/cost/calls.py
+++ b/primroserudder/fleet/cost/calls.py
@@ -17,12 +17,21 @@
 
 @dataclass(frozen=True, slots=True)
 class CallCosts:
-    """Rates targets for calls, and learns from how their attempts went."""
+    """Rates targets for calls, and learns from how their attempts went.
+
+    Parameters
+    ==========
+    is_enabled : bool
+        Whether the router's settings ask for the choice by cost.
+    """
 
     costs: RequestCosts
+    is_enabled: bool = True
 
     def prepare(self, call: Call) -> None:
         """Estimate the work of a call, if its service states times."""
+        if not self.is_enabled:
+            return
         metadata = call.metadata
         size = RequestSize(
             metadata.model,
@@ -69,6 +78,8 @@
 
     def learn_plain(self, call: Call, seconds: float) -> None:
         """Learn from the whole answer of a plain service."""
+        if not self.is_enabled:
+            return
         route = call.destination.route
         if not call.destination.service.engine and (
             route.kind is not RequestKind.STREAM
--- a/primroserudder/fleet/cost/tests/test_costed_site.py
+++ b/primroserudder/fleet/cost/tests/test_costed_site.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Mapping
 from contextlib import AsyncExitStack
+from types import MappingProxyType
 from typing import Any
 
 from ....testing.platformsite import (
@@ -26,6 +27,7 @@
     'X-Primroserudder-Token-Usage': '1400,200',
     'X-Primroserudder-Length-Hint': '40',
 }
+BY_COST = MappingProxyType({'choose_by_cost': True})
 
 
 def _with_times() -> Mapping[str, object]:
@@ -53,7 +55,7 @@
 
 
 async def test_streams_are_predicted_learned_and_leave_nothing() -> None:
-    async with platform_site() as site:
+    async with platform_site(router_changes=BY_COST) as site:
         site.store.rows.put('op', 'config', _with_times())
         await _until_serving(site)
         for engine in site.engines_by_id.values():
@@ -75,7 +77,7 @@
 
 async def test_callers_that_leave_leave_no_work_behind() -> None:
     # Work that stays would keep requests away from an idle engine.
-    async with platform_site() as site:
+    async with platform_site(router_changes=BY_COST) as site:
         site.store.rows.put('op', 'config', _with_times())
         await _until_serving(site)
         for engine in site.engines_by_id.values():
@@ -100,7 +102,7 @@
 
 
 async def test_sites_without_engine_times_are_served_as_before() -> None:
-    async with platform_site() as site:
+    async with platform_site(router_changes=BY_COST) as site:
         await _until_serving(site)
         async with site.request('/notes/1', headers=SIZES) as response:
             await response.read()
@@ -114,7 +116,7 @@
 
 async def test_targets_without_memory_get_no_requests() -> None:
     # An engine whose requests exceed its memory crashes.
-    async with platform_site() as site:
+    async with platform_site(router_changes=BY_COST) as site:
         site.store.rows.put('op', 'config', _with_times())
         await _until_serving(site)
         counts = site.routers[0].in_flight_counts
--- a/primroserudder/fleet/engine_inventory.py
+++ b/primroserudder/fleet/engine_inventory.py
@@ -1,7 +1,7 @@
 """The engines that the lease holder may assign, and their models."""
 
 from collections import Counter
-from collections.abc import Callable, Collection, Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 
 from ..process.clock import Clock
@@ -20,9 +20,19 @@
 SpecOf = Callable[[str], EngineSpec | None]
 
 
+def _nowhere(_failure_domain: str) -> bool:
+    return False
+
+
 @dataclass(slots=True)
 class EngineInventory:
-    """Tracks free engines, their models and the demand for groups."""
+    """Tracks free engines, their models and the demand for groups.
+
+    Parameters
+    ==========
+    is_evacuated : Callable
+        Returns whether the engines of a failure domain get no new requests.
+    """
 
     directory: Directory
     clock: Clock
@@ -30,6 +40,7 @@
     limiter: LoadLimiter
     has_traffic: Callable[[], bool]
     demand: DemandMeter = field(default_factory=DemandMeter)
+    is_evacuated: Callable[[str], bool] = _nowhere
     _known_instances: set[tuple[str, int]] = field(default_factory=set)
     _grown_at_by_domain: dict[str, float] = field(default_factory=dict)
 
@@ -62,7 +73,13 @@
         unreachable: Collection[str],
         spec_of: SpecOf,
     ) -> Mapping[str, list[FreeEngine]]:
-        """Return the reachable engines that no group claims, by service."""
+        """Return the engines to form groups of, by service.
+
+        Explanation
+        ===========
+        They are reachable, no group claims them, and their failure domain is
+        not evacuated: a group formed there would occupy engines unused.
+        """
         claimed = {
             member
             for progress in groups
@@ -74,12 +91,13 @@
             if (
                 is_claimed
                 or engine.is_draining
+                or self.is_evacuated(engine.failure_domain)
                 or spec_of(engine.service) is None
             ):
                 continue
             if engine.engine_id not in unreachable:
                 service_engines = free.setdefault(engine.service, [])
-                service_engines.append(self._free_engine(engine))
+                service_engines.append(self.as_free(engine))
         return free
 
     def balance(
@@ -88,25 +106,36 @@
         service: str,
         spec: EngineSpec,
     ) -> Balance:
-        """Return the existing and the wanted groups of each model."""
+        """Return the existing and the wanted groups of each model.
+
+        Explanation
+        ===========
+        Groups in evacuated failure domains don't serve. What is wanted stays
+        the same, so that other domains form groups in their place.
+        """
         existing = Counter(
             progress.formation.model
             for progress in groups
             if not progress.is_dissolving
-        )
-        domain_sizes = Counter(
-            engine.fabric_domain
-            for engine in self.directory.engines_by_id.values()
-            if engine.service == service and not engine.is_draining
+            and not self.is_evacuated(self._failure_domain_of(progress))
         )
         wanted = self.demand.wanted(
             service,
             spec,
-            tuple(domain_sizes.values()),
+            self.domain_sizes(service),
             has_traffic=self.has_traffic(),
         )
         return Balance(existing, wanted)
 
+    def domain_sizes(self, service: str) -> Sequence[int]:
+        """Return the number of a service's engines by fabric domain."""
+        sizes = Counter(
+            engine.fabric_domain
+            for engine in self.directory.engines_by_id.values()
+            if engine.service == service and not engine.is_draining
+        )
+        return tuple(sizes.values())
+
     def members_in(
         self,
         domain: str,
@@ -152,7 +181,8 @@
             return True
         return self.try_begin_load(engine, spec, model, is_urgent=True)
 
-    def _free_engine(self, engine: Engine) -> FreeEngine:
+    def as_free(self, engine: Engine) -> FreeEngine:
+        """Return an engine with the models that it holds and loads."""
         loading = self.limiter.loading(engine.engine_id)
         if loading and model_joined(engine) == loading:
             self.limiter.end(engine.engine_id)
@@ -162,6 +192,10 @@
         last_model = self.directory.last_model(engine)
         return FreeEngine(engine, '' if loading else last_model, loading)
 
+    def _failure_domain_of(self, progress: GroupProgress) -> str:
+        head = self.directory.engines_by_id.get(progress.formation.head)
+        return '' if head is None else head.failure_domain
+
     def _domain_of(self, progress: GroupProgress) -> str:
         head = self.directory.engines_by_id.get(progress.formation.head)
         return '' if head is None else _domain(head)
--- a/primroserudder/fleet/membership/link.py
+++ b/primroserudder/fleet/membership/link.py
@@ -106,6 +106,7 @@
     counts: InFlightCounts
     facts: Facts = Facts()
     received_at: float = 0
+    version: int = 0
     outbox: Outbox = field(default_factory=Outbox)
     _last: tuple[int, int] = (0, 0)
     _load_by_part: dict[int, LoadPart] = field(default_factory=dict)
@@ -119,6 +120,7 @@
         self._last = stamp
         self.received_at = now
         self.facts = notice.facts
+        self.version = notice.version
         if notice.load is not None:
             self._receive_load(notice.load)
         return True
@@ -170,6 +172,7 @@
     looks: dict[int, int]
     limits: Mapping[int, LimitNews]
     vms: int = 1
+    cold: dict[int, int] = field(default_factory=dict)
     reading: dict[int, int] = field(default_factory=dict)
     held: dict[int, int] = field(default_factory=dict)
 
@@ -180,6 +183,7 @@
             add_counts(self.waiting, part.waiting, sign)
             add_counts(self.sent, part.sent, sign)
             add_counts(self.looks, part.looks, sign)
+            add_counts(self.cold, part.cold, sign)
             add_counts(self.reading, part.reading, sign)
             add_counts(self.held, part.held, sign)
             self.vms += sign * part.vms
@@ -196,8 +200,16 @@
         [(0, 75, 1), (1, 75, 0)]
         """
         total = 1
-        size = len(self.running) + len(self.reading) + len(self.held)
-        size += sum(map(len, (self.sent, self.looks, self.limits)))
+        by_key = (
+            self.running,
+            self.sent,
+            self.looks,
+            self.limits,
+            self.cold,
+            self.reading,
+            self.held,
+        )
+        size = sum(map(len, by_key))
         while total * KEYS_PER_PART < size:
             total *= 2
         return [
@@ -210,6 +222,7 @@
                 _keys_of_part(self.looks, number, total),
                 _keys_of_part(self.limits, number, total),
                 0 if number else self.vms,
+                _keys_of_part(self.cold, number, total),
                 _keys_of_part(self.reading, number, total),
                 _keys_of_part(self.held, number, total),
             )
--- a/primroserudder/fleet/membership/links.py
+++ b/primroserudder/fleet/membership/links.py
@@ -1,6 +1,6 @@
 """The links to all neighbours, and what to send over each of them."""
 
-from collections.abc import Callable, Collection, Iterable, Sequence
+from collections.abc import Mapping, Callable, Collection, Iterable, Sequence
 from dataclasses import dataclass, field
 
 from .in_flight import InFlightCounts, add_counts
@@ -65,6 +65,7 @@
         add_counts(load.waiting, self.counts.others_waiting)
         add_counts(load.sent, self.counts.others_sent)
         add_counts(load.looks, self.counts.others_looks)
+        add_counts(load.cold, self.counts.others_cold)
         add_counts(load.reading, self.counts.others_reading)
         add_counts(load.held, self.counts.others_held)
         load.vms += self.counts.others_vms
@@ -78,6 +79,12 @@
         own = self.own_facts()
         return merge_facts((own, *known)) if known else own
 
+    def formats(self) -> Mapping[str, int]:
+        """Return the version of the notices of each neighbour."""
+        return {
+            address: link.version for address, link in self.by_address.items()
+        }
+
     def facts_of_others(self) -> Sequence[Facts]:
         """Return what each neighbour knows."""
         return [link.facts for link in self.by_address.values()]
@@ -89,6 +96,7 @@
             self.own_limits.sent_by_key(),
             self.own_limits.looks_by_key(),
             self.own_limits.news(),
+            cold=self.own_limits.cold_by_key(),
             reading=self.counts.own_reading(),
             held=self.counts.own_held(),
         )
--- a/primroserudder/fleet/membership/notice.py
+++ b/primroserudder/fleet/membership/notice.py
@@ -7,6 +7,8 @@
 
 import msgspec
 
+from ..upgrades.formats import OLDEST_NOTICE_FORMAT
+
 # Fits a datagram into one packet on every usual network.
 MAX_DATAGRAM_BYTES = 1200
 # An address that can be sent to, or none.
@@ -120,7 +122,8 @@
     Keys without requests are left out. ``limits`` are the limits that the
     sender knows. An engine is in the part given by its key modulo ``total``;
     waiting requests are in the first part, and so is the number of VMs on that
-    side, ``vms``.
+    side, ``vms``. ``cold`` is the number of VMs that know an engine as cold, by
+    a key of the incarnation that ``sent`` and ``looks`` have too.
     """
 
     number: Count = 0
@@ -131,6 +134,7 @@
     looks: dict[Key, Count] = {}
     limits: dict[Key, LimitNews] = {}
     vms: Count = 1
+    cold: dict[Key, Count] = {}
     reading: dict[Key, Count] = {}
     held: dict[Key, Count] = {}
 
@@ -138,6 +142,12 @@
 class Notice(msgspec.Struct, frozen=True, array_like=True):
     """A datagram from one router to another.
 
+    Explanation
+    ===========
+    Fields of all structs here are appended, with defaults, and keep their
+    places: builds that don't know a field skip it, and builds that don't send
+    it leave its default.
+
     Parameters
     ==========
     incarnation : int
@@ -161,6 +171,8 @@
         Whether the sender is no child of the receiver any more.
     origin : str
         Address of the representative that sent it, for other domains.
+    version : int
+        Version of the sender's format; 0 of builds that don't name it.
     """
 
     direction: Direction
@@ -177,10 +189,11 @@
     redirect: Address = ''
     is_leaving: bool = False
     origin: Address = ''
+    version: Count = 0
 
 
 class UnreadableNotice(ValueError):
-    """A datagram is not a valid notice of this version."""
+    """A datagram is no notice, or one of a version that is not read."""
 
 
 _DECODER = msgspec.msgpack.Decoder(Notice)
@@ -198,12 +211,15 @@
     Raises
     ======
     UnreadableNotice
-        The bytes are no notice of this version.
+        The bytes are no notice, or one of a version that is too old.
     """
     try:
-        return _DECODER.decode(packet)
+        notice = _DECODER.decode(packet)
     except (msgspec.MsgspecError, UnicodeDecodeError) as error:
         raise UnreadableNotice(str(error)) from error
+    if notice.version < OLDEST_NOTICE_FORMAT:
+        raise UnreadableNotice(f'the format {notice.version} is too old')
+    return notice
 
 
 def merge_facts(facts: Iterable[Facts]) -> Facts:
--- a/primroserudder/fleet/membership/tests/test_exchange.py
+++ b/primroserudder/fleet/membership/tests/test_exchange.py
@@ -1,5 +1,6 @@
 """Notices reach every VM; a VM's traffic does not grow with the site."""
 
+import asyncio
 import itertools
 
 import msgspec
@@ -14,6 +15,9 @@
 )
 from ..bytebudget import LINK_SHARE
 from ..children import MAX_CHILDREN, MIN_CHILDREN
+from ..exchange import IDLE_TICK_INTERVAL_S, Exchange, tick_interval_s
+
+
 from ..keys import short_key
 from ..notice import (
     MAX_DATAGRAM_BYTES,
@@ -21,6 +25,7 @@
     LoadPart,
     Notice,
     Strikes,
+    decode_notice,
     encode_notice,
 )
 from ..tree import PARENT_TIMEOUT_S, SETTLING_S
@@ -70,6 +75,19 @@
     assert _running(network) == {60}
 
 
+def test_every_vm_hears_how_many_others_know_an_engine_as_cold() -> None:
+    network = notice_network(3, 7)
+    for exchange in network.exchanges.values():
+        exchange.links.own_limits.cold = lambda: {5: 1}
+    network.tick(20)
+    heard = {counts.others_cold.get(5) for counts in network.counts.values()}
+    assert heard == {20}
+    for exchange in network.exchanges.values():
+        exchange.links.own_limits.cold = dict
+    network.tick(20)
+    assert not any(counts.others_cold for counts in network.counts.values())
+
+
 @pytest.mark.parametrize('lost', ['10.0.0.1:7', '10.0.0.2:7', '10.0.0.30:7'])
 def test_lost_vm_is_replaced_in_the_tree(lost: str) -> None:
     network = notice_network(3, 30)
@@ -268,6 +286,53 @@
     assert network.exchanges['10.0.0.2:7'].unreadable_datagrams == 1
 
 
+async def _ticks_in_a_second(
+    monkeypatch: pytest.MonkeyPatch, news_interval_s: float
+) -> int:
+    """Return how often a VM ticks; it hears something at intervals."""
+    network = notice_network(1, 3)
+    exchange = next(iter(network.exchanges.values()))
+    ticks: list[float] = []
+    loop = asyncio.get_running_loop()
+    monkeypatch.setattr(Exchange, 'tick', lambda _: ticks.append(loop.time()))
+    running = asyncio.ensure_future(exchange.run())
+    for _ in range(round(1 / news_interval_s)):
+        await asyncio.sleep(news_interval_s)
+        exchange.datagram_received(b'', ('10.0.0.9', 7))
+    running.cancel()
+    return len(ticks)
+
+
+@pytest.mark.looptime
+async def test_vm_without_news_looks_less_often(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Ticks without news cost every VM processor time at rest."""
+    idle = await _ticks_in_a_second(monkeypatch, 0.5)
+    busy = await _ticks_in_a_second(monkeypatch, 0.01)
+    assert idle <= 1 / IDLE_TICK_INTERVAL_S + 3
+    assert busy >= 1 / tick_interval_s(2) - 2
+
+
+def test_notice_without_cold_engines_is_read_as_one_that_knows_none() -> None:
+    # As 08c7865 sends it: its load has no field for them.
+    notice = Notice(Direction.TO_PARENT, 1, 1, 'fd-1', load=LoadPart(vms=3))
+    fields = msgspec.msgpack.decode(encode_notice(notice))
+    load = fields[7]
+    cold, vms = 8, 7
+    assert (load[vms], load[cold]) == (3, {})
+    fields[7] = load[:cold]
+    read = decode_notice(msgspec.msgpack.encode(fields))
+    assert read == notice
+
+
+def test_fields_that_are_not_known_yet_are_skipped() -> None:
+    notice = Notice(Direction.TO_PARENT, 1, 1, 'fd-1', load=LoadPart(vms=3))
+    fields = msgspec.msgpack.decode(encode_notice(notice))
+    fields[7].append({'5': 1})
+    assert decode_notice(msgspec.msgpack.encode(fields)) == notice
+
+
 def test_outstanding_work_of_all_vms_is_known_and_vanishes() -> None:
     network = notice_network(3, 12)
     for counts in network.counts.values():
--- a/primroserudder/fleet/model.py
+++ b/primroserudder/fleet/model/configuration.py
@@ -1,14 +1,13 @@
-"""Data model of the fleet: configuration, engines and groups.
+"""The operators' configuration: routes, services, models and workspaces.
 
 Explanation
 ===========
-The platform adapter decodes its rows into these types, and all decisions are
-made on them. Times are in seconds unless a name gives another unit.
+Times are in seconds unless a name gives another unit.
 """
 
 import enum
 from collections.abc import Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 
 class RequestKind(enum.StrEnum):
@@ -29,7 +28,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Route:
-    """Routing rules and limits for one host and path prefix."""
+    """Routing rules and limits for one host and path prefix.
+
+    Explanation
+    ===========
+    ``regions`` are the regions that its requests are bound to, ``None`` if to
+    none.
+    """
 
     name: str
     host: str
@@ -43,6 +48,7 @@
     max_attempts: int = 1
     is_anonymous: bool = False
     is_resumable: bool = False
+    regions: frozenset[str] | None = None
 
     @property
     def may_repeat(self) -> bool:
@@ -116,19 +122,40 @@
 
 @dataclass(frozen=True, slots=True)
 class Service:
-    """An upstream service; ``engine`` is set if groups serve its models."""
+    """An upstream service; ``engine`` is set if groups serve its models.
+
+    Explanation
+    ===========
+    For ``cold_start_s`` after its start an engine is cold and takes
+    ``cold_per_s`` requests a second from all VMs together. Zero for either
+    means that engines need no such care.
+    """
 
     name: str
     connection_limit: int
     engine: EngineSpec | None = None
+    cold_start_s: float = 0
+    cold_per_s: float = 0
+
+    @property
+    def limits_cold_engines(self) -> bool:
+        """Return whether cold engines of the service take fewer requests."""
+        return self.cold_start_s > 0 and self.cold_per_s > 0
 
 
 @dataclass(frozen=True, slots=True)
 class Workspace:
-    """A customer of the system."""
+    """A customer of the system.
+
+    Explanation
+    ===========
+    ``regions`` are the regions that its requests are bound to, ``None`` if to
+    none.
+    """
 
     name: str
     priority: int | None = None
+    regions: frozenset[str] | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -143,7 +170,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Configuration:
-    """One accepted version of the operators' configuration."""
+    """One accepted version of the operators' configuration.
+
+    Explanation
+    ===========
+    ``unreadable_regions`` names the routes and workspaces whose list of regions
+    can't be read, and which therefore are bound to none.
+    """
 
     version: int
     routes_by_host: Mapping[str, tuple[Route, ...]]
@@ -151,87 +184,4 @@
     workspaces_by_key: Mapping[str, Workspace]
     has_workspaces: bool
     limits: CallerLimits = CallerLimits()
-
-
-class GroupState(enum.StrEnum):
-    """State of an engine within its group."""
-
-    JOINING = 'joining'
-    READY = 'ready'
-    OPEN = 'open'
-    CLOSING = 'closing'
-    BROKEN = 'broken'
-
-
-@dataclass(frozen=True, slots=True)
-class Membership:
-    """The group that an engine reports to be in; rank 0 is the head."""
-
-    group: str
-    epoch: int
-    rank: int
-    state: GroupState
-
-
-@dataclass(frozen=True, slots=True)
-class Engine:
-    """An engine as the platform's list shows it.
-
-    Explanation
-    ===========
-    ``born_ms`` is the engine's start time, which distinguishes a restarted
-    engine from the previous process with the same id. ``staged`` names the
-    models whose weights are on the engine's host.
-    """
-
-    engine_id: str
-    service: str
-    address: str
-    failure_domain: str
-    slots: int
-    is_draining: bool = False
-    fabric_domain: str = ''
-    staged: tuple[str, ...] = ()
-    membership: Membership | None = None
-    born_ms: int = 0
-
-
-@dataclass(frozen=True, slots=True)
-class Formation:
-    """A group as claimed in the store; the first member is the head.
-
-    Explanation
-    ===========
-    A formation with a single member, for a model that needs more, is a
-    standby: it keeps the model in memory and never serves requests.
-    """
-
-    name: str
-    epoch: int
-    model: str
-    members: tuple[str, ...]
-
-    @property
-    def head(self) -> str:
-        """Return the id of the member that takes requests."""
-        return self.members[0]
-
-
-@dataclass(frozen=True, slots=True)
-class Target:
-    """A destination of requests: an open group's head or a plain engine.
-
-    Explanation
-    ===========
-    ``born_ms`` is the start time of the engine that takes the requests.
-    ``is_router`` is true for another router, which takes them to an engine.
-    """
-
-    engine_id: str
-    address: str
-    failure_domain: str
-    slots: int
-    group: str = ''
-    members: tuple[str, ...] = field(default=())
-    born_ms: int = 0
-    is_router: bool = False
+    unreadable_regions: tuple[str, ...] = ()
--- a/primroserudder/fleet/router.py
+++ b/primroserudder/fleet/router.py
@@ -19,7 +19,7 @@
 )
 from .crashes.quarantine import Quarantine
 from .crashes.strikestore import StrikeStore
-from .enginelimits import LimitGate, LimitRegistry
+from .enginelimits import LimitGate, build_limit_gate
 from .forwarding import Forwarder, RouterPort
 from .forwarding.assembly import build_forwarder
 from .health import TargetHealth
@@ -34,6 +34,7 @@
     build_exchange,
     short_key,
 )
+from .memory import ConnectionWatch, build_watch
 from .poolmeter import PoolMeter
 from .ports import Ports
 from .relayedtables import RelayedTableSource
@@ -44,6 +45,7 @@
 from .site_view import SiteView
 from .supervision import Supervisor
 from .tablerelay import TableRelay
+from .upgrades import build_name
 
 # The balancer checks health once a second and acts after two equal results.
 # What is taken later has too little of the grace period left to end.
@@ -86,6 +88,7 @@
     pool_meter: PoolMeter = field(init=False)
     strike_store: StrikeStore = field(init=False)
     ports: Ports = field(init=False)
+    watch: ConnectionWatch = field(init=False)
     silent_head_detector: SilentHeadDetector = field(init=False)
     supervisor: Supervisor = field(init=False)
     _is_stopping: bool = False
@@ -94,7 +97,9 @@
     async def start(self) -> None:
         """Open the ports and start to follow the store's tables."""
         self._assemble()
-        self.log.note('start', domain=self.settings.failure_domain)
+        self.log.note(
+            'start', domain=self.settings.failure_domain, build=build_name()
+        )
         await self.ports.open()
         await self.exchange.start()
         self.supervisor.start(
@@ -112,6 +117,7 @@
             self.registry.run(),
             self.forwarder.reach.run(),
             self.forwarder.peers.run(),
+            self.watch.run(),
         )
 
     async def stop(self) -> None:
@@ -163,8 +169,16 @@
             'places': self.pool_meter.dump(),
             'running': dict(self.in_flight_counts.running_by_engine),
             'limits': self.limits.dump(),
+            'evacuated': self.view.evacuations.dump(
+                self.view.directory.engines_by_id.values()
+            ),
+            'cold_engines': self.limits.cold.dump(),
+            'cold_looks_held_back': self.limits.cold.held_back,
             'costs': self.server.slots.costs.costs.dump(),
             'peers': sorted(self.exchange.links.by_address),
+            'build': build_name(),
+            'builds': self.registry.builds(),
+            'notice_formats': self.exchange.links.formats(),
             'store_reachable': self.view.engines.is_reachable,
             'store_era': self.view.store_era(),
             'strikes': self.server.quarantine.strikes.shared(),
@@ -175,6 +189,7 @@
             ],
             'lease_held': self.lease.is_held(),
             'groups': sorted(tenure.groups_by_name) if tenure else [],
+            'memory': self.watch.dump(),
             'log_lines_dropped': self.log.dropped,
             'requests': self.ports.handler.endings.dump(),
             'violations': self.ports.handler.invariants.dump(),
@@ -185,6 +200,7 @@
         settings = self.settings
         self.log = DecisionLog(settings.node, self.clock)
         self.supervisor = Supervisor(self.log)
+        self.watch = build_watch(settings.memory_mb, self.log, self.metrics)
         store = PlatformStore(settings.store)
         self.store = store
         context = RouterContext(
@@ -208,15 +224,17 @@
             self.log,
             self._feed_pause_s,
             self._on_view_change,
+            self._traffic_seen.is_set,
         )
         peers = PeerAddresses(
             settings.exchange_endpoint, settings.failure_domain, settings.speed
         )
-        self.limits = LimitGate(
-            LimitRegistry(self.clock),
+        self.limits = build_limit_gate(
             self.in_flight_counts,
             self.clock,
             peers.count,
+            self.view.cold_engines,
+            self.metrics,
         )
         self.exchange = build_exchange(
             settings.exchange_address,
@@ -231,11 +249,17 @@
                 self.limits.looks_by_key,
                 self.limits.registry.news,
                 self.limits.registry.merge,
+                self.limits.cold.cold_by_key,
             ),
         )
         self.exchange.listeners.append(self._on_facts)
         self.registry = NodeRegistry(
-            store, peers, self.view.nodes, self.log, settings.node
+            store,
+            peers,
+            self.view.nodes,
+            self.log,
+            settings.node,
+            build_name(),
         )
         health = TargetHealth(self.clock)
         self.forwarder = build_forwarder(
@@ -248,6 +272,7 @@
             self._traffic_seen.is_set,
             self.exchange,
             self.forwarder,
+            self.in_flight_counts,
         )
         self.pool_meter = PoolMeter(
             self.view.directory,
@@ -256,6 +281,7 @@
             self.clock,
             self.log,
             self.lease.is_held,
+            self.view.evacuations,
         )
         self.server = assemble_server(
             context,
@@ -294,6 +320,7 @@
             self.log,
             self.metrics,
             self._traffic_seen.set,
+            self.watch,
         )
         relay = TableRelay(
             self.view.followers_by_table,
@@ -316,6 +343,8 @@
         )
 
     def _on_view_change(self) -> None:
+        if self.view.evacuations.domains:
+            self.server.slots.refuse_waiting()
         self.server.slots.grant_free_slots()
         self.control_plane.reconciler.wake.set()
 
--- a/primroserudder/fleet/serverassembly.py
+++ b/primroserudder/fleet/serverassembly.py
@@ -13,9 +13,11 @@
 from .crashes.quarantine import Quarantine
 from .engine_signals import EngineSignalHandler
 from .enginelimits import LimitGate
+from .evacuation.guard import EvacuationGuard
 from .forwarding import Forwarder
 from .health import TargetHealth
 from .membership import InFlightCounts
+from .regions import RegionMap
 from .retries import RetryBudgets
 from .serving import Server
 from .site_view import SiteView
@@ -24,6 +26,8 @@
 from .target_selector import TargetSelector
 
 ENGINE_SESSION_TIMEOUT_S = 60.0
+# Some hundred events; a stream whose caller doesn't read holds twice as much.
+ENGINE_BUFFER_BYTES = 16_384
 
 
 @dataclass(frozen=True, slots=True)
@@ -67,7 +71,6 @@
         control.is_lease_held,
     )
     retry_settings = context.settings.repeats
-    session = open_session(ENGINE_SESSION_TIMEOUT_S, reuses_connections=False)
     costs = CallCosts(
         RequestCosts(
             context.settings.node,
@@ -75,7 +78,13 @@
             context.clock,
             context.metrics,
             context.log,
-        )
+        ),
+        context.settings.choose_by_cost,
+    )
+    session = open_session(
+        ENGINE_SESSION_TIMEOUT_S,
+        reuses_connections=False,
+        buffer_bytes=ENGINE_BUFFER_BYTES,
     )
     selector = TargetSelector(
         context.settings.failure_domain,
@@ -85,6 +94,12 @@
         limits,
         forwarder,
         control.broken_groups,
+        view.evacuations,
+        RegionMap(
+            context.settings.regions_by_domain,
+            context.settings.failure_domain,
+            context.settings.region,
+        ),
         costs,
     )
     charger = RetryCharger(
@@ -92,7 +107,7 @@
             retry_settings.ratio, retry_settings.extra, retry_settings.window_s
         ),
         context.clock,
-        limits.known_vms,
+        limits.site_size.known_vms,
     )
     slots = SlotQueues(in_flight_counts, context.clock, limits.note_send, costs)
     return Server(
@@ -114,6 +129,7 @@
         context.log,
         context.metrics,
         charger,
+        EvacuationGuard(selector, slots, context.metrics),
     )
 
 
--- a/primroserudder/fleet/serving.py
+++ b/primroserudder/fleet/serving.py
@@ -14,13 +14,19 @@
 from .attemptrunner import AttemptRunner
 from .call import Call
 from .crashes.quarantine import Quarantine, Quarantined
+from .evacuation.guard import EvacuationGuard
 from .health import TargetHealth
 from .model import Target
 from .retries import NEVER_RUN, Ending, Step
 from .slotqueues import SlotQueues
 from .streammoves import RetryCharger
 from .target_selector import TargetSelector
-from .waitqueue import RETRY_AFTER_NO_GROUP_S, NoFreeSlot, max_wait_s
+from .waitqueue import (
+    RETRY_AFTER_NO_GROUP_S,
+    NoFreeSlot,
+    keep_waiting,
+    max_wait_s,
+)
 
 # A pause before each retry, so that a momentary fault of an engine or a
 # connection does not use up all tries of a request.
@@ -67,6 +73,7 @@
     log: DecisionLog
     metrics: Metrics
     charger: RetryCharger
+    guard: EvacuationGuard
 
     async def serve(self, call: Call, sink: StreamSink) -> AttemptResult:
         """Serve a request and return the result of its last attempt.
@@ -139,6 +146,19 @@
         self.quarantine.note_send(call, target)
 
     async def _acquire_slot(self, call: Call) -> Target:
+        """Return a target with a slot, to which the request may go now.
+
+        Explanation
+        ===========
+        A target that was reserved or granted before its failure domain was
+        evacuated is given back.
+        """
+        while True:
+            target = await self._take_slot(call)
+            if self.guard.may_send(call, target):
+                return target
+
+    async def _take_slot(self, call: Call) -> Target:
         reserved = call.take_reserved_target()
         if reserved is not None:
             return reserved
@@ -148,16 +168,13 @@
         if has_run:
             # A request that may have run is retried up to its deadline.
             wait_s = call.remaining_s
+        else:
+            self._refuse_without_targets(call)
         if self.selector.is_forwarding(call):
             # The other router knows its engines better.
             return await self.slots.acquire(
                 call, partial(self.selector.find, call), max(wait_s, 0)
             )
-        if not has_run and not self.selector.has_targets(call):
-            raise NoFreeSlot(
-                'no group serves the model',
-                retry_after=RETRY_AFTER_NO_GROUP_S,
-            )
         back_off_s = self.selector.back_off_s(call, self.slots.waiting(call))
         if back_off_s > max(wait_s, 0):
             raise NoFreeSlot(
@@ -165,9 +182,32 @@
                 retry_after=back_off_s,
             )
         return await self.slots.acquire(
-            call, partial(self.selector.find, call), wait_s
+            call,
+            partial(self.selector.find, call),
+            wait_s,
+            keep_waiting if has_run else partial(self.guard.refusal, call),
         )
 
+    def _refuse_without_targets(self, call: Call) -> None:
+        """Refuse a request that no target is left for.
+
+        Raises
+        ======
+        NoFreeSlot
+            All targets are evacuated, in other regions or gone.
+        """
+        refusal = self.guard.refusal(call)
+        if refusal is not None:
+            raise refusal
+        if self.selector.is_forwarding(call):
+            reason = 'no router in the allowed regions reaches engines'
+            is_possible = self.selector.has_routers(call)
+        else:
+            reason = 'no group serves the model'
+            is_possible = self.selector.has_targets(call)
+        if not is_possible:
+            raise NoFreeSlot(reason, retry_after=RETRY_AFTER_NO_GROUP_S)
+
     async def _attempt(
         self,
         call: Call,
--- a/primroserudder/fleet/settings.py
+++ b/primroserudder/fleet/settings.py
@@ -2,7 +2,7 @@
 
 from typing import Annotated
 
-from pydantic import BaseModel, ConfigDict, Field
+from pydantic import BaseModel, ConfigDict, Field, field_validator
 
 Address = Annotated[str, Field(pattern=r'^[0-9.]+:\d{1,5}$')]
 METRICS_PORT = 9464
@@ -17,6 +17,8 @@
 DEFAULT_RETRY_RATIO = 0.2
 DEFAULT_EXTRA_RETRIES = 20.0
 DEFAULT_LINK_MBPS = 1000.0
+# The smallest VM that is specified.
+DEFAULT_MEMORY_MB = 152.0
 
 
 class _FrozenSettings(BaseModel):
@@ -36,6 +38,10 @@
 
     Parameters
     ==========
+    region : str
+        Region of the VM.
+    regions_by_domain : dict
+        Region of each failure domain.
     inner_ports : tuple of int
         First and last port reserved for traffic between routers.
     stall_ms : float
@@ -51,12 +57,18 @@
         the products do.
     link_mbps : float
         Rate of the VM's link, in megabits per second.
+    choose_by_cost : bool
+        Whether engines whose times the configuration states are chosen by the
+        expected time to the first event, and not by their slots in use.
+    memory_mb : float
+        Memory limit of the VM, in megabytes.
     """
 
     node: str = Field(min_length=1)
     ip: str = Field(pattern=r'^[0-9.]+$')
     failure_domain: str = Field(min_length=1)
     region: str = ''
+    regions_by_domain: dict[str, str] = {}
     callers: Address
     readiness: Address
     inner_ports: tuple[int, int]
@@ -68,7 +80,9 @@
     cpu_share: float = Field(default=1, gt=0)
     core_speed: float = Field(default=1, gt=0)
     link_mbps: float = Field(default=DEFAULT_LINK_MBPS, gt=0)
+    memory_mb: float = Field(default=DEFAULT_MEMORY_MB, gt=0)
     metrics_port: int = Field(default=METRICS_PORT, gt=0, le=MAX_PORT)
+    choose_by_cost: bool = False
     log_level: str = Field(
         default='INFO', pattern='^(DEBUG|INFO|WARNING|ERROR)$'
     )
@@ -98,3 +112,9 @@
     def exchange_endpoint(self) -> str:
         """Return the exchange address as ``host:port``."""
         return f'{self.ip}:{self.inner_ports[0]}'
+
+    @field_validator('regions_by_domain', mode='before')
+    @classmethod
+    def _default_regions(cls, regions_by_domain: object) -> object:
+        """Take a missing map for an empty one: platforms may have none."""
+        return regions_by_domain or {}
--- a/primroserudder/fleet/slotqueues.py
+++ b/primroserudder/fleet/slotqueues.py
@@ -1,4 +1,4 @@
-"""The queues of requests that wait for slots, one for each pool."""
+"""The queues of requests that wait for slots, by pool and regions."""
 
 from dataclasses import dataclass, field
 
@@ -7,7 +7,10 @@
 from .cost.calls import CallCosts
 from .membership import InFlightCounts
 from .model import Target
-from .waitqueue import FindTarget, NoteSend, WaitQueue
+from .regions.rules import Regions
+from .waitqueue import FindTarget, NoteSend, Refuse, WaitQueue, keep_waiting
+
+QueueKey = tuple[str, Regions | None]
 
 
 @dataclass(slots=True)
@@ -47,10 +50,14 @@
     clock: Clock
     note_send: NoteSend
     costs: CallCosts
-    queues_by_pool: dict[str, WaitQueue] = field(default_factory=dict)
+    queues_by_pool: dict[QueueKey, WaitQueue] = field(default_factory=dict)
 
     async def acquire(
-        self, call: Call, find: FindTarget, max_wait_s: float
+        self,
+        call: Call,
+        find: FindTarget,
+        max_wait_s: float,
+        refuse: Refuse = keep_waiting,
     ) -> Target:
         """Return a target with a slot for a request.
 
@@ -67,8 +74,8 @@
         rank = (0 if has_run else 1, float(call.destination.priority))
         noted_find = _NotedFind(call, find, self.costs)
         try:
-            return await self._queue(call.pool).acquire(
-                noted_find, rank, max_wait_s
+            return await self._queue(call).acquire(
+                noted_find, rank, max_wait_s, refuse
             )
         except BaseException:
             # A slot that was granted as the caller left is released by now.
@@ -82,7 +89,7 @@
     def release(self, call: Call, target: Target) -> None:
         """Release a request's slot and assign it to the next request."""
         self.costs.end(call, target)
-        self._queue(call.pool).release(target)
+        self._queue(call).release(target)
 
     def release_reserved(self, call: Call) -> None:
         """Release the slot that a request reserved and did not use."""
@@ -95,11 +102,24 @@
         for queue in self.queues_by_pool.values():
             queue.grant_free_slots()
 
-    def _queue(self, pool: str) -> WaitQueue:
-        queue = self.queues_by_pool.get(pool)
+    def refuse_waiting(self) -> None:
+        """Refuse the waiting requests that no target is left for."""
+        for queue in self.queues_by_pool.values():
+            queue.refuse_waiting()
+
+    def _queue(self, call: Call) -> WaitQueue:
+        """Return the queue of a request's pool and regions.
+
+        Explanation
+        ===========
+        In one queue, a request whose regions have no free slot would hold up
+        those behind it that may go elsewhere.
+        """
+        key = call.pool, call.regions
+        queue = self.queues_by_pool.get(key)
         if queue is None:
             queue = WaitQueue(
-                pool, self.in_flight_counts, self.clock, self.note_send
+                call.pool, self.in_flight_counts, self.clock, self.note_send
             )
-            self.queues_by_pool[pool] = queue
+            self.queues_by_pool[key] = queue
         return queue
--- a/primroserudder/fleet/streammoves.py
+++ b/primroserudder/fleet/streammoves.py
@@ -85,7 +85,11 @@
         chosen = await self._wait_for_slot(call, target, running)
         if chosen is None:
             return False
-        is_allowed = not running.done() and self._may_leave(call)
+        is_allowed = (
+            not running.done()
+            and self._may_leave(call)
+            and self.selector.evacuations.may_send(chosen)
+        )
         if not is_allowed or not self.charger.try_pay(call):
             self.slots.release(call, chosen)
             return False
@@ -93,6 +97,9 @@
         return True
 
     def _may_leave(self, call: Call) -> bool:
+        if call.is_caller_blocked():
+            # Another engine would run for a caller that doesn't read.
+            return False
         is_retry_allowed = call.retry_state.may_leave_attempt(call.remaining_s)
         return is_retry_allowed and not self.quarantine.is_refused(call)
 
--- a/primroserudder/fleet/target_selector.py
+++ b/primroserudder/fleet/target_selector.py
@@ -8,10 +8,17 @@
 from .cost.calls import CallCosts
 from .directory import Directory
 from .enginelimits import LimitGate
+from .evacuation import Evacuations
 from .forwarding import Forwarder
 from .health import TargetHealth
 from .membership import short_key
 from .model import Target
+from .regions import RegionMap
+from .regions.rules import Regions
+
+# Name of the pool of other routers; pools of engines have a slash.
+ROUTERS = 'routers'
+PoolKey = tuple[str, Regions | None]
 
 
 @dataclass(frozen=True, slots=True)
@@ -38,6 +45,15 @@
         )
 
 
+@dataclass(frozen=True, slots=True)
+class _SplitPool:
+    """A pool, and the lists from which it was made."""
+
+    listed: Sequence[Target]
+    evacuated: frozenset[str]
+    pool: TargetPool
+
+
 @dataclass(slots=True)
 class TargetSelector:
     """Selects targets by cost or load and by what is known of their health.
@@ -55,8 +71,10 @@
     limits: LimitGate
     forwarder: Forwarder
     broken_groups: Callable[[], Collection[int]]
+    evacuations: Evacuations
+    regions: RegionMap
     costs: CallCosts
-    _pools: dict[str, TargetPool] = field(default_factory=dict)
+    _pools: dict[PoolKey, _SplitPool] = field(default_factory=dict)
 
     def has_targets(self, call: Call) -> bool:
         """Return whether an intact target serves a request's model."""
@@ -64,6 +82,17 @@
         targets = self._pool(call).targets
         return any(_is_intact(target, broken) for target in targets)
 
+    def is_evacuated(self, call: Call) -> bool:
+        """Return whether evacuations leave a request no target."""
+        if not self.evacuations.domains or self.has_targets(call):
+            return False
+        broken = self.broken_groups()
+        return any(_is_intact(target, broken) for target in self._listed(call))
+
+    def has_routers(self, call: Call) -> bool:
+        """Return whether a request may be forwarded to any other router."""
+        return bool(self._routers(call).targets)
+
     def is_forwarding(self, call: Call) -> bool:
         """Return whether a request goes to another router now."""
         return self.forwarder.is_active and not call.is_forwarded
@@ -83,7 +112,7 @@
         others.
         """
         is_forwarding = self.is_forwarding(call)
-        pool = self.forwarder.pool() if is_forwarding else self._pool(call)
+        pool = self._routers(call) if is_forwarding else self._pool(call)
         broken = self.broken_groups()
         cut_off = self._cut_off_domains(pool, broken)
         tried = {leaving, *call.tried_engines}
@@ -110,10 +139,10 @@
 
         Explanation
         ===========
-        Targets ask for a pause, or are at the limits that they named.
+        Targets ask for a pause, or are at limits that they named or that hold
+        while they are cold.
         """
-        has_limits = not self.limits.registry.is_empty()
-        if not self.health.backing_off_until and not has_limits:
+        if not self.health.backing_off_until and not self.limits.has_limits():
             return 0
         broken = self.broken_groups()
         intact = [
@@ -132,15 +161,44 @@
         return min(back_offs_s, default=0)
 
     def _pool(self, call: Call) -> TargetPool:
-        """Return the pool of a request, split once for each list of targets."""
-        targets: Sequence[Target] = self.directory.targets(
+        """Return the targets that a request is not barred from."""
+        return self._split(call.pool, self._listed(call), call.regions)
+
+    def _listed(self, call: Call) -> Sequence[Target]:
+        return self.directory.targets(
             call.destination.service, call.metadata.model
         )
-        pool = self._pools.get(call.pool)
-        if pool is None or pool.targets is not targets:
-            pool = split_pool(targets, self.failure_domain)
-            self._pools[call.pool] = pool
-        return pool
+
+    def _routers(self, call: Call) -> TargetPool:
+        """Return the routers that may get a request's body."""
+        pool = self.forwarder.pool()
+        if call.regions is None:
+            return pool
+        return self._split(ROUTERS, pool.targets, call.regions)
+
+    def _split(
+        self, name: str, targets: Sequence[Target], regions: Regions | None
+    ) -> TargetPool:
+        """Return a pool without evacuated domains and other regions.
+
+        Explanation
+        ===========
+        It is split once for each list of targets, set of evacuated domains and
+        list of regions, so that they cost a request two comparisons.
+        """
+        evacuated = self.evacuations.domains
+        known = self._pools.get((name, regions))
+        if (
+            known is None
+            or known.listed is not targets
+            or known.evacuated is not evacuated
+        ):
+            usable = self.evacuations.usable(targets)
+            inside = self.regions.inside(usable, regions)
+            pool = split_pool(inside, self.failure_domain)
+            known = _SplitPool(targets, evacuated, pool)
+            self._pools[name, regions] = known
+        return known.pool
 
     def _cut_off_domains(
         self, pool: TargetPool, broken: Collection[int]
--- a/primroserudder/fleet/tests/test_tablerelay.py
+++ b/primroserudder/fleet/tests/test_tablerelay.py
@@ -4,6 +4,7 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
+from typing import Any
 
 import pytest
 from aiohttp import ClientSession, web
@@ -161,6 +162,21 @@
         assert pair.tables.relayed_reads == 1
 
 
+async def test_relay_stays_in_use_after_the_newest_row_was_removed() -> None:
+    # All rows that are left are older than one that was read before.
+    async with _relay_and_router() as pair:
+        pair.standin.rows.put('things', 'a', {'number': 1})
+        pair.standin.rows.put('things', 'b', {'number': 2})
+        await asyncio.sleep(0.1)
+        began_at = pair.tables.source_changed_at
+        await pair.tables.read_table('things')
+        pair.standin.rows.remove('things', 'b')
+        await asyncio.sleep(0.1)
+        page = await pair.tables.read_table('things')
+        assert [row.key for row in page.rows] == ['things/a']
+        assert pair.tables.source_changed_at == began_at
+
+
 async def test_relay_with_a_lower_store_version_stays_in_use() -> None:
     # Changes of other tables raise the store's version too, so a lower version
     # does not mean that the relay lacks changes of this table.
@@ -274,3 +290,38 @@
             await pair.tables.read_table('things')
             assert peer.connections == 1
         assert pair.tables.relayed_reads == 0
+
+
+async def test_waiting_queries_share_one_timer(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A timer for each long poll woke routers at rest 40 times a second."""
+    loop = asyncio.get_running_loop()
+    scheduled: list[float] = []
+    call_at = loop.call_at
+
+    def counted(when: float, *args: Any, **options: Any) -> asyncio.TimerHandle:
+        scheduled.append(when)
+        return call_at(when, *args, **options)
+
+    async with _relay_and_router(LONG_WAIT_S) as pair:
+        table = await pair.tables.read_table('things')
+        monkeypatch.setattr(loop, 'call_at', counted)
+        queries = [
+            pair.tables.changes('things', table.version, 1) for _ in range(8)
+        ]
+        await asyncio.gather(*queries)
+    # Ten checks a second, and for each query the timeouts of both sides.
+    assert len(scheduled) < 10 + 8 * 6
+
+
+async def test_outage_of_the_store_ends_waiting_queries() -> None:
+    async with _relay_and_router(LONG_WAIT_S) as pair:
+        table = await pair.tables.read_table('things')
+        waiting = asyncio.ensure_future(
+            pair.follower.wait_for_change(table.version, LONG_WAIT_S)
+        )
+        await asyncio.sleep(0)
+        pair.follower._note_outage(PlatformUnavailable('the store is away'))
+        async with asyncio.timeout(1):
+            await waiting
--- a/primroserudder/platform/configuration.py
+++ b/primroserudder/platform/configuration.py
@@ -26,6 +26,7 @@
 )
 from ..process.settings import describe
 from .enginetimes import EngineTimesFields
+from .regionlist import BoundPart, decode_regions, unreadable_names
 
 MILLISECONDS_PER_SECOND = 1000
 _KINDS = MappingProxyType(
@@ -57,8 +58,7 @@
     weight: float = Field(alias='Weight', default=1)
 
 
-class _Route(_Wire):
-    name: str = Field(alias='Name', default='')
+class _Route(BoundPart):
     host: str = Field(alias='Host')
     prefix: str = Field(alias='Prefix')
     kind: str = Field(alias='RouteKind')
@@ -98,9 +98,13 @@
     name: str = Field(alias='Name')
     connections: int = Field(alias='MaxConns', default=0)
     engine: _Engine | None = Field(alias='Engine', default=None)
+    # For how long an engine is cold, and the requests a second that it takes
+    # meanwhile.
+    cold_start_s: float = Field(alias='ColdStartS', default=0)
+    cold_per_s: float = Field(alias='ColdPerS', default=0)
 
 
-class _Tenant(_Wire):
+class _Tenant(BoundPart):
     name: str = Field(alias='Name')
     keys: tuple[str, ...] = Field(alias='ApiKeys', default=())
     priority: int | None = Field(alias='Priority', default=None)
@@ -142,7 +146,9 @@
     except ValidationError as invalid:
         raise UnreadableConfiguration(describe(invalid)) from invalid
     workspaces = {
-        key: Workspace(tenant.name, tenant.priority)
+        key: Workspace(
+            tenant.name, tenant.priority, decode_regions(tenant.regions)
+        )
         for tenant in document.tenants or ()
         for key in tenant.keys
     }
@@ -161,6 +167,9 @@
             limits.header_ms / MILLISECONDS_PER_SECOND,
             limits.idle_ms / MILLISECONDS_PER_SECOND,
         ),
+        unreadable_regions=unreadable_names(
+            (*document.routes, *(document.tenants or ()))
+        ),
     )
 
 
@@ -195,6 +204,7 @@
         max_attempts=route.attempts,
         is_anonymous=route.is_anonymous,
         is_resumable=route.is_resumable,
+        regions=decode_regions(route.regions),
     )
 
 
@@ -220,4 +230,10 @@
             loads_at_once=engine.loads_at_once,
             times=engine.engine_times(),
         )
-    return Service(service.name, service.connections, spec)
+    return Service(
+        service.name,
+        service.connections,
+        spec,
+        service.cold_start_s,
+        service.cold_per_s,
+    )
--- a/primroserudder/testing/platformsite.py
+++ b/primroserudder/testing/platformsite.py
@@ -25,12 +25,30 @@
 KEY = 'key-of-north'
 WORKSPACE = 'north'
 NO_FIELDS: Mapping[str, str] = MappingProxyType({})
+NO_CHANGES: Mapping[str, object] = MappingProxyType({})
 POLL_INTERVAL_S = 0.01
 GROUP_SIZE = 2
+FAILURE_DOMAIN = 'fd-1'
+SLOTS = 4
+TIMEOUT_MS = 4000
+OBJECTIVE_MS = 400
 PORTS = range(10_000, 30_000)
 PORT_STEP = 1009
 # Longer than the notice that a stopping router gives.
 GRACE_S = 5
+# The process of a test holds the callers and engines too.
+MEMORY_MB = 4000
+
+
+@dataclass(frozen=True, slots=True)
+class RouteTimes:
+    """Times of the route of streams, in milliseconds."""
+
+    timeout_ms: int = TIMEOUT_MS
+    objective_ms: int = OBJECTIVE_MS
+
+
+USUAL_TIMES = RouteTimes()
 
 
 @dataclass(slots=True)
@@ -101,15 +119,22 @@
             await asyncio.sleep(POLL_INTERVAL_S)
 
 
-def configuration(version: int = 1, **changes: object) -> Mapping[str, object]:
+def configuration(
+    version: int = 1,
+    *,
+    slots: int = SLOTS,
+    timeout_ms: int = TIMEOUT_MS,
+    objective_ms: int = OBJECTIVE_MS,
+    **changes: object,
+) -> Mapping[str, object]:
     """Return a configuration in the format that operators submit."""
     stream = {
         'Name': 'notes',
         'Host': HOST,
         'Prefix': '/notes/',
         'RouteKind': 'streaming',
-        'TimeoutMs': 4000,
-        'SloMs': 400,
+        'TimeoutMs': timeout_ms,
+        'SloMs': objective_ms,
         'Service': 'model',
         'MaxAttempts': 3,
         'Resumable': True,
@@ -139,7 +164,7 @@
         'WarmS': 0.02,
     }
     engine = {
-        'Slots': 4,
+        'Slots': slots,
         'Models': [model],
         'LoadsPerS': 100,
         'loads_at_once': 8,
@@ -163,8 +188,19 @@
     routers: int = 1,
     *,
     is_configured: bool = True,
+    domains: Sequence[str] = (FAILURE_DOMAIN,),
+    slots: int = SLOTS,
+    times: RouteTimes = USUAL_TIMES,
+    router_changes: Mapping[str, object] = NO_CHANGES,
 ) -> AsyncIterator[PlatformSite]:
-    """Run a site; its engines are listed and its routers are started."""
+    """Run a site; its engines are listed and its routers are started.
+
+    Parameters
+    ==========
+    domains : Sequence of str
+        Failure domains of the engines, in turn. The engines of each have one
+        fabric domain.
+    """
     site = PlatformSite(TableStore())
     async with AsyncExitStack() as stack:
         site.session = await stack.enter_async_context(
@@ -172,11 +208,26 @@
         )
         site.store_address = await _serve(stack, site.store.app())
         if is_configured:
-            site.store.rows.put('op', 'config', configuration())
+            site.store.rows.put(
+                'op',
+                'config',
+                configuration(
+                    slots=slots,
+                    timeout_ms=times.timeout_ms,
+                    objective_ms=times.objective_ms,
+                ),
+            )
         for number in range(engines + plain):
-            await _add_engine(stack, site, number, is_plain=number >= engines)
+            await _add_engine(
+                stack,
+                site,
+                number,
+                slots,
+                domains[number % len(domains)],
+                is_plain=number >= engines,
+            )
         for number in range(routers):
-            await _add_router(stack, site, number)
+            await _add_router(stack, site, number, router_changes)
         yield site
 
 
@@ -184,10 +235,20 @@
     stack: AsyncExitStack,
     site: PlatformSite,
     number: int,
+    slots: int,
+    domain: str,
     *,
     is_plain: bool,
 ) -> None:
-    engine = GroupEngine(f'i-{number}', '', site.store, is_plain=is_plain)
+    engine = GroupEngine(
+        f'i-{number}',
+        '',
+        site.store,
+        domain=f'd-{domain}',
+        failure_domain=domain,
+        is_plain=is_plain,
+        slots=slots,
+    )
     if is_plain:
         engine.service = 'ledger'
     engine.address = await _serve(stack, engine.app())
@@ -199,18 +260,25 @@
     stack: AsyncExitStack,
     site: PlatformSite,
     number: int,
+    changes: Mapping[str, object],
 ) -> None:
     ports = free_ports(5)
-    settings = RouterSettings(
-        node=f'vm-{number}',
-        ip=LOOPBACK,
-        failure_domain='fd-1',
-        callers=f'{LOOPBACK}:{ports[0]}',
-        readiness=f'{LOOPBACK}:{ports[1]}',
-        inner_ports=(ports[2], ports[3]),
-        store=site.store_address,
-        metrics_port=ports[4],
-        grace_s=GRACE_S,
+    settings = RouterSettings.model_validate(
+        {
+            'node': f'vm-{number}',
+            'ip': LOOPBACK,
+            'failure_domain': FAILURE_DOMAIN,
+            'region': 'north',
+            'regions_by_domain': {FAILURE_DOMAIN: 'north', 'fd-2': 'south'},
+            'callers': f'{LOOPBACK}:{ports[0]}',
+            'readiness': f'{LOOPBACK}:{ports[1]}',
+            'inner_ports': (ports[2], ports[3]),
+            'store': site.store_address,
+            'metrics_port': ports[4],
+            'grace_s': GRACE_S,
+            'memory_mb': MEMORY_MB,
+            **changes,
+        }
     )
     router = Router(settings)
     await router.start()
