Let several small groups make way for a large one

A group alone that was smaller than one of the short model made up none, so that engines never went from small groups to a large one unless free ones completed it. Found by a test of the rebalancer, which also covers the time of observation, the pause before a model gives groups away, streams and evacuated domains. The planner takes the fewest groups of a fabric domain that make up another one.

--- a/primroserudder/fleet/rebalancing/conversions.py
+++ b/primroserudder/fleet/rebalancing/conversions.py
@@ -8,6 +8,7 @@
 if its engines can join the other model without a load of weights.
 """
 
+import itertools
 import math
 from collections import Counter
 from collections.abc import Callable, Iterable, Mapping, Sequence
@@ -69,18 +70,18 @@
             for group in groups
             if group.model != self.model.name and group.can_serve(self.model)
         ]
-        remaining.sort(key=lambda group: self.load_of(group.name))
         chosen: list[ServingGroup] = []
         missing = self._missing()
         while missing > 0:
             best = self._best(remaining, counts)
-            if best is None:
+            if not best:
                 break
             missing -= self._gain(best)
-            remaining.remove(best)
-            counts[best.model] -= 1
-            self._ready_by_domain[best.domain] += len(best.engines)
-            chosen.append(best)
+            counts.subtract(group.model for group in best)
+            for group in best:
+                remaining.remove(group)
+                self._ready_by_domain[group.domain] += len(group.engines)
+            chosen.extend(best)
         return chosen
 
     def _missing(self) -> int:
@@ -95,24 +96,58 @@
 
     def _best(
         self, groups: Iterable[ServingGroup], counts: Mapping[str, int]
-    ) -> ServingGroup | None:
-        """Return the first of the groups that give the most others."""
-        candidates = [
-            group
-            for group in groups
-            if self._is_surplus(group.model, counts) and self._gain(group) > 0
+    ) -> Sequence[ServingGroup]:
+        """Return the groups of a fabric domain that make up most others."""
+        by_domain = sorted(groups, key=_domain_of)
+        options = [
+            self._fewest(tuple(same), counts)
+            for _, same in itertools.groupby(by_domain, key=_domain_of)
         ]
-        return max(candidates, key=self._gain, default=None)
+        return max(options, key=self._usefulness, default=())
+
+    def _fewest(
+        self, groups: Iterable[ServingGroup], counts: Mapping[str, int]
+    ) -> Sequence[ServingGroup]:
+        """Return the fewest groups of a domain that make up another one.
+
+        Explanation
+        ===========
+        A large group takes the engines of several small ones.
+        """
+        left = Counter(counts)
+        taken: list[ServingGroup] = []
+        for group in sorted(groups, key=self._load):
+            if self._is_surplus(group.model, left):
+                left[group.model] -= 1
+                taken.append(group)
+            if self._gain(taken) > 0:
+                return taken
+        return ()
+
+    def _usefulness(
+        self, groups: Sequence[ServingGroup]
+    ) -> tuple[int, int, int]:
+        return self._gain(groups), -len(groups), -sum(map(self._load, groups))
+
+    def _load(self, group: ServingGroup) -> int:
+        return self.load_of(group.name)
 
     def _is_surplus(self, model: str, counts: Mapping[str, int]) -> bool:
         wanted = self.balance.wanted_by_model.get(model, 0)
         return counts[model] - 1 >= wanted
 
-    def _gain(self, group: ServingGroup) -> int:
-        """Return how many more groups the engines of a group make up."""
-        before = self._ready_by_domain[group.domain]
+    def _gain(self, groups: Sequence[ServingGroup]) -> int:
+        """Return how many more groups the engines of a domain make up."""
+        if not groups:
+            return 0
+        before = self._ready_by_domain[groups[0].domain]
+        engines = sum(len(group.engines) for group in groups)
         size = self.model.group_size
-        return (before + len(group.engines)) // size - before // size
+        return (before + engines) // size - before // size
+
+
+def _domain_of(group: ServingGroup) -> str:
+    return group.domain
 
 
 def shortest_model(
--- a/primroserudder/fleet/rebalancing/tests/test_conversions.py
+++ b/primroserudder/fleet/rebalancing/tests/test_conversions.py
@@ -71,6 +71,19 @@
     assert [group.name for group in planner.plan(groups)] == ['small.1']
 
 
+def test_two_small_groups_of_a_domain_make_up_a_large_one() -> None:
+    """Each alone makes up none, and the large model would stay short."""
+    groups = serving_groups(SMALL, ('d0', 'd1', 'd1'))
+    planner = ConversionPlanner(
+        LARGE,
+        balance({'small': 3, 'large': 0}, {'small': 1, 'large': 1}),
+        (),
+        lambda _name: 0,
+    )
+    chosen = planner.plan(groups)
+    assert [group.domain for group in chosen] == ['model/d1', 'model/d1']
+
+
 def test_model_that_lacks_the_largest_part_is_served_first() -> None:
     short = balance({'large': 4, 'small': 1}, {'large': 5, 'small': 4})
     assert shortest_model(SPECS, short) is SMALL
