--- a/primroserudder/fleet/tablerelay.py
+++ b/primroserudder/fleet/tablerelay.py
@@ -15,6 +15,8 @@
 from .errorresponse import error_response
 from .relaymessages import PATH, encode_table
 
+# A shorter wait may be lost in the clock's rounding and never end.
+MIN_CHECK_S = 0.001
 # The longest that another router may wait for a change.
 MAX_WAIT_S = 60.0
 CATCH_UP_INTERVAL_S = 0.02
@@ -65,7 +67,8 @@
             while not waiting.done() and self._is_current(follower):
                 # A timer for each query and check would wake a relay with
                 # many children hundreds of times a second.
-                await asyncio.wait((waiting,), timeout=self._fresh_s(follower))
+                fresh_s = max(self._fresh_s(follower), MIN_CHECK_S)
+                await asyncio.wait((waiting,), timeout=fresh_s)
         if not self._is_current(follower):
             return web.Response(status=HTTPStatus.SERVICE_UNAVAILABLE)
         return web.Response(
