--- a/primroserudder/programs/router.py
+++ b/primroserudder/programs/router.py
@@ -18,7 +18,7 @@
     Imports take most of the router's start-up time. SIGHUP would end the
     process during that time, so it is ignored before the imports. The router
     opens no TLS connections; the HTTP library would load the CA certificates
-    on import, which takes a fifth of the start-up time.
+    on import, which makes the start longer.
     """
     os.environ[CA_FILE_VARIABLE] = os.devnull
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
--- a/primroserudder/request/__init__.py
+++ b/primroserudder/request/__init__.py
@@ -3,5 +3,5 @@
 Explanation
 ===========
 Names are imported from the modules and not from here. ``rudder-router`` uses
-``dispatch`` alone; with the others its start would take a fifth longer.
+``dispatch`` alone; importing the others would make its start longer.
 """
