--- a/review/common/site.py
+++ b/review/common/site.py
@@ -10,6 +10,7 @@
 import json
 import os
 import pathlib
+import resource
 import shutil
 import signal
 import socket
@@ -189,13 +190,15 @@
 class RouterProcess:
     """One router, started as the deploy file says."""
 
-    def __init__(self, name, zone, store_address, folder, **changes):
+    def __init__(self, name, zone, store_address, folder, max_fds=0, **changes):
         self.name = name
         self.callers = f'{LOOPBACK}:{free_port()}'
         self.readiness = f'{LOOPBACK}:{free_port()}'
         self.folder = folder
         self.process = None
         self.starts = 0
+        # Limit of descriptors, as the platform sets it; the user's if zero.
+        self.max_fds = max_fds
         self.settings = {
             'node': name,
             'ip': LOOPBACK,
@@ -233,11 +236,21 @@
                 str(path),
                 stdout=output,
                 stderr=asyncio.subprocess.STDOUT,
+                preexec_fn=self._limit_descriptors,
             )
 
+    def _limit_descriptors(self):
+        if self.max_fds:
+            limits = (self.max_fds, self.max_fds)
+            resource.setrlimit(resource.RLIMIT_NOFILE, limits)
+
+    def is_running(self):
+        """Return whether the process was started and has not ended."""
+        return self.process is not None and self.process.returncode is None
+
     def send(self, number):
         """Send a signal to the process, if it runs."""
-        if self.process is not None and self.process.returncode is None:
+        if self.is_running():
             self.process.send_signal(number)
 
     async def wait_until_ready(self, session):
@@ -274,6 +287,7 @@
         self.store = TableStore()
         self.store_address = ''
         self.engines = {}
+        self.members_by_group = {}
         self.routers = []
         self.proxies = []
         self.session = None
