Log what tables are read from whom, and the version behind each 404

Four hypotheses on a configuration that was not in force could not be told apart: no line named the version, or its age, on which a refusal rests, nor how large an answer was that a VM gave up, and since when it arrived.

A refusal for an unknown route or key now names the version and the revision, when they were last confirmed, and for how long another VM has been known to have a newer one. A relay that is left is logged with the table, the bytes that had arrived, since when, and how late the event loop was; whole tables and changes of 16 KB and more that were read get a line of their own.

No decision changes.

--- a/primroserudder/fleet/active_configuration.py
+++ b/primroserudder/fleet/active_configuration.py
@@ -20,6 +20,11 @@
     current: Configuration | None = None
     _refused_row: Row | None = None
 
+    @property
+    def current_version(self) -> int:
+        """Return the version of the active configuration, zero for none."""
+        return 0 if self.current is None else self.current.version
+
     def update(self, row: Row | None) -> bool:
         """Activate the version in a row if it is newer than the current one.
 
@@ -30,7 +35,7 @@
         """
         if row is None or row == self._refused_row:
             return False
-        current_version = 0 if self.current is None else self.current.version
+        current_version = self.current_version
         try:
             decoded = self.decode(row.fields)
         except RudderError as error:
--- a/primroserudder/fleet/callers.py
+++ b/primroserudder/fleet/callers.py
@@ -16,6 +16,7 @@
 from .attempt import AttemptResult, StreamSink
 from .call import Call
 from .callerbody import discard_body
+from .configurationage import ConfigurationAge, age_fields
 from .cutoff import CutOff, Cutoff, stop_error
 from .httpserver import HttpConnection
 from .memory import CallerTooSlow, ConnectionWatch, Holding
@@ -28,6 +29,10 @@
 from .unexpectederror import UnexpectedError, cause_fields
 
 
+def _no_age() -> None:
+    """Tell nothing of the configuration's age."""
+
+
 @dataclass(slots=True)
 class CallerHandler:
     """Reads requests, serves them and sends the responses."""
@@ -38,6 +43,7 @@
     metrics: Metrics
     on_request: Callable[[], None]
     watch: ConnectionWatch
+    configuration_age: Callable[[], ConfigurationAge | None] = _no_age
     invariants: Invariants = field(init=False)
     endings: RequestEndings = field(init=False)
     reader: RequestReader = field(init=False)
@@ -191,6 +197,7 @@
             ran=error.ran.value,
             reason=str(error),
             **cause_fields(error),
+            **age_fields(error, self.configuration_age),
             held_ms=round(held_s * 1000),
             path=served.request.path,
         )
--- a/primroserudder/fleet/relayedtables.py
+++ b/primroserudder/fleet/relayedtables.py
@@ -36,6 +36,7 @@
 from ..process.platform import PlatformUnavailable, Row
 from ..process.tablepages import Change, ChangePage, StoreVersion, TablePage
 from ..process.tables import TableSource
+from .relaying import ReadLog, ReadProgress
 from .relaymessages import PATH, TableMessage
 from .tablerelay import CATCH_UP_TIMEOUT_S
 
@@ -55,6 +56,8 @@
 # behind.
 RELAY_LAG_LIMIT_S = 0.8
 
+# The store as a source, in log lines.
+STORE = 'store'
 # Asks for the whole table.
 START = StoreVersion(0, 0)
 
@@ -97,11 +100,17 @@
     Explanation
     ===========
     A single timer checks all running queries.
+
+    Parameters
+    ==========
+    late_s : float
+        How late that timer was at most, in seconds, since it was last reset.
     """
 
     _condition_by_task: dict[
         'asyncio.Task[TableMessage | None]', Callable[[], bool]
     ] = field(default_factory=dict)
+    late_s: float = 0
     _timer: asyncio.TimerHandle | None = None
 
     async def wait(
@@ -124,6 +133,7 @@
             self._timer = loop.call_later(CHECK_INTERVAL_S, self._check)
 
     def _check(self) -> None:
+        self._note_lateness()
         self._timer = None
         for task, is_wanted in tuple(self._condition_by_task.items()):
             if not is_wanted():
@@ -131,6 +141,11 @@
         if self._condition_by_task:
             self._schedule()
 
+    def _note_lateness(self) -> None:
+        if self._timer is not None:
+            now = asyncio.get_running_loop().time()
+            self.late_s = max(self.late_s, now - self._timer.when())
+
 
 @dataclass(slots=True)
 class RelayedTableSource:
@@ -155,6 +170,7 @@
     relays: Callable[[], Sequence[str]]
     is_settled: Callable[[], bool] = _always
     source_changed_at: float = field(init=False)
+    reads: ReadLog = field(init=False)
     relayed_reads: int = 0
     _failed_at_by_relay: dict[str, float] = field(default_factory=dict)
     _store_failed_at: float = float('-inf')
@@ -167,6 +183,7 @@
     def __post_init__(self) -> None:
         """Count the start as a switch to another source."""
         self.source_changed_at = self.clock.monotonic()
+        self.reads = ReadLog(self.log)
 
     async def close(self) -> None:
         """Close the connections to relays."""
@@ -183,6 +200,18 @@
             if known is None or version > known.version:
                 self._peer_version_by_table[table] = _PeerVersion(version, now)
 
+    def newer_known_s(self, table: str, version: StoreVersion) -> float | None:
+        """Return for how long peers have had a newer row than a version.
+
+        Explanation
+        ===========
+        In seconds, since this VM heard of it; ``None`` if none is known.
+        """
+        known = self._peer_version_by_table.get(table)
+        if known is None or known.version <= version:
+            return None
+        return self.clock.monotonic() - known.at
+
     async def read_table(self, table: str) -> TablePage:
         """Return all rows, never older than rows returned before.
 
@@ -194,7 +223,10 @@
         newest = self._newest_by_table.get(table, START)
         message = await self._query_relays(_TableQuery(table, START, 0, newest))
         if message is None:
+            progress = ReadProgress(self.clock)
             page = await self._from_store(lambda: self.store.read_table(table))
+            read_rows = len(page.rows)
+            self.reads.note_page(table, STORE, START, read_rows, progress)
         else:
             rows = tuple(row.row() for row in message.rows)
             page = TablePage(rows, message.revision, message.era)
@@ -249,10 +281,20 @@
         """Return the answer of the first relay that is up to date, if any."""
         await self._wait_until_settled()
         for relay in self._usable_relays():
-            answer = await self._query_relay(relay, table_query)
+            progress = ReadProgress(self.clock)
+            self._watch.late_s = 0
+            answer = await self._query_relay(relay, table_query, progress)
+            progress.late_s = self._watch.late_s
+            query = table_query
             if isinstance(answer, TableMessage):
+                self.reads.note_page(
+                    query.table, relay, query.since, len(answer.rows), progress
+                )
                 return answer
-            self._mark_failed(relay, answer)
+            self._mark_failed(relay)
+            self.reads.note_left(
+                query.table, relay, query.since, answer, progress
+            )
         return None
 
     async def _wait_until_settled(self) -> None:
@@ -274,12 +316,13 @@
         self,
         relay: str,
         table_query: _TableQuery,
+        progress: ReadProgress,
     ) -> TableMessage | str:
         """Return a relay's answer, or the reason why it can't be used."""
         queried_at = self.clock.monotonic()
         try:
             message = await self._watch.wait(
-                self._fetch(relay, table_query),
+                self._fetch(relay, table_query, progress),
                 lambda: (
                     relay in self.relays()
                     and not self._is_behind(table_query, queried_at)
@@ -330,6 +373,7 @@
         self,
         relay: str,
         table_query: _TableQuery,
+        progress: ReadProgress,
     ) -> TableMessage | None:
         query = {
             'since': str(table_query.since.revision),
@@ -344,14 +388,14 @@
             params=query,
             timeout=timeout,
         ) as answer:
-            body = await read_bounded(answer, MAX_ANSWER_BYTES)
+            progress.note_head()
+            body = await read_bounded(answer, MAX_ANSWER_BYTES, progress.note)
             if answer.status != HTTPStatus.OK:
                 return None
         self.relayed_reads += 1
         return TableMessage.model_validate_json(body)
 
-    def _mark_failed(self, relay: str, reason: str) -> None:
+    def _mark_failed(self, relay: str) -> None:
         now = self.clock.monotonic()
         self._failed_at_by_relay[relay] = now
         self.source_changed_at = now
-        self.log.note('relay_left', relay=relay, reason=reason)
--- a/primroserudder/fleet/router.py
+++ b/primroserudder/fleet/router.py
@@ -11,6 +11,7 @@
 from ..process.lease import Lease
 from ..process.metrics import Metrics
 from .callers import CallerHandler
+from .configurationage import ConfigurationWatch
 from .control_plane import (
     ControlPlane,
     RouterContext,
@@ -321,6 +322,7 @@
             self.metrics,
             self._traffic_seen.set,
             self.watch,
+            ConfigurationWatch(self.view, self.tables, self.clock).age,
         )
         relay = TableRelay(
             self.view.followers_by_table,
