Give up the store's answers for silence, not for their length

A call to the store might last 1 s, or 0.8 s beyond its waiting time, its whole answer included. A table of some 350 KB takes longer than that over a busy link of 10 Mbit/s; the answer was thrown away while it arrived and asked for anew, which the same link had to carry again.

The head of an answer still has to come within that time. Then the answer may be silent for 0.8 s, and arrive for 6 s in all.

--- a/primroserudder/platform/store.py
+++ b/primroserudder/platform/store.py
@@ -1,7 +1,8 @@
 """Client of the platform's store, behind ``PlatformClient``."""
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, field
+from functools import partial
 from http import HTTPStatus
 
 import aiohttp
@@ -16,6 +17,7 @@
     Transaction,
     VmListing,
 )
+from ..process.silencelimit import SilenceLimit
 from ..process.tablepages import (
     ChangePage,
     HistoryLost,
@@ -41,8 +43,13 @@
     split_key,
 )
 
-# The response to a feed call may come this long after its wait time.
+# The response to a feed call may begin this long after its wait time.
 FEED_SLACK_S = 0.8
+# Then it may be silent for so long, and arrive for so long in all.
+ARRIVAL_SILENCE_S = 0.8
+ARRIVAL_LIMIT_S = 6.0
+# A limit on silence takes the place of the client's own.
+NO_TIMEOUT = aiohttp.ClientTimeout(total=None)
 # A page of rows has 1 MB at most; the changes of a large table take some MB.
 MAX_ANSWER_BYTES = 16_777_216
 PAGE_ROWS = 500
@@ -70,6 +77,10 @@
     era: int
 
 
+def _ignore(_table: str) -> None:
+    """Do nothing as bytes arrive."""
+
+
 @dataclass(slots=True)
 class PlatformStore:
     """Reads and writes the store's rows and objects over HTTP.
@@ -86,12 +97,15 @@
     era : int
         How often the store has come back from a copy, as of its last response.
         Revisions compare only within an era.
+    on_arrival : Callable
+        Is told the table of which bytes arrive.
     """
 
     address: str
     session: aiohttp.ClientSession = field(default_factory=open_session)
     server_time_s: float | None = None
     era: int = 0
+    on_arrival: Callable[[str], None] = _ignore
 
     async def close(self) -> None:
         """Close the connections."""
@@ -215,19 +229,37 @@
         query: Mapping[str, str] | None = None,
         timeout_s: float = CALL_TIMEOUT_S,
     ) -> _Reply:
-        timeout = aiohttp.ClientTimeout(total=timeout_s)
-        url = f'http://{self.address}{path}'
+        limit = SilenceLimit(timeout_s, ARRIVAL_SILENCE_S, ARRIVAL_LIMIT_S)
+        table = '' if query is None else query.get('Table', '')
         try:
-            async with self.session.get(
-                url, params=query, timeout=timeout
-            ) as answer:
-                return await self._reply(answer)
+            return await self._read_limited(path, query, limit, table)
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             close_idle_connections(self.session)
             raise PlatformUnavailable(
                 f'the call to the store failed: {error!r}'
             ) from error
 
+    async def _read_limited(
+        self,
+        path: str,
+        query: Mapping[str, str] | None,
+        limit: SilenceLimit,
+        table: str,
+    ) -> _Reply:
+        url = f'http://{self.address}{path}'
+        async with (
+            limit,
+            self.session.get(url, params=query, timeout=NO_TIMEOUT) as answer,
+        ):
+            limit.note_head()
+            return await self._reply(
+                answer, partial(self._note_size, limit, table)
+            )
+
+    def _note_size(self, limit: SilenceLimit, table: str, _: int) -> None:
+        limit.note_arrival()
+        self.on_arrival(table)
+
     async def _write(
         self,
         method: str,
@@ -260,13 +292,17 @@
                 f'the store did not answer a write: {error!r}'
             ) from error
 
-    async def _reply(self, answer: aiohttp.ClientResponse) -> _Reply:
+    async def _reply(
+        self,
+        answer: aiohttp.ClientResponse,
+        on_size: Callable[[int], object] = int,
+    ) -> _Reply:
         """Read a response and note the store's era, which never falls."""
         era_text = answer.headers.get(names.STORE_ERA, '')
         is_era = era_text.isdecimal() and len(era_text) <= MAX_ERA_DIGITS
         era = int(era_text) if is_era else self.era
         self.era = max(self.era, era)
-        body = await read_bounded(answer, MAX_ANSWER_BYTES)
+        body = await read_bounded(answer, MAX_ANSWER_BYTES, on_size)
         return _Reply(answer.status, body, era)
 
 
