Don't deny a route or key by a configuration that may be outdated

A VM that had not got a version answered 404 for the routes that it added, as if it knew that they don't exist.

Such a VM, and one whose source has not answered for 3 s, now refuses with 503 and a Retry-After of 0.5 s: the request has not run, and another VM may know the route. What it costs: callers with a route that never existed get 503 in place of 404 while a VM is behind, or as long as the whole store is away.

--- a/primroserudder/fleet/callers.py
+++ b/primroserudder/fleet/callers.py
@@ -16,7 +16,7 @@
 from .attempt import AttemptResult, StreamSink
 from .call import Call
 from .callerbody import discard_body
-from .configurationage import ConfigurationAge, age_fields
+from .configurationage import Age, age_fields, no_age
 from .cutoff import CutOff, Cutoff, stop_error
 from .httpserver import HttpConnection
 from .memory import CallerTooSlow, ConnectionWatch, Holding
@@ -29,10 +29,6 @@
 from .unexpectederror import UnexpectedError, cause_fields
 
 
-def _no_age() -> None:
-    """Tell nothing of the configuration's age."""
-
-
 @dataclass(slots=True)
 class CallerHandler:
     """Reads requests, serves them and sends the responses."""
@@ -43,7 +39,7 @@
     metrics: Metrics
     on_request: Callable[[], None]
     watch: ConnectionWatch
-    configuration_age: Callable[[], ConfigurationAge | None] = _no_age
+    configuration_age: Age = no_age
     invariants: Invariants = field(init=False)
     endings: RequestEndings = field(init=False)
     reader: RequestReader = field(init=False)
@@ -61,6 +57,7 @@
             self.configuration,
             self.invariants,
             self.server.selector.forwarder.reach,
+            self.configuration_age,
         )
 
     @property
--- a/primroserudder/fleet/relaying/tests/test_large_versions.py
+++ b/primroserudder/fleet/relaying/tests/test_large_versions.py
@@ -41,14 +41,9 @@
             await asyncio.sleep(0.33)
         await asyncio.sleep(10)
         site.stop()
-        late_by_version = {
-            3: site.late_vms(3, IN_FORCE_S),
-            14: site.late_vms(14, IN_FORCE_S),
-        }
         return {
-            f'{vm} {version}': delay_s
-            for version, late in late_by_version.items()
-            for vm, delay_s in late.items()
+            **site.late_vms(3, IN_FORCE_S),
+            **site.late_vms(14, IN_FORCE_S),
         }
 
     assert not run_virtually(play())
--- a/primroserudder/fleet/requestreader.py
+++ b/primroserudder/fleet/requestreader.py
@@ -4,16 +4,19 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 
+from aiohttp import web
+
 from ..errors import Ran, RudderError
 from ..platform import headers as wire
 from ..process.invariants import Invariants
 from ..request.dispatch import DispatchRecord
 from .call import Call
 from .callerbody import read_body
+from .configurationage import Age, no_age, refused_if_outdated
 from .forwarding import EngineReach, headers_of_forwarded
 from .model import Configuration, Route
 from .retries import RetryState
-from .routes import find_destination, find_route
+from .routes import Destination, find_destination, find_route
 from .servedrequest import ServedRequest
 
 FIRST_CONFIGURATION_RETRY_S = 0.5
@@ -45,6 +48,7 @@
     configuration: Callable[[], Configuration | None]
     invariants: Invariants
     reach: EngineReach
+    configuration_age: Age = no_age
     rng: random.Random = field(default_factory=random.Random)
 
     async def read(self, served: ServedRequest, *, is_closing: bool) -> Call:
@@ -72,14 +76,9 @@
         served.holding.open()
         headers = headers_of_forwarded(request.headers)
         metadata = wire.read_request(headers)
-        route = find_route(
-            configuration,
-            request.headers.get('Host', ''),
-            request.raw_path.partition('?')[0],
-        )
-        destination = find_destination(
-            configuration, route, metadata.api_key, self.rng
-        )
+        with refused_if_outdated(self.configuration_age):
+            destination = self._destination(configuration, request, metadata)
+        route = destination.route
         allowed_s = metadata.deadline_s or DEFAULT_DEADLINE_S
         deadline_at = served.received_at + min(allowed_s, route.timeout_s)
         body = await read_body(
@@ -106,6 +105,21 @@
             is_caller_blocked=served.stream.is_blocked,
         )
 
+    def _destination(
+        self,
+        configuration: Configuration,
+        request: web.BaseRequest,
+        metadata: wire.RequestMetadata,
+    ) -> Destination:
+        route = find_route(
+            configuration,
+            request.headers.get('Host', ''),
+            request.raw_path.partition('?')[0],
+        )
+        return find_destination(
+            configuration, route, metadata.api_key, self.rng
+        )
+
     def _check_forwarded(self, *, is_closing: bool) -> None:
         """Refuse what another router sent, if it is better off elsewhere."""
         if is_closing:
