Limit the silence of answers by the client's own timeout and the query watch

The store's client has aiohttp's limit on the time between reads; a relay's answer is limited by the checks of the watch that runs anyway: their number counts, not the time, so that a process that was held up reads what has arrived first. Queries have no timers of their own any more.

--- a/primroserudder/fleet/relaying/relayclient.py
+++ b/primroserudder/fleet/relaying/relayclient.py
@@ -11,11 +11,10 @@
 from ...platform import read_bounded
 from ...process.clock import Clock
 from ...process.platform import Row
-from ...process.silencelimit import SilenceLimit
 from ...process.tablepages import StoreVersion
 from .messages import COMPRESSION, PATH, HeldRows, TableMessage
-from .progress import ReadProgress
-from .querywatch import QueryWatch
+from .progress import ReadLimits, ReadProgress
+from .querywatch import CHECK_INTERVAL_S, QueryWatch
 from .rowhistory import RowHistory
 from .rowpatch import PatchMismatch
 
@@ -24,10 +23,10 @@
 # Then its answer may be silent for so long, and arrive for so long in all.
 ARRIVAL_SILENCE_S = 0.5
 ARRIVAL_LIMIT_S = 6.0
+# The watch of the queries limits them, without a timer for each.
+NO_TIMEOUT = ClientTimeout(total=None)
 # A table of some thousand rows takes a few MB.
 MAX_ANSWER_BYTES = 16_777_216
-# A limit on silence takes the place of the client's own.
-NO_TIMEOUT = ClientTimeout(total=None)
 # Asks for the whole table.
 START = StoreVersion(0, 0)
 
@@ -102,18 +101,27 @@
         An answer that is arriving is read whatever else is known of the relay:
         to give it up would begin anew with the same bytes elsewhere.
         """
+        limits = ReadLimits(
+            CHECK_INTERVAL_S,
+            query.wait_s + RELAY_TIMEOUT_SLACK_S,
+            ARRIVAL_SILENCE_S,
+            ARRIVAL_LIMIT_S,
+        )
         self._watch.late_s = 0
         try:
             message = await self._watch.wait(
                 self._fetch(relay, query, progress),
-                lambda: progress.is_arriving or is_usable(),
+                lambda: (
+                    progress.check(limits)
+                    and (progress.is_arriving or is_usable())
+                ),
             )
         except (ClientError, OSError, ValueError) as error:
             return repr(error)
         finally:
             progress.late_s = self._watch.late_s
         if message is None:
-            return 'the relay is no longer live, behind or out of date'
+            return 'the relay is silent, no longer live, behind or out of date'
         return self._checked(query, message)
 
     def _checked(
@@ -137,26 +145,16 @@
         query: TableQuery,
         progress: ReadProgress,
     ) -> TableMessage | None:
-        limit = SilenceLimit(
-            query.wait_s + RELAY_TIMEOUT_SLACK_S,
-            ARRIVAL_SILENCE_S,
-            ARRIVAL_LIMIT_S,
-        )
         url = f'http://{relay}{PATH}/{query.table}'
         held = self.history.held(query.table)
-        parameters = _parameters(query, held)
-        async with (
-            limit,
-            self.session.get(
-                url, params=parameters, timeout=NO_TIMEOUT
-            ) as answer,
-        ):
-            limit.note_head()
+        async with self.session.get(
+            url, params=_parameters(query, held), timeout=NO_TIMEOUT
+        ) as answer:
             progress.note_head()
             body = await read_bounded(
                 answer,
                 MAX_ANSWER_BYTES,
-                partial(self._note_size, query.table, limit, progress),
+                partial(self._note_size, query.table, progress),
             )
             if answer.status != HTTPStatus.OK:
                 return None
@@ -166,13 +164,8 @@
         return TableMessage.model_validate_json(body)
 
     def _note_size(
-        self,
-        table: str,
-        limit: SilenceLimit,
-        progress: ReadProgress,
-        octets: int,
+        self, table: str, progress: ReadProgress, octets: int
     ) -> None:
-        limit.note_arrival()
         progress.note(octets)
         self.note_arrival(table)
 
--- a/primroserudder/platform/store.py
+++ b/primroserudder/platform/store.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, field
-from functools import partial
 from http import HTTPStatus
 
 import aiohttp
@@ -17,7 +16,6 @@
     Transaction,
     VmListing,
 )
-from ..process.silencelimit import SilenceLimit
 from ..process.tablepages import (
     ChangePage,
     HistoryLost,
@@ -45,11 +43,9 @@
 
 # The response to a feed call may begin this long after its wait time.
 FEED_SLACK_S = 0.8
-# Then it may be silent for so long, and arrive for so long in all.
-ARRIVAL_SILENCE_S = 0.8
+# A response that has begun may arrive for so long, while no pause in it is
+# longer than the time until its beginning.
 ARRIVAL_LIMIT_S = 6.0
-# A limit on silence takes the place of the client's own.
-NO_TIMEOUT = aiohttp.ClientTimeout(total=None)
 # A page of rows has 1 MB at most; the changes of a large table take some MB.
 MAX_ANSWER_BYTES = 16_777_216
 PAGE_ROWS = 500
@@ -229,37 +225,26 @@
         query: Mapping[str, str] | None = None,
         timeout_s: float = CALL_TIMEOUT_S,
     ) -> _Reply:
-        limit = SilenceLimit(timeout_s, ARRIVAL_SILENCE_S, ARRIVAL_LIMIT_S)
+        timeout = aiohttp.ClientTimeout(
+            total=timeout_s + ARRIVAL_LIMIT_S,
+            sock_connect=CALL_TIMEOUT_S,
+            sock_read=timeout_s,
+        )
+        url = f'http://{self.address}{path}'
         table = '' if query is None else query.get('Table', '')
         try:
-            return await self._read_limited(path, query, limit, table)
+            async with self.session.get(
+                url, params=query, timeout=timeout
+            ) as answer:
+                return await self._reply(
+                    answer, lambda _: self.on_arrival(table)
+                )
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             close_idle_connections(self.session)
             raise PlatformUnavailable(
                 f'the call to the store failed: {error!r}'
             ) from error
 
-    async def _read_limited(
-        self,
-        path: str,
-        query: Mapping[str, str] | None,
-        limit: SilenceLimit,
-        table: str,
-    ) -> _Reply:
-        url = f'http://{self.address}{path}'
-        async with (
-            limit,
-            self.session.get(url, params=query, timeout=NO_TIMEOUT) as answer,
-        ):
-            limit.note_head()
-            return await self._reply(
-                answer, partial(self._note_size, limit, table)
-            )
-
-    def _note_size(self, limit: SilenceLimit, table: str, _: int) -> None:
-        limit.note_arrival()
-        self.on_arrival(table)
-
     async def _write(
         self,
         method: str,
--- a/primroserudder/testing/ratedlinks.py
+++ b/primroserudder/testing/ratedlinks.py
@@ -85,19 +85,23 @@
     octets: bytes
     sender: RatedLink
     receiver: RatedLink
-    is_given_up: bool = False
+    longest_pause_s: float | None
 
     async def iter_any(self) -> AsyncIterator[bytes]:
         """Yield the pieces as they arrive."""
         for start in range(0, len(self.octets), PIECE_BYTES):
             piece = self.octets[start : start + PIECE_BYTES]
-            try:
-                await carry(len(piece), self.sender, self.receiver)
-            except asyncio.CancelledError:
-                self._flush_buffers(start)
-                raise
+            await self._carry(piece, start)
             yield piece
 
+    async def _carry(self, piece: bytes, start: int) -> None:
+        try:
+            async with asyncio.timeout(self.longest_pause_s):
+                await carry(len(piece), self.sender, self.receiver)
+        except (asyncio.CancelledError, TimeoutError):
+            self._flush_buffers(start)
+            raise
+
     def _flush_buffers(self, start: int) -> None:
         end = start + PIECES_IN_BUFFERS * PIECE_BYTES
         held = self.octets[start:end]
@@ -129,7 +133,8 @@
         self._deadline = asyncio.timeout(self.timeout.total)
         await self._deadline.__aenter__()
         try:
-            return await self._ask()
+            async with asyncio.timeout(self.timeout.sock_read):
+                return await self._ask()
         except BaseException as error:
             await self._deadline.__aexit__(
                 type(error), error, error.__traceback__
@@ -153,7 +158,7 @@
         return _Arriving(
             response.status,
             CIMultiDict(response.headers),
-            _Pieces(body, peer.link, link),
+            _Pieces(body, peer.link, link, self.timeout.sock_read),
         )
 
 
