Refuse in a stop what would begin to run after the port was closed

Reported by other operators: in a planned stop, requests that came late in the grace period were taken, passed on and cut at its end. Here a request that got its slot after the port had closed was sent to an engine and cut off with 502 (refunds and lookups; both cases failed before). A body that was not complete by then could not become so, as its connection is not read any more, but its caller was told only at the end of the grace period.

Both are refused with 503 as the port closes: they have not run, and another router takes them at once. Requests that have run may still be retried.

Tests: test_slot_that_comes_after_the_port_closed_is_not_used (2 failed before), test_body_that_is_not_complete_as_the_port_closes_is_refused_at_once.

--- a/primroserudder/fleet/ports.py
+++ b/primroserudder/fleet/ports.py
@@ -72,8 +72,17 @@
         await self._listen(router_server, settings.exchange_endpoint)
 
     async def close_to_callers(self) -> None:
-        """Accept no new connections of callers and close the idle ones."""
+        """Accept no new connections of callers and close the idle ones.
+
+        Explanation
+        ===========
+        Requests that were not read whole by then, and those that have not
+        begun to run, are refused: an engine might still be at work on them as
+        the process ends.
+        """
         await self.caller_port.stop()
+        self.handler.reader.cutoff.reach()
+        self.handler.server.is_closed = True
 
     async def close(self) -> None:
         """Close all ports immediately."""
--- a/primroserudder/fleet/requestreader.py
+++ b/primroserudder/fleet/requestreader.py
@@ -13,6 +13,7 @@
 from .call import Call
 from .callerbody import read_body
 from .configurationage import Age, no_age, refused_if_outdated
+from .cutoff import Cutoff
 from .forwarding import EngineReach, headers_of_forwarded
 from .model import Configuration, Route
 from .retries import RetryState
@@ -43,13 +44,21 @@
 
 @dataclass(slots=True)
 class RequestReader:
-    """Finds a request's destination by the configuration in force."""
+    """Finds a request's destination by the configuration in force.
+
+    Parameters
+    ==========
+    cutoff : Cutoff
+        Ends the reading of bodies that are not complete as a stopping router
+        closes its port; their connections are not read after that.
+    """
 
     configuration: Callable[[], Configuration | None]
     invariants: Invariants
     reach: EngineReach
     configuration_age: Age = no_age
     rng: random.Random = field(default_factory=random.Random)
+    cutoff: Cutoff = field(default_factory=Cutoff)
 
     async def read(self, served: ServedRequest, *, is_closing: bool) -> Call:
         """Return the call for a request, once its body was read.
@@ -81,12 +90,13 @@
         route = destination.route
         allowed_s = metadata.deadline_s or DEFAULT_DEADLINE_S
         deadline_at = served.received_at + min(allowed_s, route.timeout_s)
-        body = await read_body(
-            request,
-            configuration.limits.body_bytes,
-            deadline_at,
-            served.holding,
-        )
+        async with self.cutoff.limited():
+            body = await read_body(
+                request,
+                configuration.limits.body_bytes,
+                deadline_at,
+                served.holding,
+            )
         served.dispatch = DispatchRecord(self.invariants, metadata.attempt_id)
         return Call(
             method=request.method,
--- a/primroserudder/fleet/serving.py
+++ b/primroserudder/fleet/serving.py
@@ -14,6 +14,7 @@
 from .attemptrunner import AttemptRunner
 from .call import Call
 from .crashes.quarantine import Quarantine, Quarantined
+from .cutoff import StoppedBeforeRun
 from .evacuation.guard import EvacuationGuard
 from .health import TargetHealth
 from .model import Target
@@ -31,6 +32,8 @@
 # A pause before each retry, so that a momentary fault of an engine or a
 # connection does not use up all tries of a request.
 RETRY_PAUSE_S = 0.02
+# Another router takes the request at once.
+RETRY_AFTER_STOP_S = 0.05
 
 
 class MayHaveRun(RudderError):
@@ -62,7 +65,13 @@
 
 @dataclass(slots=True)
 class Server:
-    """Assigns requests to engines, sends them and retries failed attempts."""
+    """Assigns requests to engines, sends them and retries failed attempts.
+
+    Parameters
+    ==========
+    is_closed : bool
+        Whether this router stops and has closed its port to callers.
+    """
 
     selector: TargetSelector
     runner: AttemptRunner
@@ -74,6 +83,7 @@
     metrics: Metrics
     charger: RetryCharger
     guard: EvacuationGuard
+    is_closed: bool = False
 
     async def serve(self, call: Call, sink: StreamSink) -> AttemptResult:
         """Serve a request and return the result of its last attempt.
@@ -85,6 +95,7 @@
         """
         if not call.is_forwarded:
             self.charger.record_request(call)
+        self._refuse_if_closed(call)
         self.quarantine.check(call)
         self.slots.costs.prepare(call)
         try:
@@ -137,11 +148,25 @@
             self._log_retry(call, target, outcome)
             await asyncio.sleep(RETRY_PAUSE_S)
 
+    def _refuse_if_closed(self, call: Call) -> None:
+        """Refuse a request that would begin to run too late in a stop.
+
+        Explanation
+        ===========
+        Its body or a slot came after the port was closed. An engine might still
+        be at work on it as the process ends; another router has time.
+        """
+        if self.is_closed and not call.retry_state.runs:
+            raise StoppedBeforeRun(
+                'this router stops', retry_after=RETRY_AFTER_STOP_S
+            )
+
     def _check_before_send(self, call: Call, target: Target) -> None:
-        """Refuse a request that was quarantined since it arrived."""
+        """Refuse a request that may not run since it arrived."""
         try:
+            self._refuse_if_closed(call)
             self.quarantine.check(call)
-        except Quarantined as error:
+        except (StoppedBeforeRun, Quarantined) as error:
             self.slots.release(call, target)
             if call.dispatch.ran is Ran.NO:
                 raise call.dispatch.close(error) from None
--- a/primroserudder/fleet/tests/test_stop_endings.py
+++ b/primroserudder/fleet/tests/test_stop_endings.py
@@ -8,7 +8,12 @@
 import pytest
 
 from ...testing.configchanges import with_route
-from ...testing.platformsite import GRACE_S, PlatformSite, platform_site
+from ...testing.platformsite import (
+    GRACE_S,
+    SLOTS,
+    PlatformSite,
+    platform_site,
+)
 from ...testing.rawcaller import RawCaller, RawResponse, head, raw_caller
 from .. import router as router_module
 from ..router import Router
@@ -21,15 +26,21 @@
 TAKEN_FOR_AT_MOST_S = 3.0
 LONGEST_STOP_S = 4.0
 CONNECT_INTERVAL_S = 0.02
+# From the end of the port until a slot comes, and how long requests
+# are worked on meanwhile.
+LATE_SLOT_S = 0.2
+LONG_WORK_S = 2.0
 
 
 @asynccontextmanager
 async def _serving_site(
-    monkeypatch: pytest.MonkeyPatch, engines: int = 0
+    monkeypatch: pytest.MonkeyPatch,
+    engines: int = 0,
+    work_s: float = WORK_S,
 ) -> AsyncIterator[PlatformSite]:
     """Run a site whose routers stop soon after the notice."""
     monkeypatch.setattr(router_module, 'DRAIN_NOTICE_S', NOTICE_S)
-    monkeypatch.setattr(router_module, 'EXIT_RESERVE_S', GRACE_S - WORK_S)
+    monkeypatch.setattr(router_module, 'EXIT_RESERVE_S', GRACE_S - work_s)
     async with platform_site(engines=engines, plain=1) as site:
         directory = site.routers[0].view.directory
         pools = 1 + bool(engines)
@@ -175,6 +186,56 @@
             await stopping
 
 
+@pytest.mark.parametrize('route', ['refunds', 'lookups', 'notes'])
+async def test_body_that_is_not_complete_as_the_port_closes_is_refused_at_once(
+    monkeypatch: pytest.MonkeyPatch, route: str
+) -> None:
+    # The connection is not read any more, so the body can't become complete.
+    async with _serving_site(monkeypatch, 2, LONG_WORK_S) as site:
+        router = site.routers[0]
+        await _set_route(site, route, TimeoutMs=4000)
+        async with raw_caller(site) as caller:
+            loop = asyncio.get_running_loop()
+            stopping = asyncio.ensure_future(_stop(router))
+            fields = {'Content-Length': '4'}
+            caller.send(head('one', f'/{route}/1', fields=fields))
+            await site.until(lambda: router.ports.caller_port.is_stopped)
+            stopped_at = loop.time()
+            response = await _response(caller)
+            assert loop.time() - stopped_at < LONG_WORK_S / 2
+            await stopping
+        assert response.status == 503
+        assert b'"code":"stopping"' in response.body
+        assert not site.arrivals('one')
+        assert not router.dump()['violations']
+
+
+@pytest.mark.parametrize('route', ['refunds', 'lookups'])
+async def test_slot_that_comes_after_the_port_closed_is_not_used(
+    monkeypatch: pytest.MonkeyPatch, route: str
+) -> None:
+    async with _serving_site(monkeypatch, 0, LONG_WORK_S) as site:
+        router = site.routers[0]
+        await _set_route(site, route, SloMs=4000, TimeoutMs=4000)
+        engine = site.engines_by_id['i-0']
+        engine.faults.never_answers = True
+        counts = router.in_flight_counts
+        for _ in range(SLOTS):
+            counts.begin('i-0')
+        async with raw_caller(site) as caller:
+            stopping = asyncio.ensure_future(_stop(router))
+            await asyncio.sleep(0.2)
+            caller.request('one', f'/{route}/1')
+            await site.until(lambda: router.ports.caller_port.is_stopped)
+            await asyncio.sleep(LATE_SLOT_S)
+            for _ in range(SLOTS):
+                counts.end('i-0')
+            response = await _response(caller)
+            await stopping
+        assert response.status == 503
+        assert not site.arrivals('one')
+
+
 async def test_stream_that_outlasts_the_grace_period_is_aborted(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
