--- a/primroserudder/fleet/configurationage.py
+++ b/primroserudder/fleet/configurationage.py
@@ -121,6 +121,10 @@
     return {
         'configuration': known.version,
         'revision': known.revision,
-        'confirmed_ms': round(known.confirmed_s * MILLISECONDS_PER_SECOND),
-        'newer_known_ms': newer_s and round(newer_s * MILLISECONDS_PER_SECOND),
+        'confirmed_ms': _milliseconds(known.confirmed_s),
+        'newer_known_ms': None if newer_s is None else _milliseconds(newer_s),
     }
+
+
+def _milliseconds(seconds: float) -> int:
+    return round(seconds * MILLISECONDS_PER_SECOND)
