Avoid a relay that fails for all tables again, one that is behind for one

Cause: avoids a relay that was left for one table alone, whatever the reason. A relay that had lost the store was left by the followers of nodes and strikes at once, while that of the operators' table stayed with it until others were known to have a newer version.

Change: a failure says whether it concerns the relay or one table. A refusal, silence, a lost connection and older rows concern the relay; being behind while others have a newer version, and a patch that does not fit, one table.

--- a/primroserudder/fleet/relaying/progress.py
+++ b/primroserudder/fleet/relaying/progress.py
@@ -57,12 +57,15 @@
         Monotonic time at which the head was read, in seconds.
     late_s : float
         How late the event loop was at most while the answer was read.
+    is_given_up : bool
+        Whether the answer was silent for too long.
     """
 
     clock: Clock
     octets: int = 0
     first_at: float | None = None
     late_s: float = 0
+    is_given_up: bool = False
     _checks: int = 0
     _checks_since_head: int = 0
     _began_at: float = field(init=False)
@@ -90,12 +93,14 @@
         a process that was held up the chance to read what arrived meanwhile.
         """
         self._checks += 1
-        if not self.is_arriving:
-            return self._checks <= limits.checks(limits.first_s)
-        self._checks_since_head += 1
-        return self._checks <= limits.checks(
-            limits.silence_s
-        ) and self._checks_since_head <= limits.checks(limits.arrival_s)
+        longest_s = limits.first_s
+        if self.is_arriving:
+            longest_s = limits.silence_s
+            self._checks_since_head += 1
+        self.is_given_up = self._checks > limits.checks(
+            longest_s
+        ) or self._checks_since_head > limits.checks(limits.arrival_s)
+        return not self.is_given_up
 
     def note_head(self) -> None:
         """Record that the head of the answer was read."""
--- a/primroserudder/fleet/relaying/relayclient.py
+++ b/primroserudder/fleet/relaying/relayclient.py
@@ -62,6 +62,21 @@
     version: StoreVersion
 
 
+@dataclass(frozen=True, slots=True)
+class RelayFailure:
+    """Why a relay can't be used.
+
+    Parameters
+    ==========
+    is_general : bool
+        Whether the relay should be avoided for other tables too. A relay that
+        is behind in one may be up to date in others.
+    """
+
+    reason: str
+    is_general: bool = True
+
+
 @dataclass(slots=True)
 class RelayClient:
     """Reads tables from relays; keeps large rows, to get patches of them.
@@ -77,7 +92,9 @@
     history: RowHistory = field(default_factory=RowHistory)
     answered: int = 0
     _heard_at_by_table: dict[str, float] = field(default_factory=dict)
-    _watch: QueryWatch[TableMessage] = field(default_factory=QueryWatch)
+    _watch: QueryWatch[TableMessage | RelayFailure] = field(
+        default_factory=QueryWatch
+    )
 
     def note_arrival(self, table: str) -> None:
         """Record that bytes of a table arrive from its source."""
@@ -93,8 +110,8 @@
         query: TableQuery,
         progress: ReadProgress,
         is_usable: Callable[[], bool],
-    ) -> RelayAnswer | str:
-        """Return a relay's answer, or the reason why it can't be used.
+    ) -> RelayAnswer | RelayFailure:
+        """Return a relay's answer, or why it can't be used.
 
         Explanation
         ===========
@@ -109,7 +126,7 @@
         )
         self._watch.late_s = 0
         try:
-            message = await self._watch.wait(
+            fetched = await self._watch.wait(
                 self._fetch(relay, query, progress),
                 lambda: (
                     progress.check(limits)
@@ -117,24 +134,26 @@
                 ),
             )
         except (ClientError, OSError, ValueError) as error:
-            return repr(error)
+            return RelayFailure(repr(error))
         finally:
             progress.late_s = self._watch.late_s
-        if message is None:
-            return 'the relay is silent, no longer live, behind or out of date'
-        return self._checked(query, message)
+        if fetched is None:
+            return _given_up(progress)
+        if isinstance(fetched, TableMessage):
+            return self._checked(query, fetched)
+        return fetched
 
     def _checked(
         self, query: TableQuery, message: TableMessage
-    ) -> RelayAnswer | str:
+    ) -> RelayAnswer | RelayFailure:
         if message.version < query.newest:
-            return 'the relay returned older rows than this VM has read'
+            return RelayFailure('the relay has older rows than this VM')
         if message.era < query.since.era:
-            return 'the relay has not seen that the store came back from a copy'
+            return RelayFailure('the relay has not seen the last restore')
         try:
             rows = self.history.rows(message)
         except PatchMismatch as error:
-            return str(error)
+            return RelayFailure(str(error), is_general=False)
         return RelayAnswer(
             rows, message.removed, message.count, message.version
         )
@@ -144,7 +163,7 @@
         relay: str,
         query: TableQuery,
         progress: ReadProgress,
-    ) -> TableMessage | None:
+    ) -> TableMessage | RelayFailure:
         url = f'http://{relay}{PATH}/{query.table}'
         held = self.history.held(query.table)
         async with self.session.get(
@@ -157,7 +176,7 @@
                 partial(self._note_size, query.table, progress),
             )
             if answer.status != HTTPStatus.OK:
-                return None
+                return RelayFailure(f'the relay answered {answer.status}')
             if answer.headers.get('Content-Encoding') == COMPRESSION:
                 body = _decompressed(body)
         self.answered += 1
@@ -170,6 +189,15 @@
         self.note_arrival(table)
 
 
+def _given_up(progress: ReadProgress) -> RelayFailure:
+    """Return why the watch cancelled a query."""
+    if progress.is_given_up:
+        return RelayFailure('the relay is silent')
+    return RelayFailure(
+        'the relay is behind or left the tree', is_general=False
+    )
+
+
 def _parameters(query: TableQuery, held: HeldRows) -> dict[str, str]:
     return {
         'since': str(query.since.revision),
--- a/primroserudder/fleet/relaying/relayedtables.py
+++ b/primroserudder/fleet/relaying/relayedtables.py
@@ -31,14 +31,19 @@
 from ...process.platform import PlatformUnavailable, Row
 from ...process.tablepages import Change, ChangePage, StoreVersion, TablePage
 from ...process.tables import TableSource
+from .avoidedrelays import ANY_TABLE, AvoidedRelays
 from .progress import ReadProgress
 from .querywatch import CHECK_INTERVAL_S
 from .readlog import ReadLog
-from .relayclient import START, RelayAnswer, RelayClient, TableQuery
+from .relayclient import (
+    START,
+    RelayAnswer,
+    RelayClient,
+    RelayFailure,
+    TableQuery,
+)
 from .tablerelay import CATCH_UP_TIMEOUT_S
 
-# A failed relay is queried again after this time.
-RELAY_RETRY_S = 2.0
 # This many relays are queried before the store itself.
 MAX_RELAYS = 3
 # A router with relays before it retries a failed store at this interval.
@@ -89,7 +94,7 @@
     source_changed_at: float = field(init=False)
     reads: ReadLog = field(init=False)
     client: RelayClient = field(init=False)
-    _failed_at: dict[tuple[str, str], float] = field(default_factory=dict)
+    avoided: AvoidedRelays = field(init=False)
     _store_failed_at: float = float('-inf')
     _peer_version_by_table: dict[str, _PeerVersion] = field(
         default_factory=dict
@@ -101,6 +106,7 @@
         self.source_changed_at = self.clock.monotonic()
         self.reads = ReadLog(self.log)
         self.client = RelayClient(self.session, self.clock)
+        self.avoided = AvoidedRelays(self.clock)
 
     @property
     def relayed_reads(self) -> int:
@@ -195,7 +201,8 @@
     async def _query_relays(self, query: TableQuery) -> RelayAnswer | None:
         """Return the answer of the first relay that is up to date, if any."""
         await self._wait_until_settled()
-        for relay in self._usable_relays(query.table):
+        usable = self.avoided.usable(self.relays(), query.table)
+        for relay in itertools.islice(usable, MAX_RELAYS):
             progress = ReadProgress(self.clock)
             answer = await self._query_relay(relay, query, progress)
             table, since = query.table, query.since
@@ -203,8 +210,9 @@
                 size = len(answer.rows)
                 self.reads.note_page(table, relay, since, size, progress)
                 return answer
-            self._mark_failed(relay, table)
-            self.reads.note_left(table, relay, since, answer, progress)
+            self.avoided.note(relay, ANY_TABLE if answer.is_general else table)
+            self.source_changed_at = self.clock.monotonic()
+            self.reads.note_left(table, relay, since, answer.reason, progress)
         return None
 
     async def _wait_until_settled(self) -> None:
@@ -212,23 +220,13 @@
         while self._newest_by_table and not self.is_settled():
             await asyncio.sleep(CHECK_INTERVAL_S / 2)
 
-    def _usable_relays(self, table: str) -> list[str]:
-        now = self.clock.monotonic()
-        usable = (
-            relay
-            for relay in self.relays()
-            if now - self._failed_at.get((relay, table), float('-inf'))
-            >= RELAY_RETRY_S
-        )
-        return list(itertools.islice(usable, MAX_RELAYS))
-
     async def _query_relay(
         self,
         relay: str,
         query: TableQuery,
         progress: ReadProgress,
-    ) -> RelayAnswer | str:
-        """Return a relay's answer, or the reason why it can't be used."""
+    ) -> RelayAnswer | RelayFailure:
+        """Return a relay's answer, or why it can't be used."""
         queried_at = self.clock.monotonic()
         return await self.client.query(
             relay,
@@ -271,12 +269,6 @@
             self._store_failed_at = self.clock.monotonic()
             raise
 
-    def _mark_failed(self, relay: str, table: str) -> None:
-        """Avoid a relay for a table; its copies of others may be current."""
-        now = self.clock.monotonic()
-        self._failed_at[(relay, table)] = now
-        self.source_changed_at = now
-
 
 def _change_page(answer: RelayAnswer) -> ChangePage:
     removed = [Change(key, None) for key in answer.removed]
