Report a broken group for a while after its release

Cause: the holder of the lease reports the groups that are broken as a notice is sent. One whose head was restarted is released 65 ms after it was found broken (the logs of three failed runs), and notices are up to 0.3 s apart, so that some VMs heard nothing.

Change: names of groups that were released while they were broken are reported for 1 s more; those that are found sound again are not.

Tests: test_brokengroups.py; the tests of the cut-off holder name the new attribute and check the same.

--- a/primroserudder/fleet/forwarding/tests/test_cut_off_holder.py
+++ b/primroserudder/fleet/forwarding/tests/test_cut_off_holder.py
@@ -86,7 +86,7 @@
         with cut_off_from_engines(site, site.routers[holder], kind):
             reconciler.reachability.probe('test', tuple(site.engines_by_id))
             await asyncio.sleep(CUT_S / 2)
-            assert not reconciler.broken_groups
+            assert not reconciler.broken.names
             assert (
                 not site.routers[holder]
                 .exchange.links.own_facts()
--- a/primroserudder/fleet/group_reconciler.py
+++ b/primroserudder/fleet/group_reconciler.py
@@ -10,6 +10,7 @@
 from ..process.loops import wait_at_most
 from ..process.platform import Conflict, OutcomeUnknown, PlatformUnavailable
 from .actions import Join, Order, Release
+from .brokengroups import BrokenGroups
 from .directory import Directory
 from .engine_inventory import EngineInventory
 from .group_lifecycle import EngineSnapshot, GroupProgress, next_actions
@@ -46,7 +47,7 @@
     stall_s: float
     wake: asyncio.Event
     tenure: Tenure | None = None
-    broken_groups: tuple[str, ...] = field(default=())
+    broken: BrokenGroups = field(default_factory=BrokenGroups)
     last_groups_by_name: Mapping[str, GroupProgress] = field(
         default_factory=dict
     )
@@ -98,7 +99,7 @@
         self.log.note('tenure_lost', fencing=tenure.fencing)
         self._last_tenure = tenure
         self.tenure = None
-        self.broken_groups = ()
+        self.broken.clear()
 
     async def _run_round(self, tenure: Tenure) -> None:
         try:
@@ -153,10 +154,11 @@
 
     def _update_broken_groups(self, tenure: Tenure) -> None:
         now = self.clock.monotonic()
-        self.broken_groups = tuple(
-            name
-            for name, progress in tenure.groups_by_name.items()
-            if progress.is_broken(now)
+        groups = tenure.groups_by_name
+        self.broken.update(
+            groups.keys(),
+            [name for name, group in groups.items() if group.is_broken(now)],
+            now,
         )
 
     async def _replace(
--- a/primroserudder/fleet/router.py
+++ b/primroserudder/fleet/router.py
@@ -366,11 +366,11 @@
         )
 
     def _broken_groups(self) -> Collection[int]:
-        own = map(short_key, self.control_plane.reconciler.broken_groups)
+        own = map(short_key, self.control_plane.reconciler.broken.names)
         return {*self.exchange.broken_groups(), *own}
 
     def _own_facts(self) -> Facts:
-        broken = self.control_plane.reconciler.broken_groups
+        broken = self.control_plane.reconciler.broken.names
         health = self.server.health
         facts = Facts(
             lease_claim=self.lease.claim,
