Read the table where its changes are longer than a page

What callers would have seen: 404 for routes of the last of several large versions in a second. In virtual time, 12 versions with 2,800 routes, 0.06 s apart: all VMs get the last one 4.0 to 4.3 s after it was written, on 7 VMs (bound 2 s) and on 106 (bound 3 s), roots too.

Cause: the store's feed returns each content that a row had. While versions come faster than a root's link carries them, each answer holds more of them than the one before: the eighth of 870 KB each take a link of 100 Mbit/s, of which requests use 0.7, 1.9 s. Links of other VMs are not the cause: the roots themselves were late.

Change: an answer of changes that says that it is longer than 1 MB, a page of rows, is not read; the table is read instead, which holds the last content. Endless answers without a true length still count as a store that fails.

The two models of VMs that copy tables now share testing/tablecopies.py.

--- a/primroserudder/fleet/relaying/relayedtables.py
+++ b/primroserudder/fleet/relaying/relayedtables.py
@@ -29,7 +29,12 @@
 from ...process.clock import Clock
 from ...process.decisions import DecisionLog
 from ...process.platform import PlatformUnavailable, Row
-from ...process.tablepages import Change, ChangePage, StoreVersion, TablePage
+from ...process.tablepages import (
+    Change,
+    ChangePage,
+    StoreVersion,
+    TablePage,
+)
 from ...process.tables import TableSource
 from .avoidedrelays import ANY_TABLE, AvoidedRelays
 from .progress import ReadProgress
--- a/primroserudder/fleet/relaying/tests/test_large_versions.py
+++ b/primroserudder/fleet/relaying/tests/test_large_versions.py
@@ -8,10 +8,22 @@
 from ....testing.largeversions import LargeVersions, SiteSize
 from ....testing.virtualtime import run_virtually
 
-# The users' bound for large sites.
+# The users' bounds for small and for large sites.
+SMALL_IN_FORCE_S = 2.0
 IN_FORCE_S = 3.0
-ROUTES = 1120
-SITES = (SiteSize(106, 14, 0.7), SiteSize(77, 10, 0.5), SiteSize(63, 10, 0.5))
+ROUTES = 1400
+# From one version of a storm to the next.
+GAPS_S = (0.06, 0.33)
+VERSIONS = 12
+SMALL = SiteSize(7, 14, 0.7)
+LARGE = (SiteSize(106, 14, 0.7), SiteSize(77, 10, 0.5), SiteSize(63, 10, 0.5))
+FULL_LINKS = SiteSize(106, 7, 0.9)
+LATE = SiteSize(106, 14, 0.7, late_s=0.3)
+SITES = (SMALL, *LARGE, FULL_LINKS, LATE)
+
+
+def _bound_s(size: SiteSize) -> float:
+    return SMALL_IN_FORCE_S if size is SMALL else IN_FORCE_S
 
 
 @pytest.mark.parametrize('size', SITES)
@@ -22,28 +34,29 @@
         site.write(2, ROUTES)
         await asyncio.sleep(10)
         site.stop()
-        return site.late_vms(2, IN_FORCE_S)
+        return site.late_vms(2, _bound_s(size))
 
     assert not run_virtually(play())
 
 
+@pytest.mark.parametrize('gap_s', GAPS_S)
 @pytest.mark.parametrize('size', SITES)
 def test_storm_after_a_large_version_is_in_force_in_time(
-    size: SiteSize,
+    size: SiteSize, gap_s: float
 ) -> None:
     async def play() -> Mapping[str, float]:
         site = LargeVersions(size)
         await site.start()
         site.write(2, ROUTES)
-        await asyncio.sleep(10)
-        for version in range(3, 15):
+        await asyncio.sleep(6)
+        for version in range(3, 3 + VERSIONS):
             site.write(version, 2 * ROUTES)
-            await asyncio.sleep(0.33)
-        await asyncio.sleep(10)
+            await asyncio.sleep(gap_s)
+        await asyncio.sleep(6)
         site.stop()
         return {
-            **site.late_vms(3, IN_FORCE_S),
-            **site.late_vms(14, IN_FORCE_S),
+            **site.late_vms(3, _bound_s(size)),
+            **site.late_vms(2 + VERSIONS, _bound_s(size)),
         }
 
     assert not run_virtually(play())
--- a/primroserudder/platform/store.py
+++ b/primroserudder/platform/store.py
@@ -46,8 +46,11 @@
 # A response that has begun may arrive for so long, while no pause in it is
 # longer than the time until its beginning.
 ARRIVAL_LIMIT_S = 6.0
-# A page of rows has 1 MB at most; the changes of a large table take some MB.
+# A page of rows has 1 MB at most.
 MAX_ANSWER_BYTES = 16_777_216
+# Changes hold each content that a row had. If they are longer than a page, the
+# table is read instead, which holds the last one.
+MAX_CHANGES_BYTES = 1_048_576
 PAGE_ROWS = 500
 # The era counts restores, so a longer number is no era.
 MAX_ERA_DIGITS = 18
@@ -164,7 +167,8 @@
         Raises
         ======
         HistoryLost
-            The store no longer has the changes since that version.
+            The store no longer has the changes since that version, or they
+            are longer than a page of rows.
         """
         if since.era != self.era:
             raise HistoryLost('the store has come back from a copy')
@@ -174,7 +178,10 @@
             'WaitMs': str(int(wait_s * MILLISECONDS_PER_SECOND)),
         }
         answer = await self._get(
-            names.FEED_PATH, query, timeout_s=wait_s + FEED_SLACK_S
+            names.FEED_PATH,
+            query,
+            timeout_s=wait_s + FEED_SLACK_S,
+            usual_bytes=MAX_CHANGES_BYTES,
         )
         changes = tuple(decode_changes(answer.fields))
         return ChangePage(changes, revision_of(answer.fields), era=answer.era)
@@ -208,8 +215,9 @@
         path: str,
         query: Mapping[str, str],
         timeout_s: float = CALL_TIMEOUT_S,
+        usual_bytes: int = MAX_ANSWER_BYTES,
     ) -> _Answer:
-        reply = await self._read(path, query, timeout_s)
+        reply = await self._read(path, query, timeout_s, usual_bytes)
         _check_read(reply.status)
         if reply.era < self.era:
             raise PlatformUnavailable(
@@ -224,6 +232,7 @@
         path: str,
         query: Mapping[str, str] | None = None,
         timeout_s: float = CALL_TIMEOUT_S,
+        usual_bytes: int = MAX_ANSWER_BYTES,
     ) -> _Reply:
         timeout = aiohttp.ClientTimeout(
             total=timeout_s + ARRIVAL_LIMIT_S,
@@ -237,7 +246,7 @@
                 url, params=query, timeout=timeout
             ) as answer:
                 return await self._reply(
-                    answer, lambda _: self.on_arrival(table)
+                    answer, usual_bytes, lambda _: self.on_arrival(table)
                 )
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             close_idle_connections(self.session)
@@ -280,13 +289,23 @@
     async def _reply(
         self,
         answer: aiohttp.ClientResponse,
+        usual_bytes: int = MAX_ANSWER_BYTES,
         on_size: Callable[[int], object] = int,
     ) -> _Reply:
-        """Read a response and note the store's era, which never falls."""
+        """Read a response and note the store's era, which never falls.
+
+        Raises
+        ======
+        HistoryLost
+            The response is sound but longer than such responses usually are.
+        """
         era_text = answer.headers.get(names.STORE_ERA, '')
         is_era = era_text.isdecimal() and len(era_text) <= MAX_ERA_DIGITS
         era = int(era_text) if is_era else self.era
         self.era = max(self.era, era)
+        length = answer.content_length or 0
+        if usual_bytes < length <= MAX_ANSWER_BYTES:
+            raise HistoryLost('the changes are longer than the table')
         body = await read_bounded(answer, MAX_ANSWER_BYTES, on_size)
         return _Reply(answer.status, body, era)
 
--- a/primroserudder/platform/tests/test_store.py
+++ b/primroserudder/platform/tests/test_store.py
@@ -107,6 +107,19 @@
             await store.changes('things', StoreVersion(0, 1), 0.05)
 
 
+async def test_changes_that_are_longer_than_a_page_are_not_read() -> None:
+    """Else versions that come fast are read one by one, and ever later."""
+    async with _store_with_standin() as (standin, store):
+        since = (await store.read_table('things')).version
+        for number in range(12):
+            standin.rows.put('things', 'one', {'n': number, 'a': 'x' * 90_000})
+        with pytest.raises(HistoryLost):
+            await store.changes('things', since, 1)
+        page = await store.read_table('things')
+        assert [row.fields['n'] for row in page.rows] == [11]
+        assert not (await store.changes('things', page.version, 0.05)).changes
+
+
 async def test_unreadable_value_gives_a_row_without_fields() -> None:
     async with _store_with_standin() as (standin, store):
         standin.rows.put_raw('things', 'one', b'\xff\x00')
--- a/primroserudder/testing/evacuationvm.py
+++ b/primroserudder/testing/evacuationvm.py
@@ -24,6 +24,7 @@
 from .fleetdata import call, route
 from .modellinks import ModelSession
 from .modelstore import CutStore
+from .tablecopies import TableCopies
 
 if TYPE_CHECKING:
     from .evacuationmodel import EvacuationModel
@@ -36,15 +37,6 @@
 # From a slot to the first byte at the engine.
 SENDING_S = 0.05
 NOTICE_S = 0.3
-FEED_PAUSE_S = 0.3
-
-
-class SilentLog(DecisionLog):
-    """Writes nothing."""
-
-    def note(self, decision: str, **inputs: object) -> None:
-        """Count the line."""
-        self.written += 1
 
 
 @dataclass(slots=True)
@@ -70,31 +62,16 @@
 
     def start(self) -> None:
         """Start as a new process."""
-        clock = LoopClock()
-        log = SilentLog('vm', clock)
-        self.tables = RelayedTableSource(
+        copies = TableCopies(
             self.store,
-            cast(Any, ModelSession(self.site, self)),
-            clock,
-            log,
+            ModelSession(self.site, self),
             lambda: self.site.relays(self),
-        )
-        self.view = SiteView(
-            self.tables,
-            clock,
-            log,
-            lambda: FEED_PAUSE_S,
             self._on_change,
-            lambda: True,
-        )
-        self.relay = TableRelay(
-            self.view.followers_by_table,
-            clock,
-            lambda: self.tables.source_changed_at,
-            self.tables.client.heard_at,
-            self.tables.client.history,
         )
-        self._choose_targets(clock, log)
+        self.tables = copies.tables
+        self.view = copies.view
+        self.relay = copies.relay
+        self._choose_targets(copies.clock, copies.log)
         self.tasks = [
             asyncio.ensure_future(self.view.configurations.run()),
             asyncio.ensure_future(self._hear_notices()),
--- a/primroserudder/testing/largeversions.py
+++ b/primroserudder/testing/largeversions.py
@@ -11,6 +11,7 @@
 
 import asyncio
 import itertools
+import random
 import zlib
 from collections import Counter
 from collections.abc import Mapping, Sequence
@@ -25,11 +26,10 @@
 from ..fleet.relaying import RelayedTableSource, TableRelay
 from ..fleet.site_view import SiteView
 from ..platform import PlatformStore
-from ..process.clock import LoopClock
 from ..standins.tablerows import TableRows
-from .evacuationvm import SilentLog
 from .platformsite import HOST, configuration
 from .ratedlinks import Peer, RatedLink, RatedSession, bytes_per_s
+from .tablecopies import TableCopies
 
 STORE_ADDRESS = 'store:1'
 STORE_MBPS = 4000
@@ -37,7 +37,8 @@
 DOMAINS = ('fd-1', 'fd-2', 'fd-3')
 FAST_VMS = 2
 FAST_MBPS = 100
-FEED_PAUSE_S = 0.3
+# Requests don't fill fast links before those of slow VMs.
+FAST_USED_SHARE = 0.7
 NOTICE_S = 0.3
 START_CHECK_S = 0.1
 TABLE = 'op'
@@ -46,11 +47,23 @@
 
 @dataclass(frozen=True, slots=True)
 class SiteSize:
-    """How many VMs a site has, and how fast the links of most are."""
+    """How many VMs a site has, and what they can do.
+
+    Parameters
+    ==========
+    slow_mbps : float
+        Rate of the links of all but the first VMs of each failure domain.
+    used_share : float
+        Share of each link that requests use; of fast ones at most
+        ``FAST_USED_SHARE``.
+    late_s : float
+        How late a process answers at most, for want of processor time.
+    """
 
     vms: int
     slow_mbps: float
     used_share: float = 0.5
+    late_s: float = 0
 
 
 def large_configuration(version: int, routes: int) -> Mapping[str, object]:
@@ -95,33 +108,18 @@
     tables: RelayedTableSource = field(init=False)
     view: SiteView = field(init=False)
     relay: TableRelay = field(init=False)
-    log: SilentLog = field(init=False)
     tasks: list[asyncio.Task[None]] = field(default_factory=list)
 
     def start(self) -> None:
         """Start to follow the operators' table."""
-        clock = LoopClock()
-        self.log = SilentLog(self.address, clock)
-        session = cast(Any, RatedSession(self.link, self.site.peer))
-        self.store = PlatformStore(STORE_ADDRESS, session)
-        self.tables = RelayedTableSource(
-            self.store, session, clock, self.log, lambda: self.parents
-        )
-        self.view = SiteView(
-            self.tables,
-            clock,
-            self.log,
-            lambda: FEED_PAUSE_S,
-            self._note_change,
-            lambda: True,
-        )
-        self.relay = TableRelay(
-            self.view.followers_by_table,
-            clock,
-            lambda: self.tables.source_changed_at,
-            self.tables.client.heard_at,
-            self.tables.client.history,
+        session = RatedSession(self.link, self.site.peer)
+        self.store = PlatformStore(STORE_ADDRESS, cast(Any, session))
+        copies = TableCopies(
+            self.store, session, lambda: self.parents, self._note_change
         )
+        self.tables = copies.tables
+        self.view = copies.view
+        self.relay = copies.relay
         self.store.on_arrival = self.tables.client.note_arrival
         self.tasks = [
             asyncio.ensure_future(self.view.configurations.run()),
@@ -132,6 +130,7 @@
         self, path: str, query: Mapping[str, str]
     ) -> web.StreamResponse:
         """Answer another VM."""
+        await asyncio.sleep(self.site.rng.uniform(0, self.site.size.late_s))
         request = _Request(path, query)
         return await self.relay.answer(cast(web.BaseRequest, request))
 
@@ -169,6 +168,7 @@
     """
 
     size: SiteSize
+    rng: random.Random = field(init=False)
     rows: TableRows = field(default_factory=TableRows)
     store_link: RatedLink = field(init=False)
     vms_by_address: dict[str, RelayingVm] = field(default_factory=dict)
@@ -177,6 +177,7 @@
 
     def __post_init__(self) -> None:
         """Create the VMs, and the store with a first configuration."""
+        self.rng = random.Random(str(self.size))
         self.store_link = RatedLink(bytes_per_s(STORE_MBPS, 0))
         self.rows.put(TABLE, 'config', configuration(1))
         vms_by_domain = Counter(
@@ -249,13 +250,18 @@
     def _add_domain(self, domain: str, count: int) -> None:
         places: list[RelayingVm] = []
         for number in range(count):
-            mbps = FAST_MBPS if number < FAST_VMS else self.size.slow_mbps
-            link = RatedLink(bytes_per_s(mbps, self.size.used_share))
+            link = RatedLink(self._bytes_per_s(is_fast=number < FAST_VMS))
             vm = RelayingVm(self, f'{domain}-{number}:1', domain, link)
             places.append(vm)
             self.vms_by_address[vm.address] = vm
         _form_tree(places, self.size.slow_mbps)
 
+    def _bytes_per_s(self, *, is_fast: bool) -> float:
+        used_share = self.size.used_share
+        if is_fast:
+            return bytes_per_s(FAST_MBPS, min(used_share, FAST_USED_SHARE))
+        return bytes_per_s(self.size.slow_mbps, used_share)
+
     async def _answer_as_store(
         self, path: str, query: Mapping[str, str]
     ) -> web.StreamResponse:
--- a/primroserudder/testing/ratedlinks.py
+++ b/primroserudder/testing/ratedlinks.py
@@ -115,6 +115,7 @@
 
     status: int
     headers: CIMultiDict[str]
+    content_length: int
     content: _Pieces  # noqa: WPS110 (aiohttp's name for it)
 
 
@@ -158,6 +159,7 @@
         return _Arriving(
             response.status,
             CIMultiDict(response.headers),
+            len(body),
             _Pieces(body, peer.link, link, self.timeout.sock_read),
         )
 
