--- a/primroserudder/testing/largeversions.py
+++ b/primroserudder/testing/largeversions.py
@@ -37,8 +37,6 @@
 DOMAINS = ('fd-1', 'fd-2', 'fd-3')
 FAST_VMS = 2
 FAST_MBPS = 100
-# Requests don't fill fast links before those of slow VMs.
-FAST_USED_SHARE = 0.7
 NOTICE_S = 0.3
 START_CHECK_S = 0.1
 TABLE = 'op'
@@ -54,8 +52,7 @@
     slow_mbps : float
         Rate of the links of all but the first VMs of each failure domain.
     used_share : float
-        Share of each link that requests use; of fast ones at most
-        ``FAST_USED_SHARE``.
+        Share of each link that requests use.
     late_s : float
         How late a process answers at most, for want of processor time.
     """
@@ -250,18 +247,13 @@
     def _add_domain(self, domain: str, count: int) -> None:
         places: list[RelayingVm] = []
         for number in range(count):
-            link = RatedLink(self._bytes_per_s(is_fast=number < FAST_VMS))
+            mbps = FAST_MBPS if number < FAST_VMS else self.size.slow_mbps
+            link = RatedLink(bytes_per_s(mbps, self.size.used_share))
             vm = RelayingVm(self, f'{domain}-{number}:1', domain, link)
             places.append(vm)
             self.vms_by_address[vm.address] = vm
         _form_tree(places, self.size.slow_mbps)
 
-    def _bytes_per_s(self, *, is_fast: bool) -> float:
-        used_share = self.size.used_share
-        if is_fast:
-            return bytes_per_s(FAST_MBPS, min(used_share, FAST_USED_SHARE))
-        return bytes_per_s(self.size.slow_mbps, used_share)
-
     async def _answer_as_store(
         self, path: str, query: Mapping[str, str]
     ) -> web.StreamResponse:
