Move the bounded HTTP client to a package of its own

Cause: what bounds the responses of faulty peers lay in platform/, the adapter of the users' platform, so that rudder-entry, rudder-controller and their plain services could not use it and opened sessions of the library that read without it.

Change: session, responsehandler and boundedbody move to httpclient/, with their tests. No behaviour changes. The check of what platform/ may import allows this one module more, and a new check holds that it imports no other package.

--- a/primroserudder/fleet/attempt.py
+++ b/primroserudder/fleet/attempt.py
@@ -8,7 +8,7 @@
 from multidict import CIMultiDict
 from yarl import URL
 
-from ..platform import BodyTooLong, read_bounded
+from ..httpclient import BodyTooLong, read_bounded
 from ..platform import headers as wire
 from ..platform.signals import EngineSignals, engine_signals
 from .call import Call
--- a/primroserudder/fleet/forwarding/assembly.py
+++ b/primroserudder/fleet/forwarding/assembly.py
@@ -2,7 +2,8 @@
 
 from collections.abc import Callable
 
-from ...platform import ORDER_TIMEOUT_S, EngineOrders, open_session
+from ...httpclient import open_session
+from ...platform import ORDER_TIMEOUT_S, EngineOrders
 from ..control_plane import RouterContext
 from ..directory import Directory
 from ..membership import PeerAddresses
--- a/primroserudder/fleet/relaying/relayclient.py
+++ b/primroserudder/fleet/relaying/relayclient.py
@@ -8,7 +8,7 @@
 
 from aiohttp import ClientError, ClientSession, ClientTimeout
 
-from ...platform import read_bounded
+from ...httpclient import read_bounded
 from ...process.clock import Clock
 from ...process.platform import Row
 from ...process.tablepages import StoreVersion
--- a/primroserudder/fleet/router.py
+++ b/primroserudder/fleet/router.py
@@ -5,8 +5,9 @@
 from dataclasses import dataclass, field
 
 from ..errors import RudderError
+from ..httpclient import open_session
 from ..intake import ConnectionRegister, DescriptorBudget, Surroundings
-from ..platform import PlatformStore, open_session
+from ..platform import PlatformStore
 from ..process.clock import Clock, SystemClock
 from ..process.decisions import DecisionLog
 from ..process.lease import Lease
--- a/primroserudder/fleet/serverassembly.py
+++ b/primroserudder/fleet/serverassembly.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Collection
 from dataclasses import dataclass
 
-from ..platform import open_session
+from ..httpclient import open_session
 from ..process.tables import TableFollower
 from .attemptrunner import AttemptRunner
 from .balancing import Balancer
--- a/primroserudder/fleet/tests/test_attempt.py
+++ b/primroserudder/fleet/tests/test_attempt.py
@@ -11,7 +11,7 @@
 import pytest
 from multidict import CIMultiDict
 
-from ...platform import open_session
+from ...httpclient import open_session
 from ...testing.fleetdata import call, route
 from ...testing.rawattempts import raw_attempt
 from ...testing.rawpeer import floods
--- a/primroserudder/platform/__init__.py
+++ b/primroserudder/platform/__init__.py
@@ -8,7 +8,6 @@
 names.
 """
 
-from .boundedbody import BodyTooLong, read_bounded
 from .configuration import (
     ConfigurationDecoder,
     UnreadableConfiguration,
@@ -23,12 +22,10 @@
 )
 from .evacuations import EvacuationRows, decode_evacuations
 from .orders import ORDER_TIMEOUT_S, EngineOrders, OrderOutcome
-from .session import open_session
 from .store import PlatformStore
 
 __all__ = (
     'ORDER_TIMEOUT_S',
-    'BodyTooLong',
     'ConfigurationDecoder',
     'EngineOrders',
     'EngineReport',
@@ -42,6 +39,4 @@
     'decode_evacuations',
     'decode_report',
     'engine_row_age',
-    'open_session',
-    'read_bounded',
 )
--- a/primroserudder/platform/orders.py
+++ b/primroserudder/platform/orders.py
@@ -10,10 +10,9 @@
 import orjson
 
 from ..fleet.model import Engine, Formation
+from ..httpclient import open_session, read_bounded
 from . import names
-from .boundedbody import read_bounded
 from .enginelist import EngineReport, decode_report
-from .session import open_session
 
 ORDER_TIMEOUT_S = 0.5
 # A report needs no slot, so the engine answers within milliseconds.
--- a/primroserudder/platform/store.py
+++ b/primroserudder/platform/store.py
@@ -7,6 +7,12 @@
 import aiohttp
 import orjson
 
+from ..httpclient import (
+    CALL_TIMEOUT_S,
+    close_idle_connections,
+    open_session,
+    read_bounded,
+)
 from ..process.platform import (
     Conflict,
     ObjectMissing,
@@ -23,12 +29,6 @@
     TablePage,
 )
 from . import names
-from .boundedbody import read_bounded
-from .session import (
-    CALL_TIMEOUT_S,
-    close_idle_connections,
-    open_session,
-)
 from .storeformat import (
     MILLISECONDS_PER_SECOND,
     Json,
--- a/primroserudder/platform/tests/test_wire_names.py
+++ b/primroserudder/platform/tests/test_wire_names.py
@@ -9,11 +9,13 @@
 PACKAGE = pathlib.Path(__file__).parents[2]
 # Tests and stand-ins simulate the platform, so they may use its wire names.
 EXEMPT_FOLDERS = frozenset(('platform', 'standins', 'testing', 'tests'))
-# Modules of data types, and the one that describes validation errors.
+# Modules of data types, the one that describes validation errors, and the HTTP
+# client, which knows no other package.
 ALLOWED_MODULES = frozenset(
     (
         'errors',
         'fleet.model',
+        'httpclient',
         'process.platform',
         'process.settings',
         'process.tablepages',
@@ -59,13 +61,23 @@
     assert not users
 
 
-def _platform_modules() -> list[ast.Module]:
+def _modules(package: str) -> list[ast.Module]:
     return [
         ast.parse(path.read_text())
-        for path in sorted((PACKAGE / 'platform').glob('*.py'))
+        for path in sorted((PACKAGE / package).glob('*.py'))
     ]
 
 
+def _outer_imports(package: str) -> set[str | None]:
+    """Return the modules of other packages that a package imports."""
+    return {
+        node.module
+        for module in _modules(package)
+        for node in ast.walk(module)
+        if isinstance(node, ast.ImportFrom) and node.level > 1
+    }
+
+
 def _imported_modules(node: ast.AST) -> list[str]:
     """Return the modules that an absolute import names."""
     if isinstance(node, ast.Import):
@@ -76,16 +88,14 @@
 
 
 def test_platform_package_imports_only_data_types() -> None:
-    imported = {
-        node.module
-        for module in _platform_modules()
-        for node in ast.walk(module)
-        if isinstance(node, ast.ImportFrom) and node.level > 1
-    }
-    assert imported <= ALLOWED_MODULES
+    assert _outer_imports('platform') <= ALLOWED_MODULES
+
+
+def test_http_client_imports_no_other_package() -> None:
+    assert not _outer_imports('httpclient')
 
 
 def test_platform_package_does_not_wait_or_use_randomness_or_tasks() -> None:
-    nodes = itertools.chain.from_iterable(map(ast.walk, _platform_modules()))
+    nodes = itertools.chain.from_iterable(map(ast.walk, _modules('platform')))
     imported = itertools.chain.from_iterable(map(_imported_modules, nodes))
     assert FORBIDDEN_MODULES.isdisjoint(imported)
--- a/primroserudder/testing/rawattempts.py
+++ b/primroserudder/testing/rawattempts.py
@@ -9,7 +9,7 @@
 from ..fleet.attempt import Attempt, AttemptResult, StreamSink
 from ..fleet.events import Event
 from ..fleet.model import RequestKind, Target
-from ..platform import open_session
+from ..httpclient import open_session
 from .fleetdata import call, route
 from .rawpeer import RawPeer, Script, raw_peer
 
