Hold that a field name with a blank or a control byte is no response

Other operators saw clients get an answer in whose head a field's name held a blank or a control byte, with that line passed on or a body that was not the engine's.

The test stays; nothing else changes.

--- a/primroserudder/testing/brokenresponses.py
+++ b/primroserudder/testing/brokenresponses.py
@@ -63,6 +63,21 @@
     return {' '.join((kind, repr(form)[2:-1])): form for form in forms}
 
 
+def in_heads(lines_by_name: ByName) -> ByName:
+    """Return responses with each line, in their head or an interim one."""
+    finals = {
+        f'{name} in a head': with_line(line)
+        for name, line in lines_by_name.items()
+    }
+    interims = {
+        f'{name} in an interim head': after_interim(
+            field=b''.join((line, b'\r\n'))
+        )
+        for name, line in lines_by_name.items()
+    }
+    return {**finals, **interims}
+
+
 _STATUS_LINES = _by_form(
     'status line',
     (
@@ -140,6 +155,27 @@
         ),
     }
 )
+_NAMES = _by_form(
+    'name',
+    (
+        b'X Odd: 1',
+        b'X\tOdd: 1',
+        b'X\x00Odd: 1',
+        b'X\x01Odd: 1',
+        b'X\x7fOdd: 1',
+        b'X\rOdd: 1',
+        b'X-Odd : 1',
+        b'X-Odd\t: 1',
+        b': 1',
+        b'X-Odd',
+        b'X(Odd): 1',
+        b'X"Odd: 1',
+        b'X/Odd: 1',
+        b'X@Odd: 1',
+        b'X\xe4Odd: 1',
+    ),
+)
+BROKEN_NAMES: ByName = in_heads(_NAMES)
 # Rare, but within the grammar.
 SOUND: ByName = MappingProxyType(
     {
@@ -199,5 +235,6 @@
     {
         **BROKEN_STATUS_LINES,
         **LINE_FEEDS,
+        **BROKEN_NAMES,
     }
 )
