Refuse folded lines in the heads of responses

Callers saw: a line that begins with a blank became part of the field before it, so that the caller got that field changed (the seal, 's X-Odd: 1') with 200 and the body.

Cause: the library joins such lines for responses. RFC 9112, section 5.2, has a gateway refuse them with 502 or replace them before use; nobody here sends them, so they are refused, in interim heads too.

A request that must not repeat got 200 with the changed field.

Change: a line after the status line that begins with a blank makes the response invalid. The site's test holds that a request that may repeat is served by the other engine, and that one that must not repeat gets 502 without seal and body, GET and HEAD.

--- a/primroserudder/httpclient/lines.py
+++ b/primroserudder/httpclient/lines.py
@@ -15,8 +15,9 @@
 MAX_LINE_BYTES = 8190
 # Visible characters, bytes above ASCII, spaces and tabs.
 TEXT = rb'[\t\x20-\x7e\x80-\xff]*+'
-_FIELD_LINES = re.compile(rb'(?:[^\r\n]++\r\n)*+')
+_FIELD_LINES = re.compile(rb'(?:[^\t \r\n][^\r\n]*+\r\n)*+')
 _INCOMPLETE_LINE = re.compile(rb'[^\r\n]*+\r?')
+_FOLDED_LINE = re.compile(rb'[\t ]')
 
 
 def end_of_fields(octets: bytes, start: int) -> int:
@@ -51,4 +52,11 @@
         The line is too long.
     """
     if not is_incomplete_line(octets, start):
-        raise InvalidResponse('a line that does not end with CRLF')
+        raise InvalidResponse(_fault(octets, start))
+
+
+def _fault(octets: bytes, start: int) -> str:
+    """Return what is wrong with a field line."""
+    if _FOLDED_LINE.match(octets, start):
+        return 'a folded field line'
+    return 'a line that does not end with CRLF'
--- a/primroserudder/testing/brokenresponses.py
+++ b/primroserudder/testing/brokenresponses.py
@@ -176,6 +176,21 @@
     ),
 )
 BROKEN_NAMES: ByName = in_heads(_NAMES)
+_FOLDED_LINES = _by_form(
+    'line',
+    (b' X-Odd: 1', b'\tX-Odd: 1', b'X-Odd: 1\r\n 2', b'X-Odd:\r\n\t2'),
+)
+FOLDED_LINES: ByName = MappingProxyType(
+    {
+        **in_heads(_FOLDED_LINES),
+        'folded seal': with_framing(LENGTH).replace(
+            SEAL_LINE, b'%s X-Odd: 1\r\n' % SEAL_LINE
+        ),
+        'folded first line': with_status_line(
+            b''.join((STATUS_LINE, b'\r\n X-Odd: 1'))
+        ),
+    }
+)
 # Rare, but within the grammar.
 SOUND: ByName = MappingProxyType(
     {
@@ -236,5 +251,6 @@
         **BROKEN_STATUS_LINES,
         **LINE_FEEDS,
         **BROKEN_NAMES,
+        **FOLDED_LINES,
     }
 )
