Refuse control bytes in the fields of responses

Callers saw: an engine whose field held a control byte (0x01, 0x08, 0x0b, 0x0c, 0x1b, 0x1f, 0x7f) got them 500 unexpected_error, on routes that may repeat without a second attempt.

Cause: the library's parser takes such bytes, the attempt ended as delivered, and only the head for the caller, which can't be written so, failed: after the last moment at which another attempt was possible. RFC 9110, section 5.5, has them invalid.

Change: a field line is a token, a colon and visible characters, bytes above ASCII, spaces and tabs. This also decides on names, by one rule for both parsers.

--- a/primroserudder/fleet/tests/test_broken_answers.py
+++ b/primroserudder/fleet/tests/test_broken_answers.py
@@ -27,6 +27,8 @@
     'status line HTTP/1.1 600 Odd',
     'status line HTTP/2.0 200 OK',
     'status line HTTP/1.1 000 Odd after an interim head',
+    r'field X-Odd: a\x01b in a head',
+    r'field X-Odd: a\x7fb in a head',
     r'line X-Odd: 1\r\n 2 in a head',
     'folded seal',
 )
--- a/primroserudder/httpclient/lines.py
+++ b/primroserudder/httpclient/lines.py
@@ -13,11 +13,13 @@
 LINE_END = b'\r\n'
 # As aiohttp's parsers have it.
 MAX_LINE_BYTES = 8190
+TOKEN = rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]++"
 # Visible characters, bytes above ASCII, spaces and tabs.
 TEXT = rb'[\t\x20-\x7e\x80-\xff]*+'
-_FIELD_LINES = re.compile(rb'(?:[^\t \r\n][^\r\n]*+\r\n)*+')
+_FIELD_LINES = re.compile(rb'(?:%b:%b\r\n)*+' % (TOKEN, TEXT))
 _INCOMPLETE_LINE = re.compile(rb'[^\r\n]*+\r?')
 _FOLDED_LINE = re.compile(rb'[\t ]')
+_FIELD_NAME = re.compile(rb'%b:' % TOKEN)
 
 
 def end_of_fields(octets: bytes, start: int) -> int:
@@ -59,4 +61,6 @@
     """Return what is wrong with a field line."""
     if _FOLDED_LINE.match(octets, start):
         return 'a folded field line'
-    return 'a line that does not end with CRLF'
+    if not _FIELD_NAME.match(octets, start):
+        return 'a field name that is no token'
+    return 'a control byte in a field'
--- a/primroserudder/testing/brokenresponses.py
+++ b/primroserudder/testing/brokenresponses.py
@@ -176,6 +176,11 @@
     ),
 )
 BROKEN_NAMES: ByName = in_heads(_NAMES)
+_TEXTS = _by_form(
+    'field',
+    (b'X-Odd: a%cb' % code for code in (0, 1, 8, 11, 12, 13, 27, 31, 127)),
+)
+BROKEN_TEXTS: ByName = in_heads(_TEXTS)
 _FOLDED_LINES = _by_form(
     'line',
     (b' X-Odd: 1', b'\tX-Odd: 1', b'X-Odd: 1\r\n 2', b'X-Odd:\r\n\t2'),
@@ -251,6 +256,7 @@
         **BROKEN_STATUS_LINES,
         **LINE_FEEDS,
         **BROKEN_NAMES,
+        **BROKEN_TEXTS,
         **FOLDED_LINES,
     }
 )
