Follow chunks and trailers by the grammar

Callers saw: a body in chunks whose sizes have blanks behind them, extensions without a name or value, line feeds in place of line ends, or trailers that are folded or hold a control byte, taken as whole; with the Python parser also sizes with a blank before them and quoted extensions without an end. A legal extension with blanks around it, in turn, was refused by the compiled parser: 502 for a sound answer.

Cause: the library's parsers are lenient towards servers, each in other cases, and the compiled one is too strict in one.

Change: ChunkedBody follows the framing (RFC 9112, section 7) and hands the parser sizes, data and the end alone. Extensions and trailers are checked and left out; nobody here used them. A line is handed on once it is complete, so that a broken one is never parsed. What a chunk's data held before it may have reached the caller of a stream, which is then cut or goes on elsewhere, as before.

--- /dev/null
+++ b/primroserudder/httpclient/chunks.py
@@ -0,0 +1,125 @@
+"""Follows a body in chunks by the grammar (RFC 9112, section 7)."""
+
+import re
+from dataclasses import dataclass
+
+from .errors import InvalidResponse
+from .lines import (
+    LINE_END,
+    TEXT,
+    TOKEN,
+    check_incomplete_field,
+    end_of_fields,
+)
+
+_BLANKS = rb'[\t ]*+'
+_QUOTED = (
+    rb'"(?:[\t \x21\x23-\x5b\x5d-\x7e\x80-\xff]|\\[\t\x20-\x7e\x80-\xff])*+"'
+)
+_EXTENSION = rb'%b;%b%b(?:%b=%b(?:%b|%b))?' % (
+    _BLANKS,
+    _BLANKS,
+    TOKEN,
+    _BLANKS,
+    _BLANKS,
+    TOKEN,
+    _QUOTED,
+)
+HEX_BASE = 16
+# Sizes of more digits are no sizes of anything.
+_SIZE = (
+    rb'(?P<size>0*[0-9A-Fa-f]{1,15})(?P<extensions>(?:%b)*+)\r\n' % _EXTENSION
+)
+_FIRST_SIZE = re.compile(_SIZE)
+# The line end before it belongs to the chunk before.
+_NEXT_SIZE = re.compile(rb'\r\n%b' % _SIZE)
+_SIZE_START = (
+    rb'(?:0*[0-9A-Fa-f]{0,15}|0*[0-9A-Fa-f]{1,15}(?:\r|[\t ;]%b\r?))' % TEXT
+)
+_FIRST_SIZE_START = re.compile(_SIZE_START)
+_NEXT_SIZE_START = re.compile(rb'\r|\r\n%b' % _SIZE_START)
+
+
+@dataclass(slots=True)
+class ChunkedBody:
+    r"""Checks the framing of chunks, and passes on what a parser needs.
+
+    Explanation
+    ===========
+    Extensions and trailers are checked and left out: nobody here uses them, and
+    parsers disagree on them. A line is passed on once it is complete.
+
+    Raises
+    ======
+    InvalidResponse
+        The framing is outside the grammar.
+
+    Examples
+    ========
+    >>> body = ChunkedBody()
+    >>> body.feed(b'5;name=text\r\nhel')
+    b'5\r\nhel'
+    >>> body.feed(b'lo\r\n0\r\nName: text\r\n\r\nrest')
+    b'lo\r\n0\r\n\r\n'
+    >>> body.has_ended
+    True
+    """
+
+    has_ended: bool = False
+    surplus: int = 0
+    # Of the chunk's data.
+    _left: int = 0
+    _has_begun: bool = False
+    _is_in_trailers: bool = False
+    # A line, or all trailers, as far as they came.
+    _held: bytes = b''
+
+    def feed(self, octets: bytes) -> bytes:
+        """Return bytes of the body without extensions and trailers."""
+        octets = self._held + octets if self._held else octets
+        self._held = b''
+        passed: list[bytes] = []
+        at = 0
+        while at < len(octets) and not self.has_ended:
+            if self._left:
+                data_end = min(at + self._left, len(octets))
+                passed.append(octets[at:data_end])
+                self._left -= data_end - at
+                at = data_end
+            elif self._is_in_trailers:
+                at = self._read_trailers(octets, at, passed)
+            else:
+                at = self._read_size(octets, at, passed)
+        self.surplus = len(octets) - at
+        return b''.join(passed)
+
+    def _read_size(self, octets: bytes, at: int, passed: list[bytes]) -> int:
+        pattern = _NEXT_SIZE if self._has_begun else _FIRST_SIZE
+        found = pattern.match(octets, at)
+        if found is None:
+            return self._hold_size(octets, at)
+        self._left = int(found['size'], HEX_BASE)
+        self._is_in_trailers = not self._left
+        start = LINE_END if self._has_begun else b''
+        passed.append(b'%b%b\r\n' % (start, found['size']))
+        self._has_begun = True
+        return found.end()
+
+    def _hold_size(self, octets: bytes, at: int) -> int:
+        pattern = _NEXT_SIZE_START if self._has_begun else _FIRST_SIZE_START
+        if not pattern.fullmatch(octets, at):
+            raise InvalidResponse('a chunk outside the grammar')
+        self._held = octets[at:]
+        return len(octets)
+
+    def _read_trailers(
+        self, octets: bytes, at: int, passed: list[bytes]
+    ) -> int:
+        end = end_of_fields(octets, at)
+        if octets.startswith(LINE_END, end):
+            self.has_ended = True
+            passed.append(LINE_END)
+            return end + len(LINE_END)
+        check_incomplete_field(octets, end)
+        self._held = octets[at:]
+        return len(octets)
--- a/primroserudder/httpclient/framing.py
+++ b/primroserudder/httpclient/framing.py
@@ -5,6 +5,7 @@
 from http import HTTPStatus
 from typing import Protocol
 
+from .chunks import ChunkedBody
 from .errors import InvalidResponse
 
 LENGTH = b'content-length'
@@ -97,4 +98,4 @@
     # Nobody asked for other codings, and HTTP/1.0 has none.
     if text.lower() != _CHUNKED or head.startswith(_OLD_VERSION):
         raise InvalidResponse('a transfer coding other than chunks')
-    return UnsizedBody()
+    return ChunkedBody()
--- a/primroserudder/httpclient/tests/test_broken_responses.py
+++ b/primroserudder/httpclient/tests/test_broken_responses.py
@@ -8,6 +8,7 @@
 from ...fleet.retries import Ending
 from ...testing.brokenresponses import (
     BODY,
+    BROKEN_BODIES,
     BROKEN_HEADS,
     SOUND,
 )
@@ -93,3 +94,22 @@
     )
     outcome = await raw_attempt(script)
     assert outcome.body == BODY
+
+
+@streamed
+@_cases(BROKEN_BODIES)
+async def test_response_with_a_broken_body_is_never_whole(
+    response: bytes, is_stream: bool
+) -> None:
+    script = sends(response, then=stays_silent)
+    outcome = await raw_attempt(script, is_stream=is_stream)
+    _check_refused(outcome)
+    assert outcome.caller_bytes in {b'', BODY}
+
+
+@_cases(BROKEN_BODIES)
+async def test_broken_body_in_pieces_is_never_whole(response: bytes) -> None:
+    script = sends(
+        response[:-9], response[-9:-1], response[-1:], then=stays_silent
+    )
+    _check_refused(await raw_attempt(script))
--- a/primroserudder/testing/brokenresponses.py
+++ b/primroserudder/testing/brokenresponses.py
@@ -78,6 +78,14 @@
     return {**finals, **interims}
 
 
+def in_trailers(lines_by_name: ByName) -> ByName:
+    """Return responses with each line among their trailers."""
+    return {
+        f'{name} in a trailer': with_trailer(line)
+        for name, line in lines_by_name.items()
+    }
+
+
 _STATUS_LINES = _by_form(
     'status line',
     (
@@ -244,6 +252,50 @@
         'interim head with chunks': after_interim(field=CHUNKED),
     }
 )
+BROKEN_CHUNKS: ByName = MappingProxyType(
+    {
+        **{
+            name: in_chunks(
+                b''.join((line, b'\r\n', BODY, b'\r\n', LAST_CHUNK))
+            )
+            for name, line in _by_form(
+                'chunk',
+                (
+                    b'',
+                    b'+1e',
+                    b'0x1e',
+                    b' 1e',
+                    b'1e ',
+                    b'1e\t',
+                    b'1_e',
+                    b'g',
+                    b'1' * 40,
+                    b'1e extension',
+                    b'1e;',
+                    b'1e;=text',
+                    b'1e;na me',
+                    b'1e;na(me',
+                    b'1e;name=',
+                    b'1e;name="text',
+                    b'1e;name=te\x01xt',
+                    b'1e;name=te\rxt',
+                ),
+            ).items()
+        },
+        'line feed after a size': in_chunks(
+            b'1e\n%s\r\n%s' % (BODY, LAST_CHUNK)
+        ),
+        'line feed after data': in_chunks(b'1e\r\n%s\n%s' % (BODY, LAST_CHUNK)),
+        'line feeds after the last chunk': in_chunks(b'%s0\n\n' % CHUNK),
+        'data longer than its size': in_chunks(
+            b'1e\r\n%sX\r\n%s' % (BODY, LAST_CHUNK)
+        ),
+        'data shorter than its size': in_chunks(
+            b'20\r\n%s\r\n%s' % (BODY, LAST_CHUNK)
+        ),
+    }
+)
+BROKEN_TRAILERS: ByName = in_trailers({**_NAMES, **_TEXTS, **_FOLDED_LINES})
 # Rare, but within the grammar.
 SOUND: ByName = MappingProxyType(
     {
@@ -267,6 +319,10 @@
         'chunk extensions': in_chunks(
             b'1e;one;two=2;three="a;b"\r\n%s\r\n0;last\r\n\r\n' % BODY
         ),
+        'blanks in chunk extensions': in_chunks(
+            b'1e;one ; two="a;\x5c\x22b" ;\tthree = x\r\n%s\r\n%s'
+            % (BODY, LAST_CHUNK)
+        ),
         'trailers': with_trailer(b'X-Sum: a b\r\nX-Empty:\r\nX-More:  c '),
         'several spaces after a colon': with_line(b'X-Odd:  \t  1'),
         'no space after a colon': with_line(b'X-Odd:1'),
@@ -309,3 +365,4 @@
         **BROKEN_FRAMINGS,
     }
 )
+BROKEN_BODIES: ByName = MappingProxyType({**BROKEN_CHUNKS, **BROKEN_TRAILERS})
