Read the answers of engines, platform and plain services by the same rules

Callers saw: a plain service behind rudder-entry that answered with status 000 or 600, with HTTP/2.0, a folded or a control byte in a field had its answer passed on as it was. Engines that sent empty lines, interim responses, spaces, folded lines, zeros or chunk extensions without end kept a call for good and used up the processor.

Cause: rudder-entry, rudder-controller and the clients of plain services opened sessions of the library itself, which know no bounds and are lenient; answers to their calls of control were read whole, whatever their size.

Change: all of them open their sessions with httpclient, so that one place says what a response is for engines, store, relays, routers, platform and plain services. Answers of control end at 1 MiB, the platform's at 16 MiB, lists of cache events at 16 MiB; a cache that moves, which no program but a measurement does, at 1 GiB. A refusal whose reason can't be read stays a refusal.

--- a/primroserudder/connection/__init__.py
+++ b/primroserudder/connection/__init__.py
@@ -1,7 +1,7 @@
 """Listening ports, protocol adapters and channels to peers."""
 
 from .callers import Callers
-from .enginehttp import EngineHttp
+from .enginehttp import EngineHttp, node_session
 from .http import bound_port, intake, serve
 from .operators import Operators
 from .peers import PeerChannels
@@ -17,5 +17,6 @@
     'bound_port',
     'intake',
     'make_stops_api',
+    'node_session',
     'serve',
 )
--- a/primroserudder/connection/enginehttp.py
+++ b/primroserudder/connection/enginehttp.py
@@ -16,6 +16,7 @@
 import orjson
 from pydantic import TypeAdapter, ValidationError
 
+from ..httpclient import open_session, read_bounded
 from ..process.engines import (
     CacheEvent,
     ConnectionRefused,
@@ -34,6 +35,11 @@
 _CACHE_EVENTS = TypeAdapter(list[CacheEvent])
 _Answer = TypeVar('_Answer')
 CONTROL_TIMEOUT_S = 2
+# A status names the groups of one engine; a refusal is a sentence.
+MAX_ANSWER_BYTES = 1_048_576
+MAX_REFUSAL_BYTES = 65_536
+MAX_EVENTS_BYTES = 16_777_216
+MAX_CACHE_BYTES = 1_073_741_824
 CONNECT_TIMEOUT_S = 1
 STREAM_END_WAIT_S = 0.1
 NOT_RUN_HEADER = 'Engine-Not-Run'
@@ -133,13 +139,18 @@
     ) -> Sequence[CacheEvent]:
         """Return the prefix cache events after a sequence number."""
         received = await self._control_call(
-            address, 'GET', f'/cache?after={after}'
+            address,
+            'GET',
+            f'/cache?after={after}',
+            max_bytes=MAX_EVENTS_BYTES,
         )
         return _parse(received, _CACHE_EVENTS)
 
     async def export_cache(self, address: str, request_id: str) -> bytes:
         """Return the KV cache of a request."""
-        return await self._control_call(address, 'GET', f'/kv/{request_id}')
+        return await self._control_call(
+            address, 'GET', f'/kv/{request_id}', max_bytes=MAX_CACHE_BYTES
+        )
 
     async def import_cache(
         self,
@@ -184,6 +195,7 @@
         method: str,
         path: str,
         body: bytes | None = None,
+        max_bytes: int = MAX_ANSWER_BYTES,
     ) -> bytes:
         timeout = aiohttp.ClientTimeout(total=CONTROL_TIMEOUT_S)
         try:
@@ -194,21 +206,28 @@
                 timeout=timeout,
                 allow_redirects=False,
             ) as response:
-                return await _read_control_answer(response)
+                return await _read_control_answer(response, max_bytes)
         except (aiohttp.ClientError, asyncio.TimeoutError) as error:
             raise _unreachable_type(error)(
                 f'{address}: {method} {path}: {type(error).__name__}',
             ) from error
 
 
+def node_session() -> aiohttp.ClientSession:
+    """Return the session of a process to engines and the platform."""
+    return open_session(timeout_s=None, caches_names=True)
+
+
 def _unreachable_type(error: Exception) -> type[UpstreamUnreachable]:
     cause = getattr(error, 'os_error', None)
     is_refused = isinstance(cause, ConnectionRefusedError)
     return ConnectionRefused if is_refused else UpstreamUnreachable
 
 
-async def _read_control_answer(response: aiohttp.ClientResponse) -> bytes:
-    received = await response.read()
+async def _read_control_answer(
+    response: aiohttp.ClientResponse, max_bytes: int
+) -> bytes:
+    received = await read_bounded(response, max_bytes)
     if response.status == HTTPStatus.CONFLICT:
         reason = received.decode(errors='replace')
         raise OrderRefused(f'{response.url}: {reason}')
@@ -232,7 +251,7 @@
     call: EngineCall,
 ) -> None:
     if NOT_RUN_HEADER in response.headers:
-        reason = await response.text()
+        reason = await _reason(response)
         raise UpstreamRefused(f'the engine refused: {reason}')
     received = (
         response.status,
@@ -246,6 +265,15 @@
         )
 
 
+async def _reason(response: aiohttp.ClientResponse) -> str:
+    """Return why an engine refused, as far as it can be read."""
+    try:
+        refusal = await read_bounded(response, MAX_REFUSAL_BYTES)
+    except (aiohttp.ClientError, asyncio.TimeoutError) as error:
+        return f'no reason could be read: {type(error).__name__}'
+    return refusal.decode(errors='replace')
+
+
 async def _read_stream_end(response: aiohttp.ClientResponse) -> None:
     # The end of the body follows the end mark of the stream closely. After it
     # is read, the connection can be used again.
--- a/primroserudder/connection/plain.py
+++ b/primroserudder/connection/plain.py
@@ -18,6 +18,7 @@
 import aiohttp
 from yarl import URL
 
+from ..httpclient import open_session
 from ..process.engines import EngineAnswer, UpstreamLost, UpstreamUnreachable
 from ..request.dispatch import DispatchRecord
 from ..request.plain import PlainRequest
@@ -144,9 +145,9 @@
 
 def plain_session(*, is_pooled: bool) -> aiohttp.ClientSession:
     """Return a session for plain services without a cookie jar."""
-    return aiohttp.ClientSession(
-        connector=aiohttp.TCPConnector(limit=0, force_close=not is_pooled),
-        auto_decompress=False,
-        cookie_jar=aiohttp.DummyCookieJar(),
-        trace_configs=send_traces(),
+    return open_session(
+        timeout_s=None,
+        reuses_connections=is_pooled,
+        caches_names=True,
+        traces=send_traces(),
     )
--- a/primroserudder/connection/platformhttp.py
+++ b/primroserudder/connection/platformhttp.py
@@ -16,6 +16,7 @@
 import orjson
 from pydantic import BaseModel, ValidationError
 
+from ..httpclient import read_bounded
 from ..process.platform import (
     Conflict,
     ObjectMissing,
@@ -27,6 +28,8 @@
 )
 from ..process.settings import describe
 
+# A version, or all rows with a prefix.
+MAX_ANSWER_BYTES = 16_777_216
 _WireRow = tuple[str, int, dict[str, object]]
 
 
@@ -129,7 +132,7 @@
                 timeout=timeout,
                 allow_redirects=False,
             ) as response:
-                received = await response.read()
+                received = await read_bounded(response, MAX_ANSWER_BYTES)
                 _raise_for_status(response.status, f'platform: {method} {path}')
                 return received
         except (aiohttp.ClientError, asyncio.TimeoutError) as error:
--- a/primroserudder/httpclient/session.py
+++ b/primroserudder/httpclient/session.py
@@ -1,6 +1,7 @@
-"""HTTP client sessions for the store and for engines."""
+"""HTTP client sessions for all that a process calls."""
 
 import socket
+from collections.abc import Sequence
 
 import aiohttp
 
@@ -14,23 +15,30 @@
 
 
 def open_session(
-    timeout_s: float = CALL_TIMEOUT_S,
+    timeout_s: float | None = CALL_TIMEOUT_S,
     *,
     reuses_connections: bool = True,
     buffer_bytes: int = DEFAULT_BUFFER_BYTES,
+    caches_names: bool = False,
+    traces: Sequence[aiohttp.TraceConfig] = (),
 ) -> aiohttp.ClientSession:
     """Return a session with TCP keepalive, which detects dead connections.
 
     Parameters
     ==========
+    timeout_s : float or None
+        How long a call takes at most that names no time itself, ``None`` for
+        as long as it likes.
     buffer_bytes : int
         A connection is not read while twice as much was not taken from it.
+    caches_names : bool
+        Whether the addresses of names are kept for a few seconds.
     """
     connector = BoundedConnector(
         socket_factory=_keepalive_socket,
         limit=0,
         force_close=not reuses_connections,
-        use_dns_cache=False,
+        use_dns_cache=caches_names,
     )
     session = aiohttp.ClientSession(
         connector=connector,
@@ -38,6 +46,7 @@
         auto_decompress=False,
         cookie_jar=aiohttp.DummyCookieJar(),
         read_bufsize=buffer_bytes,
+        trace_configs=list(traces),
     )
     # aiohttp retries some methods by itself if the connection was closed.
     session._retry_connection = False  # noqa: SLF001
--- a/primroserudder/programs/node.py
+++ b/primroserudder/programs/node.py
@@ -7,7 +7,7 @@
 from contextlib import AsyncExitStack
 from dataclasses import dataclass, field
 
-from aiohttp import ClientSession, TCPConnector, web
+from aiohttp import ClientSession, web
 from grpc import aio
 
 from ..connection import (
@@ -16,6 +16,7 @@
     bound_port,
     intake,
     make_stops_api,
+    node_session,
     serve,
 )
 from ..connection.exchange import MembershipService, PeerClient
@@ -97,10 +98,7 @@
 
     async def open_clients(self) -> None:
         """Open the clients that need a running event loop."""
-        connector = TCPConnector(limit=0)
-        self.session = await self.stack.enter_async_context(
-            ClientSession(connector=connector, auto_decompress=False),
-        )
+        self.session = await self.stack.enter_async_context(node_session())
         platform = self.settings.platform
         self.platform = PlatformHttp(
             self.session,
--- a/primroserudder/request/tests/test_plain.py
+++ b/primroserudder/request/tests/test_plain.py
@@ -14,6 +14,7 @@
 from ...process.invariants import Invariants
 from ...process.metrics import Metrics
 from ...testing import builders
+from ...testing.brokenresponses import BROKEN_HEADS
 from ...testing.keyedbench import Heard
 from ...testing.sockets import ANSWER, DROP, SHORT_ANSWER, RecordingServer
 from ...version.holder import VersionHolder
@@ -22,6 +23,14 @@
 from ..plain import NoPlainEndpoint, PlainExecution
 from ..servicecall import ServiceCall
 
+BROKEN_NAMES = (
+    'status line HTTP/1.1 000 Odd',
+    'status line HTTP/1.1 600 Odd',
+    'status line HTTP/2.0 200 OK',
+    r'field X-Odd: a\x01b in a head',
+    'folded seal',
+    'name X Odd: 1 in a head',
+)
 UNUSED = 'http://127.0.0.1:9'
 REDIRECT = (
     b'HTTP/1.1 307 Temporary Redirect\r\nLocation: /other\r\n'
@@ -182,6 +191,30 @@
     assert lost.ran is Ran.YES
 
 
+@pytest.mark.parametrize('name', BROKEN_NAMES)
+async def test_broken_answer_is_lost(client: PlainHttp, name: str) -> None:
+    server = RecordingServer([BROKEN_HEADS[name]])
+    async with server.listening() as url:
+        bench = Bench(client, (url,))
+        lost = await bench.refusal(Rudder_Idempotent='false')
+    assert isinstance(lost, UpstreamLost)
+    assert lost.ran is Ran.UNKNOWN
+    assert len(server.received) == 1
+    assert not bench.heard.parts
+
+
+@pytest.mark.parametrize('name', BROKEN_NAMES)
+async def test_call_that_may_repeat_goes_on_after_a_broken_answer(
+    client: PlainHttp, name: str
+) -> None:
+    faulty, sound = RecordingServer([BROKEN_HEADS[name]]), RecordingServer([])
+    async with faulty.listening() as first, sound.listening() as second:
+        bench = Bench(client, (first, second))
+        await bench.call(Rudder_Idempotent='true')
+    assert bench.heard.parts == [b'ok']
+    assert (len(faulty.received), len(sound.received)) == (1, 1)
+
+
 async def test_hop_by_hop_headers_are_not_forwarded(
     client: PlainHttp,
 ) -> None:
