Blame the engine for a broken response, not its request

Callers saw: 503 quarantined, for 600 s, for a content that three engines had met with broken responses; each was counted as a crash of its engine. Why a request got 502 was only the name of an exception, and an engine that went on so got new requests after each second.

Cause: any fault of a response but a timeout counted as a connection that failed, and so as an engine that ended under the request. An engine that sends what is no response runs on.

Change: such an attempt ends with is_broken and the reason. Each writes a line, broken_response, with request, engine and reason, and counts. After two in a row an engine is avoided for 1 s, and twice as long each time that it is tried again, up to 4 s. The lines on attempts move from Server to AttemptLog.

--- a/primroserudder/fleet/attempt.py
+++ b/primroserudder/fleet/attempt.py
@@ -2,13 +2,13 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable, Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import aiohttp
 from multidict import CIMultiDict
 from yarl import URL
 
-from ..httpclient import BodyTooLong, read_bounded
+from ..httpclient import BodyTooLong, BrokenResponse, read_bounded
 from ..platform import headers as wire
 from ..platform.signals import EngineSignals, engine_signals
 from .call import Call
@@ -67,9 +67,10 @@
     ===========
     ``engine_at_fault`` is the id of the engine that a refusal names, empty if
     it names none. ``may_have_crashed`` is true if the connection failed after
-    it was opened, or if the response was invalid. ``has_arrived`` is false if
-    no engine received the request. ``runs`` is on how many engines it may have
-    run, ``None`` if no answer says so.
+    it was opened. ``is_broken`` is true if the engine sent what is no response;
+    it runs on, so that its requests are not to blame. ``has_arrived`` is false
+    if no engine received the request. ``runs`` is on how many engines it may
+    have run, ``None`` if no answer says so.
     """
 
     ending: Ending
@@ -77,6 +78,7 @@
     response: EngineResponse | None = None
     engine_at_fault: str = ''
     may_have_crashed: bool = False
+    is_broken: bool = False
     has_arrived: bool = True
     runs: int | None = None
 
@@ -211,7 +213,7 @@
                 type(error).__name__, may_have_crashed=False
             )
         except _TRANSPORT_ERRORS as error:
-            return self._broken_result(type(error).__name__)
+            return self._failed_result(error)
 
     def _headers(self) -> CIMultiDict[str]:
         call = self.call
@@ -237,6 +239,12 @@
         ending = Ending.CUT if is_cut else Ending.UNKNOWN
         return AttemptResult(ending, reason, may_have_crashed=may_have_crashed)
 
+    def _failed_result(self, error: Exception) -> AttemptResult:
+        if isinstance(error, BrokenResponse):
+            broken = self._broken_result(str(error), may_have_crashed=False)
+            return replace(broken, is_broken=True)
+        return self._broken_result(type(error).__name__)
+
     async def _read_response(
         self, response: aiohttp.ClientResponse
     ) -> AttemptResult:
--- a/primroserudder/fleet/health.py
+++ b/primroserudder/fleet/health.py
@@ -21,6 +21,8 @@
 AVOID_UNREACHABLE_S = 1.0
 AVOID_REFUSING_S = 0.15
 FAILURES_TO_AVOID = 2
+# An engine that goes on to send broken responses is avoided for longer.
+MAX_AVOID_BROKEN_S = 4.0
 # With this many unreachable engines, the whole failure domain is avoided.
 UNREACHABLE_ENGINES_TO_AVOID_DOMAIN = 2
 # An engine counts as unreachable this long after a failed connection.
@@ -35,6 +37,7 @@
     clock: Clock
     avoided_until: dict[str, float] = field(default_factory=dict)
     failures_by_engine: dict[str, int] = field(default_factory=dict)
+    avoided_s_by_engine: dict[str, float] = field(default_factory=dict)
     lost_event_by_group: OrderedDict[int, asyncio.Event] = field(
         default_factory=OrderedDict,
     )
@@ -70,6 +73,7 @@
         engine_id = target.engine_id
         if outcome.ending is Ending.DELIVERED:
             self.failures_by_engine.pop(engine_id, None)
+            self.avoided_s_by_engine.pop(engine_id, None)
             self.unreachable_at_by_domain.pop(target.failure_domain, None)
             return
         if outcome.ending in NEVER_RUN:
@@ -77,7 +81,9 @@
             return
         failures = self.failures_by_engine.get(engine_id, 0) + 1
         self.failures_by_engine[engine_id] = failures
-        if failures >= FAILURES_TO_AVOID:
+        if failures >= FAILURES_TO_AVOID and outcome.is_broken:
+            self._avoid_broken(engine_id, now)
+        elif failures >= FAILURES_TO_AVOID:
             self.avoided_until[engine_id] = now + AVOID_UNREACHABLE_S
 
     def note_back_off(self, target: Target, seconds: float) -> None:
@@ -183,6 +189,16 @@
             avoid_s = AVOID_REFUSING_S
         self.avoided_until[target.engine_id] = now + avoid_s
 
+    def _avoid_broken(self, engine_id: str, now: float) -> None:
+        """Avoid an engine for longer each time that it was tried again."""
+        if self._is_avoided(engine_id):
+            # An attempt from before ended later.
+            return
+        avoid_s = self.avoided_s_by_engine.get(engine_id, 0) * 2
+        avoid_s = min(max(avoid_s, AVOID_UNREACHABLE_S), MAX_AVOID_BROKEN_S)
+        self.avoided_s_by_engine[engine_id] = avoid_s
+        self.avoided_until[engine_id] = now + avoid_s
+
     def _is_avoided(self, engine_id: str) -> bool:
         until = self.avoided_until.get(engine_id)
         return until is not None and until > self.clock.monotonic()
--- a/primroserudder/fleet/serverassembly.py
+++ b/primroserudder/fleet/serverassembly.py
@@ -5,6 +5,7 @@
 
 from ..httpclient import open_session
 from ..process.tables import TableFollower
+from .attemptlog import AttemptLog
 from .attemptrunner import AttemptRunner
 from .balancing import Balancer
 from .control_plane import RouterContext
@@ -126,8 +127,7 @@
         slots,
         health,
         quarantine,
-        context.log,
-        context.metrics,
+        AttemptLog(context.log, context.metrics),
         charger,
         EvacuationGuard(selector, slots, context.metrics),
     )
--- a/primroserudder/fleet/serving.py
+++ b/primroserudder/fleet/serving.py
@@ -8,9 +8,8 @@
 
 from ..errors import Ran, RudderError
 from ..process.clock import Clock
-from ..process.decisions import DecisionLog
-from ..process.metrics import Metrics
 from .attempt import AttemptResult, StreamSink
+from .attemptlog import AttemptLog
 from .attemptrunner import AttemptRunner
 from .call import Call
 from .crashes.quarantine import Quarantine, Quarantined
@@ -79,8 +78,7 @@
     slots: SlotQueues
     health: TargetHealth
     quarantine: Quarantine
-    log: DecisionLog
-    metrics: Metrics
+    notes: AttemptLog
     charger: RetryCharger
     guard: EvacuationGuard
     is_closed: bool = False
@@ -145,7 +143,7 @@
             ):
                 step = _step_without_retry(outcome, call, sink)
                 return self._finish(step, call, outcome)
-            self._log_retry(call, target, outcome)
+            self.notes.note_retry(call, target, outcome)
             await asyncio.sleep(RETRY_PAUSE_S)
 
     def _refuse_if_closed(self, call: Call) -> None:
@@ -264,6 +262,8 @@
         if not target.is_router:
             self.health.note(target, outcome, self.clock.monotonic())
         self.quarantine.note_outcome(call, target, outcome)
+        if outcome.is_broken:
+            self.notes.note_broken(call, target, outcome)
 
     def _may_send_again(self, call: Call, outcome: AttemptResult) -> bool:
         """Return whether the retry budget allows a retry after an attempt.
@@ -294,24 +294,6 @@
             error = MayHaveRun(outcome.reason)
         raise call.dispatch.close(error)
 
-    def _log_retry(
-        self,
-        call: Call,
-        target: Target,
-        outcome: AttemptResult,
-    ) -> None:
-        self.metrics.count('repeats', ending=outcome.ending.value)
-        self.log.note(
-            'repeat',
-            request=call.metadata.attempt_id,
-            engine=target.engine_id,
-            group=target.group,
-            ending=outcome.ending.value,
-            reason=outcome.reason,
-            runs=call.retry_state.runs,
-            last_event=call.last_event_id,
-        )
-
 
 def _step_without_retry(
     outcome: AttemptResult, call: Call, sink: StreamSink
--- a/primroserudder/fleet/tests/test_broken_answers.py
+++ b/primroserudder/fleet/tests/test_broken_answers.py
@@ -1,12 +1,13 @@
 """A router beside an engine whose responses are broken."""
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Iterator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from http import HTTPStatus
 
 import pytest
+from loguru import logger
 
 from ...testing.brokenresponses import BROKEN_HEADS
 from ...testing.platformsite import (
@@ -19,9 +20,13 @@
 
 REPEATABLE = '/lookups/1'
 UNREPEATABLE = '/refunds/1'
+# No engine has answered it.
+ANOTHER_CONTENT = '/refunds/9'
 ECHO = b'X-Primroserudder-Attempt-Id: one\r\n'
 SEAL = 'X-Primroserudder-Response-Seal'
 MOST_REQUESTS = 12
+# More than three, with which a content is refused.
+SEVERAL = 8
 NAMES = (
     'status line HTTP/1.1 000 Odd',
     'status line HTTP/1.1 600 Odd',
@@ -50,6 +55,11 @@
             self.sealed.append(SEAL in response.headers)
             return response.status
 
+    async def is_served(self, requests: int) -> bool:
+        """Return whether any of some requests is served."""
+        statuses = [await self.status(UNREPEATABLE) for _ in range(requests)]
+        return HTTPStatus.OK in statuses
+
     async def statuses(self, path: str, method: str = 'GET') -> set[int]:
         """Return the statuses of requests that reached the peer alone."""
         reached: set[int] = set()
@@ -84,6 +94,20 @@
         yield faulty
 
 
+@pytest.fixture
+def decisions() -> Iterator[list[dict[str, object]]]:
+    """Collect the lines of the decision log."""
+    lines: list[dict[str, object]] = []
+
+    def keep(message: str) -> None:
+        extra = getattr(message, 'record')['extra']
+        lines.append(extra.get('line', {}))
+
+    sink = logger.add(keep)
+    yield lines
+    logger.remove(sink)
+
+
 broken = pytest.mark.parametrize(
     'response', [BROKEN_HEADS[name] for name in NAMES], ids=NAMES
 )
@@ -109,3 +133,46 @@
         assert statuses == {HTTPStatus.BAD_GATEWAY}
         assert EVENTS not in faulty.bodies
         assert not any(faulty.sealed)
+
+
+async def test_content_of_a_request_is_not_blamed_for_broken_answers() -> None:
+    # Three engines that ended under a content would have it refused.
+    script = sends(BROKEN_HEADS[NAMES[0]].replace(ECHO, b''))
+    async with (
+        platform_site(engines=0, plain=3) as site,
+        raw_peer(script) as peer,
+    ):
+        faulty = _FaultySite(site, peer)
+        while await faulty.status(REPEATABLE) != HTTPStatus.OK:
+            await asyncio.sleep(POLL_INTERVAL_S)
+        engines = tuple(site.engines_by_id.values())
+        sound_address = engines[0].address
+        for engine in engines:
+            engine.address = peer.address
+            engine.register()
+        while await faulty.is_served(len(engines)):
+            await asyncio.sleep(POLL_INTERVAL_S)
+        peer.connections = 0
+        while peer.connections < SEVERAL:
+            await faulty.status(ANOTHER_CONTENT)
+        engines[0].address = sound_address
+        engines[0].register()
+        while await faulty.status(ANOTHER_CONTENT) != HTTPStatus.OK:
+            await asyncio.sleep(POLL_INTERVAL_S)
+    assert not [body for body in faulty.bodies if b'quarantined' in body]
+
+
+async def test_broken_answer_is_logged_with_its_engine_and_cause(
+    decisions: list[dict[str, object]],
+) -> None:
+    response = BROKEN_HEADS[NAMES[0]]
+    async with _faulty_site(response, plain=1) as faulty:
+        await faulty.statuses(UNREPEATABLE)
+    lines = [
+        line for line in decisions if line['decision'] == 'broken_response'
+    ]
+    assert lines
+    assert {line['engine'] for line in lines} == {'i-0'}
+    assert {line['reason'] for line in lines} == {
+        'a status outside 100 to 599: 000'
+    }
