--- a/primroserudder/fleet/tests/test_broken_answers.py
+++ b/primroserudder/fleet/tests/test_broken_answers.py
@@ -159,7 +159,7 @@
         engines[0].register()
         while await faulty.status(ANOTHER_CONTENT) != HTTPStatus.OK:
             await asyncio.sleep(POLL_INTERVAL_S)
-    assert not [body for body in faulty.bodies if b'quarantined' in body]
+    assert not any(b'quarantined' in body for body in faulty.bodies)
 
 
 async def test_broken_answer_is_logged_with_its_engine_and_cause(
