End responses in chunks of hardly any data

Callers saw: with three of four engines sending chunks of one byte without end, half of the requests got 504, as the router's processor was used up.

Cause: such a response has a body that grows, so that no bound applied to it before 16 MB, and each chunk costs as much as a kilobyte of a large one.

Evidence: test_endless_framing_of_a_chunk_ends_an_attempt_before_its_deadline, case 'one byte', which ended at its deadline before.

Change: what frames chunks may exceed twice their data by 128 KiB. 8,192 chunks of one byte with an extension each are still read, as before; of chunks of one byte without, 43,690.

--- a/primroserudder/httpclient/chunks.py
+++ b/primroserudder/httpclient/chunks.py
@@ -3,7 +3,7 @@
 import re
 from dataclasses import dataclass
 
-from .errors import InvalidResponse
+from .errors import EndlessResponse, InvalidResponse
 from .lines import (
     LINE_END,
     TEXT,
@@ -26,6 +26,9 @@
     _QUOTED,
 )
 HEX_BASE = 16
+# What frames chunks may exceed twice their data by so much. Each chunk costs
+# the processor as much as a kilobyte of a large one.
+MAX_EXCESS_FRAMING_BYTES = 131_072
 # Sizes of more digits are no sizes of anything.
 _SIZE = (
     rb'(?P<size>0*[0-9A-Fa-f]{1,15})(?P<extensions>(?:%b)*+)\r\n' % _EXTENSION
@@ -53,6 +56,8 @@
     ======
     InvalidResponse
         The framing is outside the grammar.
+    EndlessResponse
+        Chunks are so small that hardly anything but framing comes.
 
     Examples
     ========
@@ -69,6 +74,7 @@
     surplus: int = 0
     # Of the chunk's data.
     _left: int = 0
+    _excess_framing: int = 0
     _has_begun: bool = False
     _is_in_trailers: bool = False
     # A line, or all trailers, as far as they came.
@@ -100,11 +106,17 @@
             return self._hold_size(octets, at)
         self._left = int(found['size'], HEX_BASE)
         self._is_in_trailers = not self._left
+        self._count_framing(found.end() - at - 2 * self._left)
         start = LINE_END if self._has_begun else b''
         passed.append(b'%b%b\r\n' % (start, found['size']))
         self._has_begun = True
         return found.end()
 
+    def _count_framing(self, excess: int) -> None:
+        self._excess_framing = max(0, self._excess_framing + excess)
+        if self._excess_framing > MAX_EXCESS_FRAMING_BYTES:
+            raise EndlessResponse('too many chunks of hardly any data')
+
     def _hold_size(self, octets: bytes, at: int) -> int:
         pattern = _NEXT_SIZE_START if self._has_begun else _FIRST_SIZE_START
         if not pattern.fullmatch(octets, at):
--- a/primroserudder/httpclient/tests/test_responsehandler.py
+++ b/primroserudder/httpclient/tests/test_responsehandler.py
@@ -100,8 +100,9 @@
         (b'4', b' '),
         (b'0\r\n', b'name: text\r\n'),
         (b'0\r\nname:', b' '),
+        (b'', b'1\r\n\n\r\n'),
     ],
-    ids=['extension', 'zeros', 'spaces', 'trailers', 'trailer'],
+    ids=['extension', 'zeros', 'spaces', 'trailers', 'trailer', 'one byte'],
 )
 async def test_endless_framing_of_a_chunk_ends_an_attempt_before_its_deadline(
     first: bytes, repeated: bytes, is_stream: bool
