Hold large responses within the memory of the VM

Callers saw: engines that send a body without end brought a router of 300 MB to 312, 351 and 348 MB, one of 152 MB to 180 to 189; over its limit a process is ended, and all that it serves with it.

A response's length was not looked at before its body was read, up to 16 MB. 2. The budget refused whoever asked next once it was full, so that ordinary requests were the first to go and those without end stayed. 3. A body grew in one block that was copied at its end, beside what was counted. 4. glibc keeps freed blocks and fills the gaps with others: with 154 MB counted at its peak, 283 MB stayed resident with 26 counted. 5.

Above three quarters of the budget the largest response over 64 KB gives way (502 or another attempt; its engine is not at fault); one that is large alone may take what is left; what gave way counts until it is freed. An error of an attempt drops its traceback.

--- a/primroserudder/fleet/attempt.py
+++ b/primroserudder/fleet/attempt.py
@@ -1,14 +1,15 @@
 """A single attempt to run a request on an engine."""
 
 import asyncio
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable, Sequence
 from dataclasses import dataclass, field, replace
+from functools import partial
 
 import aiohttp
 from multidict import CIMultiDict
 from yarl import URL
 
-from ..httpclient import BodyTooLong, BrokenResponse, read_bounded
+from ..httpclient import BrokenResponse, read_pieces
 from ..platform import headers as wire
 from ..platform.signals import EngineSignals, engine_signals
 from .call import Call
@@ -36,6 +37,7 @@
 # An engine sends what a pass generated together; two passes are further apart.
 TOGETHER_S = 0.002
 NO_CONNECTION = 'no connection'
+NO_MEMORY = 'no memory for the response'
 _TRANSPORT_ERRORS = (
     aiohttp.ClientError,
     OSError,
@@ -50,13 +52,22 @@
 )
 
 
+class NoMemoryLeft(aiohttp.ClientPayloadError):
+    """A response gave way to others, as the memory of this VM is in use."""
+
+
 @dataclass(frozen=True, slots=True)
 class EngineResponse:
-    """A complete response of an engine."""
+    """A complete response of an engine, with its body in pieces."""
 
     status: int
     headers: CIMultiDict[str]
-    body: bytes
+    pieces: Sequence[bytes]
+
+    @property
+    def body(self) -> bytes:
+        """Return the whole body."""
+        return b''.join(self.pieces)
 
 
 @dataclass(frozen=True, slots=True)
@@ -240,6 +251,10 @@
         return AttemptResult(ending, reason, may_have_crashed=may_have_crashed)
 
     def _failed_result(self, error: Exception) -> AttemptResult:
+        # The reader of the body keeps its error, and so what its frames held.
+        error.with_traceback(None)
+        if isinstance(error, NoMemoryLeft):
+            return self._broken_result(str(error), may_have_crashed=False)
         if isinstance(error, BrokenResponse):
             broken = self._broken_result(str(error), may_have_crashed=False)
             return replace(broken, is_broken=True)
@@ -286,26 +301,30 @@
         is_success: bool,
     ) -> AttemptResult:
         framing = Framing.of(response)
+        holding = self.call.holding
+        holding.let_give_way(partial(_end_for_memory, response))
         try:
-            body = await read_bounded(
+            pieces = await read_pieces(
                 response, MAX_RESPONSE_BYTES, self._hold_response
             )
-        except BodyTooLong as error:
-            self.call.holding.hold_response(0)
-            return self._broken_result(str(error), may_have_crashed=False)
+        except BaseException:
+            holding.free_response()
+            raise
+        holding.keep_response()
         if not await framing.is_complete():
+            holding.free_response()
             return self._broken_result(
                 'connection failed before a response of unknown length ended'
             )
         headers = wire.response_headers_for_caller(response.headers)
         runs = take_runs(headers) if self.target.is_router else None
-        complete = EngineResponse(response.status, headers, body)
+        complete = EngineResponse(response.status, headers, pieces)
         ending = Ending.DELIVERED if is_success else Ending.FAILED
         return AttemptResult(ending, str(response.status), complete, runs=runs)
 
     def _hold_response(self, octets: int) -> None:
         if not self.call.holding.hold_response(octets):
-            raise BodyTooLong('no memory for the response')
+            raise NoMemoryLeft(NO_MEMORY)
 
     async def _relay_stream(
         self, response: aiohttp.ClientResponse
@@ -370,3 +389,8 @@
         await self.sink.start(
             response.status, wire.response_headers_for_caller(response.headers)
         )
+
+
+def _end_for_memory(response: aiohttp.ClientResponse) -> None:
+    """Let the reader of a response end, and its connection with it."""
+    response.content.set_exception(NoMemoryLeft(NO_MEMORY))
--- a/primroserudder/fleet/memory/tests/test_budget.py
+++ b/primroserudder/fleet/memory/tests/test_budget.py
@@ -78,3 +78,55 @@
 @pytest.mark.parametrize(('memory_mb', 'limit'), [(552, 467e6), (20, 8e6)])
 def test_limit_is_what_the_process_leaves(memory_mb: int, limit: int) -> None:
     assert MemoryBudget.of_vm(memory_mb).limit_bytes == limit
+
+
+def _growing(budget: MemoryBudget, octets: int, gone: list[int]) -> Holding:
+    """Return a request whose response has grown so far."""
+    holding = Holding(budget)
+    holding.let_give_way(lambda: gone.append(octets))
+    assert holding.hold_response(octets)
+    return holding
+
+
+def test_largest_response_gives_way_to_an_ordinary_one() -> None:
+    budget = MemoryBudget(LIMIT)
+    gone: list[int] = []
+    for octets in (2 * LARGE, 3 * LARGE, 2 * LARGE):
+        _growing(budget, octets, gone)
+    ordinary = _growing(budget, LARGE_BODY_BYTES, gone)
+    assert not gone
+    assert ordinary.hold_response(LARGE)
+    assert gone == [3 * LARGE]
+
+
+def test_response_that_is_the_largest_itself_ends() -> None:
+    budget = MemoryBudget(LIMIT)
+    gone: list[int] = []
+    largest = [_growing(budget, 3 * LARGE, gone) for _ in range(2)][0]
+    assert not largest.hold_response(5 * LARGE)
+    assert not gone
+
+
+def test_response_that_is_large_alone_takes_what_is_left() -> None:
+    holding = Holding(MemoryBudget(LIMIT))
+    assert holding.hold_response(LIMIT)
+    assert not holding.hold_response(LIMIT + 1)
+
+
+def test_what_gave_way_counts_until_it_is_freed() -> None:
+    budget = MemoryBudget(LIMIT)
+    gone: list[int] = []
+    leaving = _growing(budget, 6 * LARGE, gone)
+    follower = _growing(budget, 2 * LARGE, gone)
+    assert gone == [6 * LARGE]
+    assert not follower.hold_response(5 * LARGE)
+    leaving.free_response()
+    assert follower.hold_response(5 * LARGE)
+
+
+def test_whole_response_gives_way_to_nobody() -> None:
+    budget = MemoryBudget(LIMIT)
+    gone: list[int] = []
+    _growing(budget, 7 * LARGE, gone).keep_response()
+    _growing(budget, LARGE, gone)
+    assert not gone
--- a/primroserudder/fleet/memory/watch.py
+++ b/primroserudder/fleet/memory/watch.py
@@ -8,9 +8,9 @@
 
 from ...errors import RudderError
 from ...intake.budget import BYTES_PER_MB, MemoryBudget
+from ...process.allocator import resident_bytes, return_free_memory
 from ...process.decisions import DecisionLog
 from ...process.metrics import Metrics
-from .allocator import resident_bytes, return_free_memory
 from .slowcallers import (
     CUT_SHARE,
     CutReason,
--- a/primroserudder/fleet/servedrequest.py
+++ b/primroserudder/fleet/servedrequest.py
@@ -2,12 +2,12 @@
 
 import asyncio
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from http import HTTPStatus
 
 from aiohttp import HttpVersion11, web
-from aiohttp.hdrs import METH_HEAD
+from aiohttp.hdrs import CONTENT_LENGTH, METH_HEAD
 from multidict import CIMultiDict
 
 from ..errors import Ran, RudderError
@@ -22,10 +22,6 @@
 from .memory import CutReason, Holding
 from .requestendings import OpenRequest, RequestEnding
 
-# A whole response is written in pieces of this size, each after the one before
-# was accepted, so that it is not held twice.
-PIECE_BYTES = 65_536
-
 
 class CallerDisconnected(RudderError):
     """The caller closed its connection."""
@@ -191,10 +187,10 @@
         CallerDisconnected
             The caller closed its connection.
         """
-        response = _complete_response(outcome)
+        response, pieces = _complete_response(outcome)
         if self.is_forwarded:
             response.headers[RUNS] = str(self.count_runs())
-        return await self._send(response, RequestEnding.ANSWERED)
+        return await self._send(response, RequestEnding.ANSWERED, pieces)
 
     async def refuse(self, error: RudderError) -> web.StreamResponse:
         """Write a response of the router's own.
@@ -239,13 +235,16 @@
         )
 
     async def _send(
-        self, response: web.Response, ending: RequestEnding
+        self,
+        response: web.Response,
+        ending: RequestEnding,
+        pieces: Sequence[bytes] = (),
     ) -> web.StreamResponse:
         if self._must_close():
             response.force_close()
         try:
             await response.prepare(self.request)
-            await _write_body(self.request, response)
+            await _write_body(self.request, response, pieces)
         except OSError as error:
             raise CallerDisconnected(
                 'the caller closed its connection'
@@ -262,13 +261,20 @@
         return self.is_closing() or may_lack_body or is_malformed
 
 
-def _complete_response(outcome: AttemptResult) -> web.Response:
+def _complete_response(
+    outcome: AttemptResult,
+) -> tuple[web.Response, Sequence[bytes]]:
+    """Return a response, and the pieces of a body that it doesn't hold."""
     complete = outcome.response
     if complete is None:
-        return web.Response(status=HTTPStatus.BAD_GATEWAY)
-    return web.Response(
-        status=complete.status, headers=complete.headers, body=complete.body
-    )
+        return web.Response(status=HTTPStatus.BAD_GATEWAY), ()
+    response = web.Response(status=complete.status, headers=complete.headers)
+    if len(complete.pieces) == 1:
+        response.body = complete.pieces[0]
+        return response, ()
+    length = sum(map(len, complete.pieces))
+    response.headers[CONTENT_LENGTH] = str(length)
+    return response, complete.pieces
 
 
 async def _write(
@@ -285,14 +291,11 @@
         await request.writer.drain()
 
 
-async def _write_body(request: web.BaseRequest, response: web.Response) -> None:
-    """Write a whole body, a large one in pieces, and end the response."""
-    body = response.body
+async def _write_body(
+    request: web.BaseRequest, response: web.Response, pieces: Sequence[bytes]
+) -> None:
+    """Write a whole body, each piece after the one before, and end it."""
     may_have_body = request.method != METH_HEAD
-    if may_have_body and isinstance(body, bytes) and len(body) > PIECE_BYTES:
-        rest = memoryview(body)
-        while rest:
-            await response.write(rest[:PIECE_BYTES])
-            rest = rest[PIECE_BYTES:]
-        response.body = None
+    for piece in pieces if may_have_body else ():
+        await response.write(piece)
     await response.write_eof()
--- a/primroserudder/httpclient/__init__.py
+++ b/primroserudder/httpclient/__init__.py
@@ -8,15 +8,17 @@
 a whole body up to a largest size.
 """
 
-from .boundedbody import BodyTooLong, read_bounded
+from .boundedbody import PIECE_BYTES, BodyTooLong, read_bounded, read_pieces
 from .errors import BrokenResponse
 from .session import CALL_TIMEOUT_S, close_idle_connections, open_session
 
 __all__ = (
     'CALL_TIMEOUT_S',
+    'PIECE_BYTES',
     'BodyTooLong',
     'BrokenResponse',
     'close_idle_connections',
     'open_session',
     'read_bounded',
+    'read_pieces',
 )
--- a/primroserudder/intake/budget.py
+++ b/primroserudder/intake/budget.py
@@ -7,11 +7,12 @@
 """
 
 import sys
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from typing import Protocol
 
 from ..errors import Ran, RudderError
+from .largeresponses import GrowingResponse, LargeResponses
 
 BYTES_PER_MB = 1_000_000
 # What the process takes besides: 61 MB at rest, 10 MB for the tables of a large
@@ -30,6 +31,8 @@
 LARGE_BODY_BYTES = 65_536
 # The rest is for requests that were taken already, whose responses grow.
 LARGE_BODY_SHARE = 0.75
+# Above it the largest response gives way, so that ordinary requests find room.
+RESPONSES_SHARE = 0.75
 # A body that is sent to an engine that reads slowly is copied once more.
 COPIES_OF_BODY = 2
 RETRY_AFTER_S = 1.0
@@ -91,6 +94,7 @@
     intake_bytes: int = 0
     peak_bytes: int = 0
     make_room: RoomMaker = field(default=_nobody_gives_way, repr=False)
+    large: LargeResponses = field(default_factory=LargeResponses)
 
     @classmethod
     def of_vm(cls, memory_mb: float) -> 'MemoryBudget':
@@ -145,11 +149,31 @@
         self.held_bytes += octets
         self.peak_bytes = max(self.peak_bytes, self.used_bytes)
 
+    def may_grow(self, response: GrowingResponse) -> bool:
+        """Return whether a response that has grown may go on.
+
+        Explanation
+        ===========
+        One that is large alone may take what is left. What has given way counts
+        until it is freed, so that the others don't outrun it.
+        """
+        self.large.note(response)
+        share = int(self.limit_bytes * RESPONSES_SHARE)
+        is_outgrown = False
+        while self._staying_bytes() > share and not is_outgrown:
+            is_outgrown = not self.large.let_largest_give_way(response)
+        is_alone = self.large.growing <= {response}
+        is_full = self.used_bytes > self.limit_bytes
+        return not is_full and (is_alone or not is_outgrown)
+
     def take_in(self, octets: int) -> None:
         """Add to what connections hold unserved, or subtract from it."""
         self.intake_bytes += octets
         self.peak_bytes = max(self.peak_bytes, self.used_bytes)
 
+    def _staying_bytes(self) -> int:
+        return self.used_bytes - self.large.leaving_bytes
+
     def _missing(self, octets: int, *, is_large: bool) -> int:
         """Return by how many bytes something new exceeds its share."""
         share = LARGE_BODY_SHARE if is_large else 1
@@ -168,8 +192,10 @@
 
     budget: MemoryBudget = field(default_factory=unlimited_budget)
     body_bytes: int = 0
-    response_bytes: int = 0
     is_open: bool = False
+    response: GrowingResponse = field(
+        default_factory=lambda: GrowingResponse(int)
+    )
 
     def open(self) -> None:
         """Count the request itself.
@@ -208,16 +234,32 @@
 
     def hold_response(self, octets: int) -> bool:
         """Hold the part of a response read so far; return whether it fits."""
-        self.budget.change(octets - self.response_bytes)
-        self.response_bytes = octets
-        return self.budget.used_bytes <= self.budget.limit_bytes
+        self._count_response(octets)
+        return self.budget.may_grow(self.response)
+
+    def let_give_way(self, give_way: Callable[[], object]) -> None:
+        """Say how a response that begins to grow gives way to others."""
+        self.free_response()
+        self.response = GrowingResponse(give_way)
+
+    def keep_response(self) -> None:
+        """Note that the response is whole, and gives way to nobody."""
+        self.budget.large.forget(self.response)
+
+    def free_response(self) -> None:
+        """Give back what the response holds."""
+        self._count_response(0)
+        self.budget.large.forget(self.response)
 
     def close(self) -> None:
         """Give back all that is held."""
-        octets = self.body_bytes * COPIES_OF_BODY + self.response_bytes
+        self.free_response()
+        self.budget.change(-self.body_bytes * COPIES_OF_BODY)
         self.body_bytes = 0
-        self.response_bytes = 0
-        self.budget.change(-octets)
         if self.is_open:
             self.is_open = False
             self.budget.requests -= 1
+
+    def _count_response(self, octets: int) -> None:
+        self.budget.change(octets - self.response.octets)
+        self.response.octets = octets
--- a/primroserudder/fleet/memory/allocator.py
+++ b/primroserudder/process/allocator.py
@@ -5,6 +5,10 @@
 import pathlib
 
 _STATM = pathlib.Path('/proc/self/statm')
+# The name of this option in glibc's malloc.h.
+_MMAP_THRESHOLD_OPTION = -3
+# Pieces of large bodies are larger, buffers of usual streams smaller.
+_MMAP_THRESHOLD_BYTES = 131_072
 _PAGE_BYTES = os.sysconf('SC_PAGE_SIZE')
 
 
@@ -28,3 +32,17 @@
     trim = getattr(ctypes.CDLL(None), 'malloc_trim', None)
     if trim is not None:
         trim(0)
+
+
+def return_large_blocks_at_once() -> None:
+    """Let large blocks of memory go back to the system as they are freed.
+
+    Explanation
+    ===========
+    By itself glibc keeps them after the first one was freed, and fills the gaps
+    with smaller ones that last. Large responses of 154 MB in all then took 283
+    MB until long after their end.
+    """
+    set_option = getattr(ctypes.CDLL(None), 'mallopt', None)
+    if set_option is not None:
+        set_option(_MMAP_THRESHOLD_OPTION, _MMAP_THRESHOLD_BYTES)
--- a/primroserudder/programs/common.py
+++ b/primroserudder/programs/common.py
@@ -17,6 +17,7 @@
 from uvloop.loop import libuv_get_version  # type: ignore[attr-defined]
 
 from ..errors import RudderError
+from ..process.allocator import return_large_blocks_at_once
 from ..process.logs import configure_logs
 from ..process.settings import NodeSettings, read_settings
 
@@ -64,6 +65,7 @@
 
 def run(main: Awaitable[int]) -> int:
     """Run a coroutine on a loop without io_uring and return its exit code."""
+    return_large_blocks_at_once()
     with asyncio.Runner(loop_factory=new_loop) as runner:
         return runner.run(_as_coroutine(main))
 
--- a/primroserudder/programs/routerprogram.py
+++ b/primroserudder/programs/routerprogram.py
@@ -8,10 +8,13 @@
 import sys
 
 from ..errors import RudderError
-from ..fleet.memory.allocator import return_free_memory
 from ..fleet.router import Router
 from ..fleet.settings import RouterSettings
 from ..fleet.upgrades import build_name
+from ..process.allocator import (
+    return_free_memory,
+    return_large_blocks_at_once,
+)
 from ..process.decisions import log_to_stdout
 from ..process.settings import read_settings
 
@@ -36,6 +39,7 @@
         sys.stdout.write(f'{arguments.settings}: ok\n')
         return EXIT_OK
     log_to_stdout(settings.log_level)
+    return_large_blocks_at_once()
     return asyncio.run(_serve(Router(settings), arguments.settings))
 
 
--- a/primroserudder/testing/crowdedrouter.py
+++ b/primroserudder/testing/crowdedrouter.py
@@ -33,6 +33,7 @@
 OBJECTIVE_MS = 30_000
 HEADER_TIMEOUT_MS = 1000
 SLOTS = 50
+PLAIN_ENGINES = 2
 ORDINARY_PATH = '/lookups/1'
 TARGET = Target(
     HOST,
@@ -129,10 +130,13 @@
     limits: VmLimits,
     source: pathlib.Path = SOURCE,
     log: str = os.devnull,
+    plain: int = PLAIN_ENGINES,
 ) -> AsyncIterator[CrowdedRouter]:
     """Run a router that has answered an ordinary request."""
     async with AsyncExitStack() as stack:
-        site = await stack.enter_async_context(platform_site(routers=0))
+        site = await stack.enter_async_context(
+            platform_site(plain=plain, routers=0)
+        )
         site.store.rows.put(
             'op',
             'config',
