--- a/primroserudder/fleet/relaying/tests/test_avoidedrelays.py
+++ b/primroserudder/fleet/relaying/tests/test_avoidedrelays.py
@@ -3,14 +3,16 @@
 import pytest
 from aiohttp import ClientSession
 
+from ....httpclient import open_session
 from ....platform import PlatformStore
 from ....process.clock import SystemClock
 from ....process.decisions import DecisionLog
 from ....process.tablepages import StoreVersion
 from ....testing.rawpeer import Script, raw_peer, sends, stays_silent
 from ..avoidedrelays import AvoidedRelays
+from ..messages import TableMessage
 from ..progress import ReadProgress
-from ..relayclient import RelayFailure, TableQuery
+from ..relayclient import RelayAnswer, RelayFailure, TableQuery
 from ..relayedtables import RelayedTableSource
 
 REFUSAL = b'HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n'
@@ -63,3 +65,37 @@
         await store.close()
     assert isinstance(failure, RelayFailure)
     assert failure.is_general == is_general
+
+
+@pytest.mark.parametrize(
+    ('head', 'kind'),
+    [
+        (b'HTTP/1.1 200 OK\r\n', RelayAnswer),
+        (b'HTTP/2.0 200 OK\r\n', RelayFailure),
+        (b'HTTP/1.1 200 OK\r\nX-Odd: a\x01b\r\n', RelayFailure),
+        (b'HTTP/1.1 200 OK\r\nX-Odd: 1\r\n 2\r\n', RelayFailure),
+        (b'HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n', RelayFailure),
+    ],
+    ids=['sound', 'version', 'control byte', 'folded', 'coding'],
+)
+async def test_broken_answer_of_a_relay_is_none(
+    head: bytes, kind: type[RelayAnswer | RelayFailure]
+) -> None:
+    clock = SystemClock()
+    message = TableMessage(revision=2, count=0, rows=(), removed=()).model_dump_json().encode()
+    script = sends(b'%s\r\n%s' % (head, message))
+    async with raw_peer(script) as peer, open_session() as session:
+        store = PlatformStore('127.0.0.1:1')
+        tables = RelayedTableSource(
+            store,
+            session,
+            clock,
+            DecisionLog('vm', clock),
+            lambda: [peer.address],
+        )
+        query = TableQuery('op', StoreVersion(0, 1), 0.2)
+        answered = await tables.client.query(
+            peer.address, query, ReadProgress(clock), lambda: True
+        )
+        await store.close()
+    assert isinstance(answered, kind)
