Keep the cost of an event where it was

Change: the threshold is 384 KB, and bodies are held in pieces of 512 KB; a packet that is one whole chunk, as an event is, is matched once and passed on as it is.

--- a/primroserudder/fleet/relaying/tests/test_avoidedrelays.py
+++ b/primroserudder/fleet/relaying/tests/test_avoidedrelays.py
@@ -82,7 +82,11 @@
     head: bytes, kind: type[RelayAnswer | RelayFailure]
 ) -> None:
     clock = SystemClock()
-    message = TableMessage(revision=2, count=0, rows=(), removed=()).model_dump_json().encode()
+    message = (
+        TableMessage(revision=2, count=0, rows=(), removed=())
+        .model_dump_json()
+        .encode()
+    )
     script = sends(b'%s\r\n%s' % (head, message))
     async with raw_peer(script) as peer, open_session() as session:
         store = PlatformStore('127.0.0.1:1')
--- a/primroserudder/httpclient/boundedbody.py
+++ b/primroserudder/httpclient/boundedbody.py
@@ -8,7 +8,7 @@
 
 # A larger body is held in pieces of this size, each of which the allocator
 # returns to the system by itself.
-PIECE_BYTES = 262_144
+PIECE_BYTES = 524_288
 
 
 class BodyTooLong(BrokenResponse):
--- a/primroserudder/httpclient/chunks.py
+++ b/primroserudder/httpclient/chunks.py
@@ -36,6 +36,7 @@
 _FIRST_SIZE = re.compile(_SIZE)
 # The line end before it belongs to the chunk before.
 _NEXT_SIZE = re.compile(rb'\r\n%b' % _SIZE)
+_NEXT_PLAIN_SIZE = re.compile(rb'\r\n([0-9A-Fa-f]{1,15})\r\n')
 _SIZE_START = (
     rb'(?:0*[0-9A-Fa-f]{0,15}|0*[0-9A-Fa-f]{1,15}(?:\r|[\t ;]%b\r?))' % TEXT
 )
@@ -84,6 +85,8 @@
         """Return bytes of the body without extensions and trailers."""
         octets = self._held + octets if self._held else octets
         self._held = b''
+        if self._read_one_chunk(octets):
+            return octets[: -len(LINE_END)]
         passed: list[bytes] = []
         at = 0
         while at < len(octets) and not self.has_ended:
@@ -99,6 +102,21 @@
         self.surplus = len(octets) - at
         return b''.join(passed)
 
+    def _read_one_chunk(self, octets: bytes) -> bool:
+        """Return whether the bytes are one whole chunk, as for most events."""
+        if self._left or self._is_in_trailers or not self._has_begun:
+            return False
+        found = _NEXT_PLAIN_SIZE.match(octets)
+        if found is None:
+            return False
+        size = int(found[1], HEX_BASE)
+        end = found.end() + size
+        if not size or octets[end:] != LINE_END:
+            return False
+        self._count_framing(found.end() - 2 * size)
+        self._held = LINE_END
+        return True
+
     def _read_size(self, octets: bytes, at: int, passed: list[bytes]) -> int:
         pattern = _NEXT_SIZE if self._has_begun else _FIRST_SIZE
         found = pattern.match(octets, at)
--- a/primroserudder/httpclient/responsehandler.py
+++ b/primroserudder/httpclient/responsehandler.py
@@ -222,13 +222,21 @@
 
     def _read(self, octets: bytes) -> None:
         progress = self._progress
-        for part in progress.parts(octets):
-            if part.octets:
-                ResponseHandler.data_received(self, part.octets)
-            progress.note(part.received)
+        if progress.framing is None:
+            for part in progress.parts(octets):
+                self._parse(part.octets)
+                progress.note(part.received)
+        else:
+            # Nearly all calls come here, one for each event of a stream.
+            self._parse(progress.framing.feed(octets))
+            progress.note(len(octets))
         if progress.has_surplus:
             self._drop_extra_bytes()
 
+    def _parse(self, octets: bytes) -> None:
+        if octets:
+            ResponseHandler.data_received(self, octets)
+
     def _drop_extra_bytes(self) -> None:
         """Leave a connection whose bytes no longer belong to a response."""
         self._progress.has_failed = True
--- a/primroserudder/process/allocator.py
+++ b/primroserudder/process/allocator.py
@@ -7,8 +7,9 @@
 _STATM = pathlib.Path('/proc/self/statm')
 # The name of this option in glibc's malloc.h.
 _MMAP_THRESHOLD_OPTION = -3
-# Pieces of large bodies are larger, buffers of usual streams smaller.
-_MMAP_THRESHOLD_BYTES = 131_072
+# Pieces of large bodies are larger; what asyncio allocates for each read of a
+# socket, 256 KB, is smaller, as new pages cost more than the read.
+_MMAP_THRESHOLD_BYTES = 393_216
 _PAGE_BYTES = os.sysconf('SC_PAGE_SIZE')
 
 
