--- a/primroserudder/httpclient/chunks.py
+++ b/primroserudder/httpclient/chunks.py
@@ -26,8 +26,8 @@
     _QUOTED,
 )
 HEX_BASE = 16
-# What frames chunks may exceed twice their data by so much. Each chunk costs
-# the processor as much as a kilobyte of a large one.
+# What frames chunks may exceed twice their data by so much: without end, chunks
+# of a byte each use up the processor.
 MAX_EXCESS_FRAMING_BYTES = 131_072
 # Sizes of more digits are no sizes of anything.
 _SIZE = (
