Write large responses in parts of 64 KB again

Callers that read nothing held 454,893 bytes of a response in a write buffer beside its pieces (bound 200,000): bodies were written piece by piece, and a piece is 512 KB now.

Change: each piece is written in parts of 64 KB, a body up to that size in one.

--- a/primroserudder/fleet/servedrequest.py
+++ b/primroserudder/fleet/servedrequest.py
@@ -23,6 +23,11 @@
 from .requestendings import OpenRequest, RequestEnding
 
 
+# A large response is written in parts of this size, each after the one before
+# was accepted, so that it is not held twice.
+WRITTEN_BYTES = 65_536
+
+
 class CallerDisconnected(RudderError):
     """The caller closed its connection."""
 
@@ -269,10 +274,10 @@
     if complete is None:
         return web.Response(status=HTTPStatus.BAD_GATEWAY), ()
     response = web.Response(status=complete.status, headers=complete.headers)
-    if len(complete.pieces) == 1:
-        response.body = complete.pieces[0]
-        return response, ()
     length = sum(map(len, complete.pieces))
+    if length <= WRITTEN_BYTES:
+        response.body = complete.body
+        return response, ()
     response.headers[CONTENT_LENGTH] = str(length)
     return response, complete.pieces
 
@@ -294,8 +299,10 @@
 async def _write_body(
     request: web.BaseRequest, response: web.Response, pieces: Sequence[bytes]
 ) -> None:
-    """Write a whole body, each piece after the one before, and end it."""
+    """Write a whole body, each part after the one before, and end it."""
     may_have_body = request.method != METH_HEAD
     for piece in pieces if may_have_body else ():
-        await response.write(piece)
+        for start in range(0, len(piece), WRITTEN_BYTES):
+            part = memoryview(piece)[start : start + WRITTEN_BYTES]
+            await response.write(part)
     await response.write_eof()
