Give the stand-ins of responses what bounded reading asks for

Bounded reading looks at a response's length before its body, and at whether there is a body at all; the models of links between VMs had neither, so that every relayed table failed there: 32 cases of test_evacuation_model.py failed and the models of large versions ran on without end in a run of the checks.

Measured: test_evacuation_model.py passes, 40 cases.

--- a/primroserudder/testing/modellinks.py
+++ b/primroserudder/testing/modellinks.py
@@ -46,6 +46,10 @@
 class _Body:
     octets: bytes
 
+    def at_eof(self) -> bool:
+        """Return whether all of the body was read; here it never was."""
+        return False
+
     async def iter_any(self) -> AsyncIterator[bytes]:
         """Yield the whole body."""
         yield self.octets
@@ -58,6 +62,7 @@
     status: int
     headers: Mapping[str, str]
     content: _Body  # noqa: WPS110 (aiohttp's name for it)
+    content_length: int = 0
 
 
 @dataclass(slots=True)
--- a/primroserudder/testing/ratedlinks.py
+++ b/primroserudder/testing/ratedlinks.py
@@ -87,6 +87,10 @@
     receiver: RatedLink
     longest_pause_s: float | None
 
+    def at_eof(self) -> bool:
+        """Return whether all of the body was read; here it never was."""
+        return False
+
     async def iter_any(self) -> AsyncIterator[bytes]:
         """Yield the pieces as they arrive."""
         for start in range(0, len(self.octets), PIECE_BYTES):
