--- a/primroserudder/fleet/servedrequest.py
+++ b/primroserudder/fleet/servedrequest.py
@@ -22,7 +22,6 @@
 from .memory import CutReason, Holding
 from .requestendings import OpenRequest, RequestEnding
 
-
 # A large response is written in parts of this size, each after the one before
 # was accepted, so that it is not held twice.
 WRITTEN_BYTES = 65_536
