--- a/primroserudder/standins/tablestore.py
+++ b/primroserudder/standins/tablestore.py
@@ -3,8 +3,9 @@
 Explanation
 ===========
 It has rows in tables with revisions from one counter, conditional
-transactions, a feed of changes, and objects. Tests inject faults: an outage,
-lost responses, writes that take effect late, and a lost history.
+transactions, a feed of changes, and objects, and it refuses calls over its
+limits. Tests inject faults: an outage, lost responses, writes that take effect
+late, and a lost history.
 """
 
 import asyncio
@@ -15,10 +16,18 @@
 import orjson
 from aiohttp import web
 
+from .storelimits import (
+    READS_PER_S,
+    WRITES_PER_S,
+    CallRate,
+    refusal_of,
+)
 from .tablerows import Json, TableRows
 
 MS_PER_S = 1000
 MAX_ROWS = 500
+# Longer calls than the store takes are read, to refuse them as it does.
+MAX_READ_BYTES = 16_777_216
 
 
 @dataclass(slots=True)
@@ -32,17 +41,26 @@
 
 @dataclass(slots=True)
 class TableStore:
-    """HTTP handlers for rows and objects."""
+    """HTTP handlers for rows and objects.
+
+    Parameters
+    ==========
+    refused : int
+        How many calls were over a limit of the store.
+    """
 
     faults: StoreFaults = field(default_factory=StoreFaults)
     rows: TableRows = field(default_factory=TableRows)
     objects_by_name: dict[str, bytes] = field(default_factory=dict)
     calls: int = 0
+    refused: int = 0
+    _reads: CallRate = field(default_factory=lambda: CallRate(READS_PER_S))
+    _writes: CallRate = field(default_factory=lambda: CallRate(WRITES_PER_S))
     _late_writes: set[asyncio.Task[None]] = field(default_factory=set)
 
     def app(self) -> web.Application:
         """Return the HTTP application."""
-        app = web.Application()
+        app = web.Application(client_max_size=MAX_READ_BYTES)
         app.on_response_prepare.append(self._add_era)
         app.router.add_post('/api/rows-tx', self._transact)
         app.router.add_get('/api/rows-get', self._read)
@@ -53,7 +71,13 @@
 
     async def _transact(self, request: web.Request) -> web.Response:
         self._count_call()
-        transaction = orjson.loads(await request.read())
+        body = await request.read()
+        transaction = orjson.loads(body)
+        refusal = refusal_of(transaction, len(body))
+        if refusal is None and not self._writes.admits_call():
+            refusal = HTTPStatus.TOO_MANY_REQUESTS
+        if refusal is not None:
+            return self._refuse(refusal)
         if self.faults.late_by_s:
             self._apply_later(transaction)
             return _abort_connection(request)
@@ -80,6 +104,8 @@
         self._count_call()
         if self.faults.is_down:
             return web.Response(status=HTTPStatus.SERVICE_UNAVAILABLE)
+        if not self._reads.admits_call():
+            return self._refuse(HTTPStatus.TOO_MANY_REQUESTS)
         source = request.query.get('Source', '')
         limit = int(request.query.get('Limit', MAX_ROWS))
         rows = sorted(
@@ -105,6 +131,8 @@
         wait_s = int(request.query['WaitMs']) / MS_PER_S
         if self.faults.is_down:
             return web.Response(status=HTTPStatus.SERVICE_UNAVAILABLE)
+        if not self._reads.admits_call():
+            return self._refuse(HTTPStatus.TOO_MANY_REQUESTS)
         if not self.rows.truncated_revision <= since <= self.rows.revision:
             return web.Response(status=HTTPStatus.GONE)
         era = self.rows.era
@@ -137,6 +165,10 @@
     ) -> None:
         response.headers['Store-Era'] = str(self.rows.era)
 
+    def _refuse(self, status: HTTPStatus) -> web.Response:
+        self.refused += 1
+        return web.Response(status=status)
+
     def _count_call(self) -> None:
         self.calls += 1
 
