Write the claims of a long round in several calls

Cause: the holder put all releases and claims of a round into one transaction. The store refuses over 100 entries or 1 MB for good, and the refusal counted as a store that is not available, so that the same call was sent again at each round (203 times in 25 s).

Change: platform/transactionlimits.py splits writes, and ClaimWriter commits the parts in order, releases before claims, with the lease checked before each. The restored claims of a tenure take the same way. A refusal that stays is CallRefused: logged, counted, and followed by a pause of 5 s in place of the same call. A status that tells nothing about a write is OutcomeUnknown. A claim that is too long by itself is left out.

Why it works: an engine is released in a part before the one that claims it, and a part that fails stops those that build on it, so that each prefix is a sound state.

--- a/primroserudder/fleet/group_reconciler.py
+++ b/primroserudder/fleet/group_reconciler.py
@@ -8,7 +8,12 @@
 from ..process.decisions import DecisionLog
 from ..process.lease import Lease
 from ..process.loops import wait_at_most
-from ..process.platform import Conflict, OutcomeUnknown, PlatformUnavailable
+from ..process.platform import (
+    CallRefused,
+    Conflict,
+    OutcomeUnknown,
+    PlatformUnavailable,
+)
 from .actions import Join, Order, Release
 from .brokengroups import BrokenGroups
 from .directory import Directory
@@ -26,6 +31,8 @@
 ROUND_INTERVAL_S = 0.1
 # A change of the lease ends this wait; it is there for a missed one.
 IDLE_INTERVAL_S = 1.0
+# The store refuses the same call again, so that claims are planned anew later.
+REFUSED_PAUSE_S = 5.0
 
 ReleasedGroups = Sequence[tuple[GroupProgress, Release]]
 
@@ -52,6 +59,7 @@
         default_factory=dict
     )
     _last_tenure: Tenure | None = None
+    _refused_until: float = float('-inf')
 
     async def run(self) -> None:
         """Reconcile the groups until cancelled."""
@@ -111,6 +119,11 @@
             # next decision.
             tenure.is_loaded = False
             self.log.note('claims_unsure', reason=str(error))
+        except CallRefused as error:
+            # Nothing of that call was written, so that the claims are known.
+            self._refused_until = self.clock.monotonic() + REFUSED_PAUSE_S
+            tenure.metrics.count('claims_refused')
+            self.log.note('claims_refused', reason=str(error))
 
     async def _reconcile_groups(self, tenure: Tenure) -> None:
         self.inventory.note_growth()
@@ -118,7 +131,8 @@
         self.last_groups_by_name = tenure.groups_by_name
         released = self._send_due_orders(tenure)
         self._update_broken_groups(tenure)
-        await self._replace(tenure, released)
+        if self.clock.monotonic() >= self._refused_until:
+            await self._replace(tenure, released)
 
     def _send_due_orders(self, tenure: Tenure) -> ReleasedGroups:
         """Send the orders that are due; return the groups to be released."""
--- a/primroserudder/fleet/tenure.py
+++ b/primroserudder/fleet/tenure.py
@@ -1,15 +1,23 @@
 """The group claims of one tenure, an uninterrupted hold of the lease."""
 
-from collections.abc import Callable, Collection, Mapping
+from collections.abc import (
+    Callable,
+    Collection,
+    Iterable,
+    Iterator,
+    Mapping,
+)
 from dataclasses import dataclass, field
 
+from ..platform import is_storable
 from ..process.clock import Clock
 from ..process.decisions import DecisionLog
 from ..process.lease import Lease
 from ..process.metrics import Metrics
-from ..process.platform import PlatformClient, Transaction, Write
+from ..process.platform import Conflict, PlatformClient, Write
 from .actions import Release
 from .claims import decode_claim, encode_claim
+from .claimwriter import ClaimWriter
 from .directory import Directory
 from .directorynames import group_name, model_of
 from .group_lifecycle import GroupProgress, is_member
@@ -49,6 +57,7 @@
     is_loaded: bool = False
     epoch_count: int = 0
     _are_claims_restored: bool = False
+    _unstorable_models: set[str] = field(default_factory=set)
 
     async def load(self) -> None:
         """Read all claims and keep the progress recorded for them."""
@@ -86,32 +95,38 @@
         new_formations: Collection[Formation],
         engines_by_id: Mapping[str, Engine],
     ) -> bool:
-        """Delete released claims and write new ones in one transaction.
+        """Delete released claims, then write new ones.
 
         Explanation
         ===========
-        The transaction fails if a later tenure has begun. Returns whether it
-        was committed; without the lease nothing is written.
+        Claims of long rounds take several transactions, and each leaves a
+        sound state, as engines are released before they are claimed. A
+        transaction fails if a later tenure has begun. Returns whether all were
+        committed; without the lease nothing is written.
+
+        Raises
+        ======
+        Conflict, OutcomeUnknown, PlatformUnavailable, CallRefused
+            A transaction failed; those after it were not sent.
         """
-        tenure_row = self.lease.tenure
-        if tenure_row is None or not self.lease.is_held():
-            return False
-        groups = [
-            self._new_progress(formation, engines_by_id)
-            for formation in new_formations
+        released_by_key = {
+            _key(progress): (progress, release)
+            for progress, release in released
+        }
+        claimed_by_key = {
+            _key(progress): progress
+            for progress in self._storable(new_formations, engines_by_id)
+        }
+        writes = [
+            *(Write(key, None) for key in released_by_key),
+            *map(_claim, claimed_by_key.values()),
         ]
-        removed = [_removal(progress) for progress, _ in released]
-        added = [_claim(progress) for progress in groups]
-        await self.platform.commit(
-            Transaction((tenure_row,), (*removed, *added))
-        )
-        for progress, release in released:
-            self.groups_by_name.pop(progress.formation.name, None)
-            self._note_release(progress, release)
-        for progress in groups:
-            self.groups_by_name[progress.formation.name] = progress
-            self._note_claim(progress.formation)
-        return True
+        async for write in self._writer().commit(writes):
+            if write.key in released_by_key:
+                self._note_release(*released_by_key.pop(write.key))
+            else:
+                self._note_claim(claimed_by_key.pop(write.key))
+        return not (released_by_key or claimed_by_key)
 
     def dissolve_unclaimed(self) -> None:
         """Start to dissolve open groups that have no claim any more."""
@@ -148,16 +163,17 @@
 
     async def _rewrite_claims(self, stored: frozenset[str]) -> None:
         """Write the claims that the store lacks, and remove ended ones."""
-        tenure_row = self.lease.tenure
         lost = self.groups_by_name.keys() - stored
         ended = stored - self.groups_by_name.keys()
-        if tenure_row is None or not (lost or ended):
+        writes = [
+            *(Write(GROUPS_PREFIX + name, None) for name in ended),
+            *(_claim(self.groups_by_name[name]) for name in lost),
+        ]
+        if not writes:
             return
-        claims = [_claim(self.groups_by_name[name]) for name in lost]
-        removals = [Write(GROUPS_PREFIX + name, None) for name in ended]
-        await self.platform.commit(
-            Transaction((tenure_row,), (*removals, *claims))
-        )
+        count = len([write async for write in self._writer().commit(writes)])
+        if count < len(writes):
+            raise Conflict('the lease ended as claims were restored')
         self.log.note(
             'claims_restored', written=sorted(lost), removed=sorted(ended)
         )
@@ -182,6 +198,28 @@
         progress.dissolve('unclaimed', now)
         self.groups_by_name[listed.name] = progress
 
+    def _storable(
+        self,
+        formations: Iterable[Formation],
+        engines_by_id: Mapping[str, Engine],
+    ) -> Iterator[GroupProgress]:
+        """Yield the progress of new groups, but for claims that are too long.
+
+        Explanation
+        ===========
+        The store refuses such a claim, and any transaction that it is in.
+        """
+        for formation in formations:
+            progress = self._new_progress(formation, engines_by_id)
+            if is_storable(_claim(progress)):
+                yield progress
+            elif formation.model not in self._unstorable_models:
+                self._unstorable_models.add(formation.model)
+                self.log.note('claim_too_long', model=formation.model[:100])
+
+    def _writer(self) -> ClaimWriter:
+        return ClaimWriter(self.platform, self.lease)
+
     def _new_progress(
         self,
         formation: Formation,
@@ -196,6 +234,7 @@
         return GroupProgress(formation, born, now, is_open_ordered=False)
 
     def _note_release(self, progress: GroupProgress, release: Release) -> None:
+        self.groups_by_name.pop(progress.formation.name, None)
         self.metrics.count('groups_released')
         waited_s = self.clock.monotonic() - progress.dissolving_since
         self.log.note(
@@ -206,7 +245,9 @@
             after_ms=round(waited_s * 1000),
         )
 
-    def _note_claim(self, formation: Formation) -> None:
+    def _note_claim(self, progress: GroupProgress) -> None:
+        formation = progress.formation
+        self.groups_by_name[formation.name] = progress
         self.metrics.count('groups_claimed')
         self.log.note(
             'group_claimed',
@@ -219,10 +260,10 @@
 TenureFactory = Callable[[int, Directory, Callable[[str], int]], Tenure]
 
 
-def _removal(progress: GroupProgress) -> Write:
-    return Write(GROUPS_PREFIX + progress.formation.name, None)
+def _key(progress: GroupProgress) -> str:
+    return GROUPS_PREFIX + progress.formation.name
 
 
 def _claim(progress: GroupProgress) -> Write:
     fields = encode_claim(progress.formation, progress.born_by_member)
-    return Write(GROUPS_PREFIX + progress.formation.name, fields)
+    return Write(_key(progress), fields)
--- a/primroserudder/platform/__init__.py
+++ b/primroserudder/platform/__init__.py
@@ -23,8 +23,10 @@
 from .evacuations import EvacuationRows, decode_evacuations
 from .orders import ORDER_TIMEOUT_S, EngineOrders, OrderOutcome
 from .store import PlatformStore
+from .transactionlimits import MAX_ENTRIES, is_storable, split_writes
 
 __all__ = (
+    'MAX_ENTRIES',
     'ORDER_TIMEOUT_S',
     'ConfigurationDecoder',
     'EngineOrders',
@@ -39,4 +41,6 @@
     'decode_evacuations',
     'decode_report',
     'engine_row_age',
+    'is_storable',
+    'split_writes',
 )
--- a/primroserudder/platform/store.py
+++ b/primroserudder/platform/store.py
@@ -7,6 +7,7 @@
 import aiohttp
 import orjson
 
+from ..errors import RudderError
 from ..httpclient import (
     CALL_TIMEOUT_S,
     close_idle_connections,
@@ -14,6 +15,7 @@
     read_bounded,
 )
 from ..process.platform import (
+    CallRefused,
     Conflict,
     ObjectMissing,
     OutcomeUnknown,
@@ -40,6 +42,7 @@
     server_time_s,
     split_key,
 )
+from .transactionlimits import check_limits
 
 # The response to a feed call may begin this long after its wait time.
 FEED_SLACK_S = 0.8
@@ -54,6 +57,14 @@
 PAGE_ROWS = 500
 # The era counts restores, so a longer number is no era.
 MAX_ERA_DIGITS = 18
+# With these the store refuses a write that it may accept later.
+_PASSING_REFUSALS = frozenset(
+    (
+        HTTPStatus.TOO_MANY_REQUESTS,
+        HTTPStatus.SERVICE_UNAVAILABLE,
+        HTTPStatus.INSUFFICIENT_STORAGE,
+    )
+)
 # Appended to the last key of a page, this gives the next possible key, at
 # which the next page starts.
 _KEY_SUCCESSOR = '\x00'
@@ -188,6 +199,7 @@
 
     async def commit(self, transaction: Transaction) -> None:
         """Apply a transaction; see ``process.platform`` for the errors."""
+        check_limits(transaction)
         body = orjson.dumps(encode_transaction(transaction))
         headers = {'Content-Type': 'application/json'}
         reply = await self._write('POST', names.TRANSACTION_PATH, body, headers)
@@ -331,7 +343,29 @@
 
 
 def _check_written(status: int) -> None:
+    """Check the status of a response to a write.
+
+    Raises
+    ======
+    Conflict
+        A condition did not hold.
+    PlatformUnavailable
+        The store refuses writes for now; a later one may be accepted.
+    CallRefused
+        The store refuses this write each time.
+    OutcomeUnknown
+        The status does not tell whether the write was applied.
+    """
+    if status == HTTPStatus.OK:
+        return
     if status == HTTPStatus.PRECONDITION_FAILED:
         raise Conflict('a row does not have the version that the write expects')
-    if status != HTTPStatus.OK:
+    if status in _PASSING_REFUSALS:
         raise PlatformUnavailable(f'the store answered {status}')
+    raise _lasting_failure(status)
+
+
+def _lasting_failure(status: int) -> RudderError:
+    if HTTPStatus.BAD_REQUEST <= status < HTTPStatus.INTERNAL_SERVER_ERROR:
+        return CallRefused(f'the store refused a write with {status}')
+    return OutcomeUnknown(f'the store answered a write with {status}')
--- a/primroserudder/process/lease.py
+++ b/primroserudder/process/lease.py
@@ -14,6 +14,7 @@
     tenure_writes,
 )
 from .platform import (
+    CallRefused,
     Condition,
     Conflict,
     OutcomeUnknown,
@@ -28,6 +29,7 @@
 LEASE_RENEWAL_S = 3
 # A sender gives up an unanswered order after this time.
 ORDER_LIFETIME_S = 5
+_FAILED_CALLS = (CallRefused, Conflict, OutcomeUnknown, PlatformUnavailable)
 
 
 def _no_clock() -> None:
@@ -140,7 +142,7 @@
         """Acquire or renew the lease and return whether it is held."""
         try:
             await self._try_renew()
-        except (Conflict, OutcomeUnknown, PlatformUnavailable):
+        except _FAILED_CALLS:
             # The next renewal reads the row again and finds what took effect.
             if self.failing_since is None:
                 self.failing_since = self.clock.monotonic()
--- a/primroserudder/process/platform.py
+++ b/primroserudder/process/platform.py
@@ -41,6 +41,13 @@
     default_remedy = 'read the rows again and decide anew'
 
 
+class CallRefused(RudderError):
+    """The platform refuses this call, and will refuse it again."""
+
+    code = 'platform_call_refused'
+    default_remedy = 'split the call, shorten its rows or check their tables'
+
+
 class ObjectMissing(RudderError):
     """The object store holds no object of that name."""
 
@@ -119,6 +126,8 @@
             A condition did not hold; nothing was written.
         PlatformUnavailable
             Nothing was written.
+        CallRefused
+            Nothing was written, as the transaction is over a limit.
         OutcomeUnknown
             The answer was lost; the writes may or may not be in effect.
         """
