Keep a strike with a long name from spoiling the others

Cause: a row's name has 200 bytes at most, and a call with a longer one is refused whole. Strikes are written in batches, so that one engine with a long name kept all strikes from the store, seen in a review.

Change: strikes whose rows can't be stored stay in memory and in notices.

--- a/primroserudder/fleet/crashes/strikestore.py
+++ b/primroserudder/fleet/crashes/strikestore.py
@@ -15,6 +15,7 @@
 from dataclasses import dataclass, field
 
 from ...errors import RudderError
+from ...platform import MAX_ENTRIES, is_storable
 from ...process.clock import Clock
 from ...process.decisions import DecisionLog
 from ...process.platform import PlatformClient, Row, Transaction, Write
@@ -31,7 +32,6 @@
 RANK_DELAY_S = 1.0
 # The table shows a row within this time after it was written.
 WRITE_RETRY_S = 2.0
-MAX_WRITES = 100
 
 
 @dataclass(slots=True)
@@ -63,7 +63,7 @@
         """Write missing rows and remove void ones until cancelled."""
         while True:
             await asyncio.sleep(CHECK_INTERVAL_S)
-            writes = [*self._missing(), *self._outdated()][:MAX_WRITES]
+            writes = [*self._missing(), *self._outdated()][:MAX_ENTRIES]
             if writes and self.table.is_reachable:
                 await self._commit(writes)
 
@@ -88,8 +88,10 @@
                 continue
             for strike, record in records.items():
                 key = STRIKES_PREFIX + strike.strike_id
-                if self._is_missing(key, record):
-                    yield Write(key, {'struck_s': self._struck_s(record)})
+                write = Write(key, {'struck_s': self._struck_s(record)})
+                # The store refuses a call with a key that is too long.
+                if self._is_missing(key, record) and is_storable(write):
+                    yield write
 
     def _is_kept(self, digest: str) -> bool:
         if self.strikes.count(digest) < MIN_STRIKES_TO_KEEP:
