Let a late claim have no effect beside a later one

Cause: a claim's only condition was the tenure's row, which claims don't change. A claim without an answer stayed valid while the holder, which had read the claims and found nothing, claimed the same engines again; both were done late, and the next holder acted on both.

Change: each write of claims expects the row claimwrites/site at the revision that the holder knows, and writes it. The revision is read before the claims, and again after a write that took effect.

Why it works: of several writes that expect one revision at most one is ever done. If the late one is done first, the next one fails and the claims are read again; if the next one is done first, the late one can't be done.

--- a/primroserudder/fleet/tenure.py
+++ b/primroserudder/fleet/tenure.py
@@ -56,11 +56,17 @@
     groups_by_name: dict[str, GroupProgress] = field(default_factory=dict)
     is_loaded: bool = False
     epoch_count: int = 0
+    writer: ClaimWriter = field(init=False)
     _are_claims_restored: bool = False
     _unstorable_models: set[str] = field(default_factory=set)
 
+    def __post_init__(self) -> None:
+        """Create the writer of the claims."""
+        self.writer = ClaimWriter(self.platform, self.lease)
+
     async def load(self) -> None:
         """Read all claims and keep the progress recorded for them."""
+        await self.writer.read_sequence()
         rows = await self.platform.scan(GROUPS_PREFIX)
         now = self.clock.monotonic()
         previous = self.groups_by_name
@@ -121,7 +127,7 @@
             *(Write(key, None) for key in released_by_key),
             *map(_claim, claimed_by_key.values()),
         ]
-        async for write in self._writer().commit(writes):
+        async for write in self.writer.commit(writes):
             if write.key in released_by_key:
                 self._note_release(*released_by_key.pop(write.key))
             else:
@@ -171,7 +177,7 @@
         ]
         if not writes:
             return
-        count = len([write async for write in self._writer().commit(writes)])
+        count = len([write async for write in self.writer.commit(writes)])
         if count < len(writes):
             raise Conflict('the lease ended as claims were restored')
         self.log.note(
@@ -217,9 +223,6 @@
                 self._unstorable_models.add(formation.model)
                 self.log.note('claim_too_long', model=formation.model[:100])
 
-    def _writer(self) -> ClaimWriter:
-        return ClaimWriter(self.platform, self.lease)
-
     def _new_progress(
         self,
         formation: Formation,
--- a/primroserudder/fleet/tests/test_long_rounds.py
+++ b/primroserudder/fleet/tests/test_long_rounds.py
@@ -1,22 +1,12 @@
 """Rounds whose claims and releases are more than a call of the store takes."""
 
-from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
-
 import pytest
 
-from ...process.clock import LoopClock
-from ...process.decisions import DecisionLog
-from ...process.lease import Lease
-from ...process.metrics import Metrics
 from ...process.platform import OutcomeUnknown
-from ...standins.tablestore import TableStore
+from ...testing.claimdata import claimed_names, tenure_on_standin
 from ...testing.fleetdata import formation, group_progress
-from ...testing.platformstore import store_with_standin
 from ..actions import Release
-from ..directory import Directory
 from ..model import Formation
-from ..tenure import Tenure
 
 GROUPS = 145
 SIZE = 6
@@ -34,40 +24,9 @@
     return formation(f'large.{epoch}', members, 'large')
 
 
-@asynccontextmanager
-async def _tenure() -> AsyncIterator[tuple[TableStore, Tenure]]:
-    async with store_with_standin() as (standin, store):
-        clock = LoopClock()
-        lease = Lease(
-            store,
-            clock,
-            'site',
-            'vm',
-            order_lifetime_s=0,
-            platform_era=lambda: store.era,
-        )
-        assert await lease.renew()
-        tenure = Tenure(
-            store,
-            lease,
-            clock,
-            DecisionLog('vm', clock),
-            Metrics(),
-            lease.fencing,
-            Directory(lambda *_: None),
-            lambda _model: SIZE,
-        )
-        await tenure.load()
-        yield standin, tenure
-
-
-def _claimed(standin: TableStore) -> set[str]:
-    return set(standin.rows.copy().keys_of('groups'))
-
-
 async def test_all_groups_of_a_large_site_are_replaced_in_one_round() -> None:
     """Else the store refuses the round again and again: no group opens."""
-    async with _tenure() as (standin, tenure):
+    async with tenure_on_standin(SIZE) as (standin, tenure):
         lost, planned = _formations(1), _formations(1001)
         assert await tenure.replace([], lost, {})
         released = [
@@ -75,25 +34,25 @@
         ]
         assert await tenure.replace(released, planned, {})
         names = {group.name for group in planned}
-        assert _claimed(standin) == set(tenure.groups_by_name) == names
+        assert claimed_names(standin) == set(tenure.groups_by_name) == names
         assert not standin.refused
 
 
 async def test_restored_claims_of_a_large_site_are_written_again() -> None:
-    async with _tenure() as (standin, tenure):
+    async with tenure_on_standin(SIZE) as (standin, tenure):
         claimed = _formations(1)
         tenure.inherited = {
             group.name: group_progress(group) for group in claimed
         }
         tenure.lease.is_after_restore = True
         await tenure.load()
-        assert _claimed(standin) == {group.name for group in claimed}
+        assert claimed_names(standin) == {group.name for group in claimed}
         assert not standin.refused
 
 
-async def test_engines_are_released_before_they_are_claimed() -> None:
+async def test_engines_are_released_before_they_areclaimed_names() -> None:
     # A transaction fails: those that rely on it must not be sent.
-    async with _tenure() as (standin, tenure):
+    async with tenure_on_standin(SIZE) as (standin, tenure):
         assert await tenure.replace([], _formations(1), {})
         released = [
             (progress, RELEASE) for progress in tenure.groups_by_name.values()
@@ -101,14 +60,16 @@
         standin.faults.late_by_s = 0.3
         with pytest.raises(OutcomeUnknown):
             await tenure.replace(released, _formations(1001), {})
-        assert _claimed(standin) == {group.name for group in _formations(1)}
-        assert set(tenure.groups_by_name) == _claimed(standin)
+        assert claimed_names(standin) == {
+            group.name for group in _formations(1)
+        }
+        assert set(tenure.groups_by_name) == claimed_names(standin)
 
 
 async def test_claim_that_is_too_long_does_not_spoil_the_others() -> None:
-    async with _tenure() as (standin, tenure):
+    async with tenure_on_standin(SIZE) as (standin, tenure):
         model = 'x' * 200
         long = Formation(f'{model}.9', 9, model, ('j-1', 'j-2'))
         planned = _formations(1, count=3)
         assert await tenure.replace([], [long, *planned], {})
-        assert _claimed(standin) == {group.name for group in planned}
+        assert claimed_names(standin) == {group.name for group in planned}
--- a/primroserudder/platform/transactionlimits.py
+++ b/primroserudder/platform/transactionlimits.py
@@ -39,36 +39,41 @@
 
 
 def split_writes(
-    conditions: Sequence[Condition], writes: Iterable[Write]
-) -> Iterator[Transaction]:
-    """Yield transactions within the limits that have all writes, in order.
+    writes: Iterable[Write], besides: Transaction
+) -> Iterator[Sequence[Write]]:
+    """Yield the writes in order, in parts for one transaction each.
 
     Explanation
     ===========
-    Each has all conditions. Writes that must take effect together are not to
-    be split.
+    Writes that must take effect together are not to be split.
+
+    Parameters
+    ==========
+    besides : Transaction
+        The conditions and writes that each transaction has besides a part.
 
     Examples
     ========
     >>> rows = [Write(f'table/{number}', {}) for number in range(150)]
-    >>> held = (Condition('leases/site', 7),)
-    >>> [len(part.writes) for part in split_writes(held, rows)]
+    >>> besides = Transaction((Condition('leases/site', 7),), ())
+    >>> [len(part) for part in split_writes(rows, besides)]
     [99, 51]
     """
-    batch: list[Write] = []
-    fixed_bytes = sum(map(_condition_bytes, conditions))
-    batch_bytes = fixed_bytes
+    part: list[Write] = []
+    max_writes = MAX_ENTRIES - _count_entries(besides)
+    max_bytes = MAX_TRANSACTION_BYTES - _transaction_bytes(besides)
+    part_bytes = 0
     for write in writes:
         size = _write_bytes(write)
-        is_full = len(conditions) + len(batch) >= MAX_ENTRIES
-        if batch and (is_full or batch_bytes + size > MAX_TRANSACTION_BYTES):
-            yield Transaction(conditions, tuple(batch))
-            batch = []
-            batch_bytes = fixed_bytes
-        batch.append(write)
-        batch_bytes += size
-    if batch:
-        yield Transaction(conditions, tuple(batch))
+        is_full = len(part) == max_writes or part_bytes + size > max_bytes
+        if part and is_full:
+            yield tuple(part)
+            part = []
+            part_bytes = 0
+        part.append(write)
+        part_bytes += size
+    if part:
+        yield tuple(part)
 
 
 def check_limits(transaction: Transaction) -> None:
@@ -79,7 +84,7 @@
     CallRefused
         The transaction or a row of it is over a limit.
     """
-    entries = len(transaction.conditions) + len(transaction.writes)
+    entries = _count_entries(transaction)
     if entries > MAX_ENTRIES:
         raise CallRefused(
             f'a transaction of {entries} entries: expected at most '
@@ -96,6 +101,10 @@
         raise CallRefused(f'{too_long} rows or their names are too long')
 
 
+def _count_entries(transaction: Transaction) -> int:
+    return len(transaction.conditions) + len(transaction.writes)
+
+
 def _transaction_bytes(transaction: Transaction) -> int:
     conditions = sum(map(_condition_bytes, transaction.conditions))
     return conditions + sum(map(_write_bytes, transaction.writes))
