Order an engine that two groups hold into none of them

Change: fleet/claimconflicts.py. A join is withheld from an engine that another known group claims, or that reports one; known are claims and groups without a claim that take requests. Of claims that share engines the one whose head has joined stands; the others are dissolved and released.

Why it works: the rule is checked where the order is sent, whatever the table says, and the lesser claim ends, so that its engines are free again.

Measured: test_second_claim_of_an_open_groups_engines_tears_nothing fails without the change, as members of two open groups are ordered into the second claim, and passes with it.

--- a/primroserudder/fleet/group_reconciler.py
+++ b/primroserudder/fleet/group_reconciler.py
@@ -16,6 +16,7 @@
 )
 from .actions import Join, Order, Release
 from .brokengroups import BrokenGroups
+from .claimconflicts import HeldEngines, held_engines
 from .directory import Directory
 from .engine_inventory import EngineInventory
 from .group_lifecycle import EngineSnapshot, GroupProgress, next_actions
@@ -128,13 +129,18 @@
     async def _reconcile_groups(self, tenure: Tenure) -> None:
         self.inventory.note_growth()
         tenure.dissolve_unclaimed()
+        held = held_engines(tenure.groups_by_name)
+        if held.shared_ids:
+            tenure.dissolve_conflicting()
         self.last_groups_by_name = tenure.groups_by_name
-        released = self._send_due_orders(tenure)
+        released = self._send_due_orders(tenure, held)
         self._update_broken_groups(tenure)
         if self.clock.monotonic() >= self._refused_until:
             await self._replace(tenure, released)
 
-    def _send_due_orders(self, tenure: Tenure) -> ReleasedGroups:
+    def _send_due_orders(
+        self, tenure: Tenure, held: HeldEngines
+    ) -> ReleasedGroups:
         """Send the orders that are due; return the groups to be released."""
         snapshot = EngineSnapshot(
             self.directory.engines_by_id,
@@ -148,7 +154,9 @@
             for action in next_actions(progress, snapshot)
         ]
         for group, order in actions:
-            if not isinstance(order, Release) and self._may_send(order, group):
+            if isinstance(order, Release):
+                continue
+            if self._may_send(order, group, held):
                 self.sender.send(order, group)
         return [
             (progress, action)
@@ -156,11 +164,16 @@
             if isinstance(action, Release)
         ]
 
-    def _may_send(self, action: Order, progress: GroupProgress) -> bool:
+    def _may_send(
+        self, action: Order, progress: GroupProgress, held: HeldEngines
+    ) -> bool:
         if not self.sender.is_due(action):
             return False
         if not isinstance(action, Join):
             return True
+        if not held.may_join(action.engine, progress.formation):
+            self.sender.metrics.count('joins_withheld')
+            return False
         spec = self._spec(action.engine.service)
         return spec is not None and self.inventory.try_begin_join(
             action.engine, progress.formation, spec
--- a/primroserudder/fleet/tenure.py
+++ b/primroserudder/fleet/tenure.py
@@ -16,6 +16,7 @@
 from ..process.metrics import Metrics
 from ..process.platform import Conflict, PlatformClient, Write
 from .actions import Release
+from .claimconflicts import conflicting_groups
 from .claims import decode_claim, encode_claim
 from .claimwriter import ClaimWriter
 from .directory import Directory
@@ -140,6 +141,28 @@
             if listed.takes_requests():
                 self._dissolve(listed)
 
+    def dissolve_conflicting(self) -> None:
+        """Start to dissolve groups that share engines with groups that stand.
+
+        Explanation
+        ===========
+        The claims of one tenure never share engines. If the store has such
+        claims nevertheless, no order must follow from the lesser one.
+        """
+        conflicts = conflicting_groups(
+            self.groups_by_name.values(), self.directory.engines_by_id
+        )
+        for progress, standing in conflicts:
+            name = standing.formation.name
+            reason = f'shares engines with {name}'
+            progress.dissolve(reason, self.clock.monotonic())
+            self.metrics.count('claim_conflicts')
+            self.log.note(
+                'claims_conflict',
+                group=progress.formation.name,
+                standing=name,
+            )
+
     async def _restore_claims(self) -> None:
         """Make up for claims that a restore of the store lost or brought back.
 
