Take no fencing token from a row that another writer may have set back

Cause: a claim of the lease of an earlier era, done late on a revision that was given out again, put its token into the lease's row. The holder's renewal copied that token, and later holders counted on from it, below the epochs that the engines had seen.

Change: a renewal is one of a row with the holder's own token and era. A new token is above that of the row, of all rows of tenures, what this process held, and what is known from elsewhere; all tenures with a row end with the claim. The release expects the tenure's row. The reads and writes of the rows have a module of their own (process/leasetable.py).

Why it works: no token is counted from the lease's row alone, and the row of the highest tenure stays until a claim ends it.

--- a/primroserudder/process/lease.py
+++ b/primroserudder/process/lease.py
@@ -5,24 +5,17 @@
 
 from .claimexpiry import CLOCK_DRIFT_SHARE, ClaimExpiry, tenure_id
 from .clock import Clock
-from .leaserows import (
-    EraWatch,
-    fencing_of,
-    is_held_by,
-    next_fencing,
-    tenure_key,
-    tenure_writes,
-)
+from .leaserows import EraWatch, is_held_by, is_of_tenure, next_fencing
+from .leasetable import LeaseTable
 from .platform import (
     CallRefused,
     Condition,
     Conflict,
+    JsonObject,
     OutcomeUnknown,
     PlatformClient,
     PlatformUnavailable,
     Row,
-    Transaction,
-    Write,
 )
 
 LEASE_LIFETIME_S = 10
@@ -41,6 +34,11 @@
     return 0
 
 
+def _no_token() -> int:
+    """Return zero, where only the platform's rows tell of tokens."""
+    return 0
+
+
 @dataclass(slots=True)
 class Lease:
     """One candidate's view of the lease of a failure domain.
@@ -72,6 +70,13 @@
     The tenure's row has the token in its key, so that no revision that was
     given out again can fulfil the condition of an earlier tenure.
 
+    A claim of an earlier era that takes effect late may put its token into the
+    lease's row. A renewal is therefore one of a row that has the holder's own
+    token and era, and a new tenure's token is higher than all that are known:
+    by that row, by the rows of tenures, by what this process held, and by
+    ``known_fencing``. A holder that learns of a higher token than its own ends
+    its tenure and begins one above it.
+
     Parameters
     ==========
     platform_now_s : Callable
@@ -79,6 +84,8 @@
     platform_era : Callable
         Returns how often the platform has come back from a copy, as of its
         last answer.
+    known_fencing : Callable
+        Returns the highest token that is known from elsewhere.
     is_after_restore : bool
         Whether the current tenure began on a row of an earlier era.
     has_survived_restore : bool
@@ -101,18 +108,22 @@
     tenure: Condition | None = None
     platform_now_s: Callable[[], float | None] = _no_clock
     platform_era: Callable[[], int] = _no_era
+    known_fencing: Callable[[], int] = _no_token
     is_after_restore: bool = False
     has_survived_restore: bool = False
     failing_since: float | None = None
     given_up: str = ''
     _renewals: int = 0
+    _min_fencing: int = 0
     _tenure_era: int = 0
     _eras: EraWatch = field(init=False)
+    _table: LeaseTable = field(init=False)
     claim_expiry: ClaimExpiry = field(init=False)
 
     def __post_init__(self) -> None:
         """Create the checks, which have observed nothing yet."""
         self._eras = EraWatch(self.clock)
+        self._table = LeaseTable(self.platform, self.failure_domain)
         self.claim_expiry = ClaimExpiry(
             self.clock, self.lifetime_s, self.platform_now_s
         )
@@ -120,7 +131,7 @@
     @property
     def key(self) -> str:
         """Return the key of the lease's row."""
-        return f'leases/{self.failure_domain}'
+        return self._table.key
 
     def is_held(self, for_s: float = 0) -> bool:
         """Return whether this process may act for the failure domain.
@@ -161,6 +172,10 @@
         self.held_until = 0
         self.given_up = tenure_id(self.holder, self.fencing)
 
+    def surpass(self, fencing: int) -> None:
+        """End the tenure; the next one's token is higher than ``fencing``."""
+        self._min_fencing = max(self._min_fencing, fencing)
+
     @property
     def claim(self) -> str:
         """Return the claim of the last renewal, empty if not held."""
@@ -168,77 +183,55 @@
 
     async def release(self) -> None:
         """Clear the holder, so that a candidate can take the lease at once."""
-        if not self.is_held():
+        if not self.is_held() or self.tenure is None:
             return
         self.held_until = 0
-        row = await self.platform.read(self.key)
-        if row is None or not is_held_by(row, self.holder):
-            return
-        fields = {**row.fields, 'holder': ''}
-        condition = Condition(self.key, row.revision)
-        write = Write(self.key, fields)
-        await self.platform.commit(Transaction((condition,), (write,)))
+        row = await self._table.read()
+        era = self._tenure_era
+        if row and is_of_tenure(row, self.holder, self.fencing, era):
+            await self._table.release(row, self.tenure)
 
     def _was_held(self, for_s: float = 0) -> bool:
         """Return whether the lease is held, but for a restore."""
-        is_current = self.clock.monotonic() + for_s < self.held_until
-        return is_current and self.tenure is not None
+        if self.tenure is None or self.fencing <= self._min_fencing:
+            return False
+        return self.clock.monotonic() + for_s < self.held_until
 
     async def _try_renew(self) -> None:
         requested_at = self.clock.monotonic()
-        row = await self.platform.read(self.key)
+        row = await self._table.read()
         era = self.platform_era()
         self._eras.note(era)
         if not self._may_claim(row, era):
             return
-        is_renewal = is_held_by(row, self.holder) and self.is_held()
-        fencing = fencing_of(row) if is_renewal else next_fencing(row, era)
-        claim = self._next_claim()
-        await self._commit(row, claim, fencing, is_renewal=is_renewal)
-        if not is_renewal:
-            await self._begin_tenure(row, fencing, era)
+        tenure = self.tenure
+        is_own = is_of_tenure(row, self.holder, self.fencing, era)
+        if row and tenure and is_own and self.is_held():
+            fields = self._next_fields(self.fencing, era)
+            await self._table.renew(row, tenure, fields)
+        else:
+            await self._begin_tenure(row, era)
         self.held_until = requested_at + self.lifetime_s * (
             1 - CLOCK_DRIFT_SHARE
         )
         self.given_up = ''
 
-    async def _commit(
-        self,
-        row: Row | None,
-        claim: str,
-        fencing: int,
-        *,
-        is_renewal: bool,
-    ) -> None:
-        fields = {
-            'holder': self.holder,
-            'fencing': fencing,
-            'claim': claim,
-            'renewed_s': self.platform_now_s(),
-            'era': self.platform_era(),
-        }
-        lease = Write(self.key, fields)
-        revision = 0 if row is None else row.revision
-        condition = Condition(self.key, revision)
-        transaction = Transaction((condition,), (lease,))
-        if not is_renewal:
-            changed = tenure_writes(self.failure_domain, row, fields)
-            transaction = Transaction((condition,), (lease, *changed))
-        elif self.tenure is not None:
-            transaction = Transaction((condition, self.tenure), (lease,))
-        try:
-            await self.platform.commit(transaction)
-        except OutcomeUnknown:
-            written = await self.platform.read(self.key)
-            if written is None or written.fields['claim'] != claim:
-                raise
-
-    async def _begin_tenure(
-        self, before: Row | None, fencing: int, era: int
-    ) -> None:
+    async def _begin_tenure(self, before: Row | None, era: int) -> None:
+        tokens = await self._table.read_tokens()
+        if self.platform_era() != era:
+            raise Conflict('the platform came back from a copy')
+        known = (
+            *tokens,
+            self.fencing,
+            self._min_fencing,
+            self.known_fencing(),
+        )
+        fencing = max(next_fencing(before, era), max(known) + 1)
+        fields = self._next_fields(fencing, era)
+        await self._table.claim(before, tokens, fields)
         has_survived = self._was_held()
         self.tenure = None
-        row = await self.platform.read(tenure_key(self.failure_domain, fencing))
+        row = await self._table.read_tenure(fencing)
         if row is None or self.platform_era() != era:
             raise Conflict('another candidate took the lease in the meantime')
         self.is_after_restore = self._eras.is_outdated(before, era)
@@ -249,9 +242,16 @@
         wait_s = 0 if before is None else self.order_lifetime_s
         self.prior_orders_expire_at = self.clock.monotonic() + wait_s
 
-    def _next_claim(self) -> str:
+    def _next_fields(self, fencing: int, era: int) -> JsonObject:
+        """Return the fields of the lease's row for the next claim."""
         self._renewals += 1
-        return f'{self.holder}/{self._renewals}'
+        return {
+            'holder': self.holder,
+            'fencing': fencing,
+            'claim': f'{self.holder}/{self._renewals}',
+            'renewed_s': self.platform_now_s(),
+            'era': era,
+        }
 
     def _may_claim(self, row: Row | None, era: int) -> bool:
         if self._eras.is_outdated(row, era):
--- a/primroserudder/process/leaserows.py
+++ b/primroserudder/process/leaserows.py
@@ -1,19 +1,22 @@
 """The rows of a lease: its claim, and the tenures of its holders."""
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
 from .clock import Clock
 from .platform import Row, Write
 
+TENURES_PREFIX = 'tenures/'
 # More tenures than can begin in the seconds that a platform loses each time it
 # comes back from a copy.
 MAX_LOST_TENURES = 100
+# A transaction has room for so many removals.
+MAX_ENDED_TENURES = 50
 
 
-def tenure_key(failure_domain: str, fencing: int) -> str:
+def tenure_key(failure_domain: str, fencing: int | str) -> str:
     """Return the key of a tenure's row; no other tenure ever has it."""
-    return f'tenures/{failure_domain}.{fencing}'
+    return f'{TENURES_PREFIX}{failure_domain}.{fencing}'
 
 
 def fencing_of(row: Row | None) -> int:
@@ -53,22 +56,45 @@
     return row is not None and row.fields['holder'] == holder
 
 
+def is_of_tenure(row: Row | None, holder: str, fencing: int, era: int) -> bool:
+    """Return whether a lease's row is the one that a tenure's holder wrote."""
+    if row is None or not is_held_by(row, holder):
+        return False
+    return (fencing_of(row), era_of(row)) == (fencing, era)
+
+
+def stored_tokens(failure_domain: str, rows: Iterable[Row]) -> list[int]:
+    """Return the fencing tokens that the rows of tenures name, in order.
+
+    Examples
+    ========
+    >>> keys = ('tenures/a', 'tenures/a.103', 'tenures/a.3', 'tenures/b.7')
+    >>> stored_tokens('a', [Row(key, 1, {}) for key in keys])
+    [3, 103]
+    """
+    prefix = tenure_key(failure_domain, '')
+    tokens = (
+        row.key.removeprefix(prefix)
+        for row in rows
+        if row.key.startswith(prefix)
+    )
+    return sorted(int(token) for token in tokens if token.isdecimal())
+
+
 def tenure_writes(
     failure_domain: str,
-    before: Row | None,
+    ended_tokens: Iterable[int],
     fields: Mapping[str, object],
 ) -> list[Write]:
-    """Return the writes that begin a tenure and end the one before it."""
+    """Return the writes that begin a tenure and end those before it."""
     fencing = int(str(fields['fencing']))
-    writes = [
+    ended = sorted(set(ended_tokens))[:MAX_ENDED_TENURES]
+    return [
         Write(tenure_key(failure_domain, fencing), fields),
         # Holders of version 0.1.0 make their transactions conditional on it.
-        Write(f'tenures/{failure_domain}', fields),
+        Write(TENURES_PREFIX + failure_domain, fields),
+        *(Write(tenure_key(failure_domain, token), None) for token in ended),
     ]
-    if before is not None:
-        ended = tenure_key(failure_domain, fencing_of(before))
-        writes.append(Write(ended, None))
-    return writes
 
 
 @dataclass(slots=True)
--- a/primroserudder/process/tests/test_lease.py
+++ b/primroserudder/process/tests/test_lease.py
@@ -8,7 +8,8 @@
 from ...standins.memory import MemoryPlatform
 from ..clock import LoopClock
 from ..lease import Lease
-from ..platform import Conflict, Row, Transaction
+from ..leaserows import tenure_key
+from ..platform import Conflict, Row, Transaction, Write
 
 pytestmark = pytest.mark.looptime
 LIFETIME_S = 2.0
@@ -282,3 +283,79 @@
     assert successor.tenure.revision >= condition.revision
     with pytest.raises(Conflict):
         await platform.memory.commit(Transaction((condition,), ()))
+
+
+def _late_claim(row: Row) -> Transaction:
+    """Return a claim of an earlier era, whose condition holds once more."""
+    fields = {**row.fields, 'fencing': 2, 'era': 1, 'claim': 'late'}
+    writes = (
+        Write(row.key, fields),
+        Write(tenure_key('site', 2), fields),
+        Write(tenure_key('site', 1), None),
+    )
+    return Transaction((), writes)
+
+
+async def _take_in_next_era(platform: _RestoredPlatform) -> Lease:
+    """Return a lease that was held before and after a restore."""
+    former, holder = (platform.lease(name) for name in 'ab')
+    assert await former.renew()
+    platform.copy()
+    await former.release()
+    assert await holder.renew()
+    platform.restore()
+    assert await holder.renew()
+    return holder
+
+
+async def _row_of(platform: _RestoredPlatform, lease: Lease) -> Row:
+    row = await platform.memory.read(lease.key)
+    assert row is not None
+    return row
+
+
+async def test_late_claim_of_an_earlier_era_sets_no_token_back() -> None:
+    """Else engines refuse the joins of all later holders."""
+    platform = _RestoredPlatform(MemoryPlatform())
+    holder = await _take_in_next_era(platform)
+    fencing = holder.fencing
+    late = _late_claim(await _row_of(platform, holder))
+    await platform.memory.commit(late)
+    assert await holder.renew()
+    row = await _row_of(platform, holder)
+    assert int(str(row.fields['fencing'])) >= fencing
+    assert row.fields['fencing'] == holder.fencing
+    await holder.release()
+    successor = platform.lease('c')
+    assert await successor.renew()
+    assert successor.fencing > holder.fencing
+
+
+async def test_late_claim_has_no_token_given_out_twice() -> None:
+    platform = _RestoredPlatform(MemoryPlatform())
+    holder = await _take_in_next_era(platform)
+    used = {holder.fencing}
+    for name in 'cd':
+        await holder.release()
+        holder = platform.lease(name)
+        assert await holder.renew()
+        used.add(holder.fencing)
+    condition = holder.tenure
+    assert condition is not None
+    await platform.memory.commit(_late_claim(await _row_of(platform, holder)))
+    successor = platform.lease('e')
+    while not await successor.renew():
+        await asyncio.sleep(0.1)
+    assert successor.fencing > max(used)
+    # Nor has what the holder sent before any effect now.
+    with pytest.raises(Conflict):
+        await platform.memory.commit(Transaction((condition,), ()))
+
+
+async def test_holder_with_too_low_a_token_ends_its_tenure() -> None:
+    lease = _lease(MemoryPlatform(), 'a')
+    assert await lease.renew()
+    lease.surpass(205)
+    assert not lease.is_held()
+    assert await lease.renew()
+    assert lease.fencing == 206
