--- a/primroserudder/fleet/control_plane.py
+++ b/primroserudder/fleet/control_plane.py
@@ -13,8 +13,10 @@
 from ..process.metrics import Metrics
 from ..process.platform import PlatformClient
 from .engine_inventory import EngineInventory
+from .epochs import listed_token
 from .forwarding import Forwarder
 from .group_reconciler import GroupReconciler
+from .latertenures import LaterTenures
 from .leader_election import LEASE_LIFETIME_S, LeaderElection, LivingPeers
 from .load_limiter import LoadLimiter
 from .membership import InFlightCounts
@@ -64,6 +66,9 @@
     in_flight: InFlightCounts,
 ) -> ControlPlane:
     """Return the parts that control groups, without starting them."""
+    lease.known_fencing = partial(
+        listed_token, view.directory.engines_by_id.values()
+    )
     wake = asyncio.Event()
     orders = EngineOrders()
     clock = context.clock
@@ -107,6 +112,7 @@
         log,
         context.settings.stall_s,
         wake,
+        LaterTenures(lease, view.directory, log),
     )
     election = LeaderElection(
         lease, clock, log, wake, peers, lambda: forwarder.is_useless_as_holder
--- a/primroserudder/fleet/group_lifecycle.py
+++ b/primroserudder/fleet/group_lifecycle.py
@@ -69,7 +69,8 @@
     ``no_member_listed_since`` no listed member has reported the group. An order
     to open that was not answered may be carried out until ``may_open_until``.
     ``close_times`` depend on the reason why the group dissolves, and since
-    ``silent_since`` a member does not answer probes.
+    ``silent_since`` a member does not answer probes. A group ``is_outdated`` if
+    an engine refused to join it, as it has seen a later epoch.
     """
 
     formation: Formation
@@ -87,6 +88,7 @@
     may_open_until: float = float('-inf')
     pending_members: set[str] = field(default_factory=set)
     reason: str = ''
+    is_outdated: bool = False
 
     def dissolve(
         self, reason: str, now: float, close_times: CloseTimes = AT_ONCE
@@ -217,6 +219,9 @@
         reason = f'member {lost[0]} lost'
         progress.dissolve(reason, snapshot.now)
         return
+    if progress.is_outdated:
+        progress.dissolve('a member knows a later epoch', snapshot.now)
+        return
     members = progress.formation.members
     silent = [member for member in members if member in snapshot.unreachable]
     if silent:
--- a/primroserudder/fleet/group_reconciler.py
+++ b/primroserudder/fleet/group_reconciler.py
@@ -20,6 +20,7 @@
 from .directory import Directory
 from .engine_inventory import EngineInventory
 from .group_lifecycle import EngineSnapshot, GroupProgress, next_actions
+from .latertenures import LaterTenures
 from .membership import short_key
 from .model import Configuration, EngineSpec, Formation
 from .order_sender import OrderSender
@@ -54,6 +55,7 @@
     log: DecisionLog
     stall_s: float
     wake: asyncio.Event
+    later: LaterTenures
     tenure: Tenure | None = None
     broken: BrokenGroups = field(default_factory=BrokenGroups)
     last_groups_by_name: Mapping[str, GroupProgress] = field(
@@ -127,6 +129,8 @@
             self.log.note('claims_refused', reason=str(error))
 
     async def _reconcile_groups(self, tenure: Tenure) -> None:
+        refused = self.sender.joins.take_refused()
+        self.later.note_refusals(refused, tenure.fencing)
         self.inventory.note_growth()
         tenure.dissolve_unclaimed()
         held = held_engines(tenure.groups_by_name)
@@ -200,7 +204,9 @@
             if name not in released_names
         ]
         free_by_service = self.inventory.free_by_service(
-            remaining, self.reachability.unreachable(), self._spec
+            remaining,
+            self.reachability.unreachable() | self.later.refusing_ids,
+            self._spec,
         )
         new_formations = [
             formation
--- a/primroserudder/fleet/order_sender.py
+++ b/primroserudder/fleet/order_sender.py
@@ -12,6 +12,7 @@
 from ..process.metrics import Metrics
 from .actions import Close, Join, Leave, Open, Order
 from .group_lifecycle import MAX_ORDER_DELAY_S, GroupProgress
+from .latertenures import JoinRecord
 from .model import Engine, Formation
 
 # The effect of an order is listed within a few milliseconds, that of an open
@@ -44,6 +45,7 @@
     metrics: Metrics
     wake: asyncio.Event
     may_order: Callable[[], bool]
+    joins: JoinRecord = field(default_factory=JoinRecord)
     _sent_at: dict[tuple[str, str], float] = field(default_factory=dict)
     _tasks: set[asyncio.Task[None]] = field(default_factory=set)
 
@@ -114,7 +116,13 @@
 
     @_dispatch.register
     async def _send_join(self, action: Join, progress: GroupProgress) -> None:
-        outcome = await self.orders.join(action.engine, progress.formation)
+        outcome = await self.joins.send(
+            self.orders.join, action.engine, progress.formation
+        )
+        if outcome is OrderOutcome.OUTDATED:
+            # The same order would be refused each time.
+            progress.is_outdated = True
+            self.wake.set()
         self._record('join', action.engine, progress.formation, outcome)
 
     @_dispatch.register
@@ -146,7 +154,7 @@
         self._record('leave', action.engine, progress.formation, outcome)
 
     async def _preload(self, engine: Engine, formation: Formation) -> None:
-        outcome = await self.orders.join(engine, formation)
+        outcome = await self.joins.send(self.orders.join, engine, formation)
         self._record('hold', engine, formation, outcome)
 
     async def _stage(self, engine: Engine, model: str) -> None:
--- a/primroserudder/fleet/tenure.py
+++ b/primroserudder/fleet/tenure.py
@@ -17,17 +17,16 @@
 from ..process.platform import Conflict, PlatformClient, Write
 from .actions import Release
 from .claimconflicts import conflicting_groups
-from .claims import decode_claim, encode_claim
+from .claims import Claim, decode_claim, encode_claim
 from .claimwriter import ClaimWriter
 from .directory import Directory
 from .directorynames import group_name, model_of
+from .epochs import MAX_TOKEN, epoch_of, token_of
 from .group_lifecycle import GroupProgress, is_member
 from .listedgroups import ListedGroup, listed_groups
 from .model import Engine, Formation
 
 GROUPS_PREFIX = 'groups/'
-# The epochs of a tenure are higher than all epochs of earlier tenures.
-EPOCHS_PER_TENURE = 1_000_000
 
 
 @dataclass(slots=True)
@@ -72,6 +71,12 @@
         now = self.clock.monotonic()
         previous = self.groups_by_name
         claims = [decode_claim(row.key, row.fields) for row in rows]
+        later = _latest_token(claims)
+        if later > self.fencing:
+            self.lease.surpass(later)
+            raise Conflict(
+                f'a claim of tenure {later}: expected {self.fencing} at most'
+            )
         self.groups_by_name = {
             claim.formation.name: previous.get(claim.formation.name)
             or GroupProgress(claim.formation, claim.born_by_member, now)
@@ -92,7 +97,7 @@
     ) -> Formation:
         """Return a formation with an epoch that was never used before."""
         self.epoch_count += 1
-        epoch = self.fencing * EPOCHS_PER_TENURE + self.epoch_count
+        epoch = epoch_of(self.fencing, self.epoch_count)
         name = group_name(model, epoch, is_standby=is_standby)
         return Formation(name, epoch, model, members)
 
@@ -286,6 +291,14 @@
 TenureFactory = Callable[[int, Directory, Callable[[str], int]], Tenure]
 
 
+def _latest_token(claims: Iterable[Claim | None]) -> int:
+    """Return the highest fencing token that claims were made under."""
+    tokens = (
+        token_of(claim.formation.epoch) for claim in claims if claim is not None
+    )
+    return max((token for token in tokens if token < MAX_TOKEN), default=0)
+
+
 def _key(progress: GroupProgress) -> str:
     return GROUPS_PREFIX + progress.formation.name
 
