Take no claims of a copy for those of a tenure that ended with it

Cause: the claims are read again after a write without an answer.

Change: claims that were read after the tenure ended are not taken.

--- a/primroserudder/fleet/tenure.py
+++ b/primroserudder/fleet/tenure.py
@@ -65,9 +65,19 @@
         self.writer = ClaimWriter(self.platform, self.lease)
 
     async def load(self) -> None:
-        """Read all claims and keep the progress recorded for them."""
+        """Read all claims and keep the progress recorded for them.
+
+        Raises
+        ======
+        Conflict, PlatformUnavailable
+            The claims were not read, or the tenure ended meanwhile.
+        """
         await self.writer.read_sequence()
         rows = await self.platform.scan(GROUPS_PREFIX)
+        is_ours = self.lease.fencing == self.fencing
+        if not (is_ours and self.lease.is_held()):
+            # They may be those of a copy; what is known stands until then.
+            raise Conflict('the lease ended as the claims were read')
         now = self.clock.monotonic()
         previous = self.groups_by_name
         claims = [decode_claim(row.key, row.fields) for row in rows]
--- a/primroserudder/fleet/tests/test_late_claims.py
+++ b/primroserudder/fleet/tests/test_late_claims.py
@@ -82,3 +82,14 @@
         assert await tenure.lease.renew()
         await asyncio.sleep(0.4)
         assert not claimed_names(standin)
+
+
+async def test_claims_of_a_copy_are_not_taken_for_those_of_the_tenure() -> None:
+    """Else a tenure that ended dissolves groups that the copy lacks."""
+    async with tenure_on_standin() as (standin, tenure):
+        rows_copy = standin.rows.copy()
+        assert await tenure.replace([], [FIRST], {})
+        standin.rows.restore(rows_copy)
+        with pytest.raises(Conflict):
+            await tenure.load()
+        assert set(tenure.groups_by_name) == {FIRST.name}
