Show that no status outside the grammar reaches a caller, on each way

Cause: elsewhere an engine in trouble answered with the status 000, and the client got it as an answer. Here the reader of responses refuses what is not 100 to 599, but only plain engines and direct requests had tests of it.

Change: test_statuses_outside.py plays 000, 099, 600 and interim heads with 000 for streams, idempotent and other requests, directly and through a second router, and as the continuation of a stream; callers get 502, or the stream breaks off. One test checks that the serving packages open sessions with that reader alone, so that it holds for routers, relays and the store, too. The stand-in of engines can send any bytes; the site of forwarding routers has a module of its own.

--- a/primroserudder/fleet/forwarding/tests/test_forwarding.py
+++ b/primroserudder/fleet/forwarding/tests/test_forwarding.py
@@ -1,14 +1,13 @@
 """What holds for requests that go through a second router."""
 
 import asyncio
-from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
 
 import aiohttp
 import pytest
 
 from ....standins.groupengine import GroupEngine, event
 from ....testing.enginecuts import CutKind, cut_off_from_engines
+from ....testing.forwardingsite import forwarding_site
 from ....testing.platformsite import PlatformSite, platform_site
 from ...retrybudget import RetryLimit
 from ...router import Router
@@ -20,33 +19,12 @@
 STREAM_EVENTS = 80
 
 
-@asynccontextmanager
-async def _forwarding_site(routers: int = 3) -> AsyncIterator[PlatformSite]:
-    """Run a site whose first router forwards all requests."""
-    async with platform_site(engines=8, routers=routers) as site:
-        directories = [router.view.directory for router in site.routers]
-        await site.until(
-            lambda: all(
-                {'ledger/', 'model/small'} <= directory.targets_by_pool().keys()
-                for directory in directories
-            )
-        )
-        first = site.routers[0]
-        with cut_off_from_engines(site, first, CutKind.REFUSED):
-            first.forwarder.reach.doubt()
-            others = routers - 1
-            await site.until(
-                lambda: len(first.forwarder.peers.targets()) == others
-            )
-            yield site
-
-
 def _plain(site: PlatformSite) -> list[GroupEngine]:
     return [engine for engine in site.engines_by_id.values() if engine.is_plain]
 
 
 async def test_router_without_engines_takes_nothing_from_another() -> None:
-    async with _forwarding_site(routers=2) as site:
+    async with forwarding_site(routers=2) as site:
         second = site.routers[1]
         with cut_off_from_engines(site, second, CutKind.REFUSED):
             second.forwarder.reach.doubt()
@@ -62,7 +40,7 @@
 
 
 async def test_engine_gets_the_request_as_its_caller_sent_it() -> None:
-    async with _forwarding_site() as site:
+    async with forwarding_site() as site:
         headers = {ATTEMPT_ID: 'one', DEADLINE_MS: '1200', 'Own-Field': 'kept'}
         async with site.request('/refunds/1', headers=headers) as response:
             assert response.status == 200
@@ -95,7 +73,7 @@
 
 
 async def test_engine_failure_is_passed_on_with_its_seal() -> None:
-    async with _forwarding_site() as site:
+    async with forwarding_site() as site:
         for engine in _plain(site):
             engine.faults.fails_with = 500
         async with site.request('/refunds/1') as response:
@@ -105,7 +83,7 @@
 
 
 async def test_request_that_no_engine_takes_is_refused_and_never_runs() -> None:
-    async with _forwarding_site() as site:
+    async with forwarding_site() as site:
         for engine in _plain(site):
             engine.faults.refuses = True
         async with site.request(
@@ -122,7 +100,7 @@
 async def test_caller_that_leaves_ends_the_run_behind_both_routers(
     path: str,
 ) -> None:
-    async with _forwarding_site() as site:
+    async with forwarding_site() as site:
         for engine in site.engines_by_id.values():
             engine.answer_delay_s = 3
             engine.events = 1000
@@ -138,7 +116,7 @@
 
 
 async def test_refund_may_have_run_if_the_second_router_is_lost() -> None:
-    async with _forwarding_site() as site:
+    async with forwarding_site() as site:
         for engine in _plain(site):
             engine.answer_delay_s = 1
         sending = asyncio.ensure_future(_status(site, '/refunds/1', 'one'))
@@ -150,7 +128,7 @@
 
 
 async def test_stream_goes_on_if_the_second_router_is_lost() -> None:
-    async with _forwarding_site() as site:
+    async with forwarding_site() as site:
         for engine in site.engines_by_id.values():
             engine.events = STREAM_EVENTS
         async with site.request(
@@ -169,7 +147,7 @@
 
 async def test_request_that_an_engine_rejected_is_not_forwarded_free() -> None:
     """With a budget of zero, one engine gets it at most."""
-    async with _forwarding_site() as site:
+    async with forwarding_site() as site:
         for engine in _plain(site):
             engine.faults.refuses = True
         for router in site.routers:
@@ -180,7 +158,7 @@
 
 async def test_request_runs_on_no_more_engines_than_its_route_allows() -> None:
     """Each router that it is forwarded to may try several of them."""
-    async with _forwarding_site() as site:
+    async with forwarding_site() as site:
         for engine in _plain(site):
             engine.faults.fails_with = 500
         for number in range(4):
@@ -192,7 +170,7 @@
 
 
 async def test_stream_runs_on_no_more_engines_than_its_route_allows() -> None:
-    async with _forwarding_site() as site:
+    async with forwarding_site() as site:
         for engine in site.engines_by_id.values():
             engine.faults.cuts_after_events = 1
         headers = {ATTEMPT_ID: 'one'}
@@ -203,7 +181,7 @@
 
 
 async def test_request_that_reached_no_engine_goes_to_another_router() -> None:
-    async with _forwarding_site() as site:
+    async with forwarding_site() as site:
         _allow_no_retries(site.routers[0], 'ledger')
         stopping = site.routers[1]
         stopping.ports.handler.is_closing = True
@@ -220,7 +198,7 @@
 
 
 async def test_stopping_router_ends_what_it_took_and_takes_no_more() -> None:
-    async with _forwarding_site() as site:
+    async with forwarding_site() as site:
         for engine in _plain(site):
             engine.answer_delay_s = 0.5
         sends = [
@@ -242,7 +220,7 @@
 
 
 async def test_requests_go_straight_to_engines_once_these_are_reached() -> None:
-    async with _forwarding_site() as site:
+    async with forwarding_site() as site:
         first = site.routers[0]
         assert first.forwarder.is_active
     async with platform_site(routers=2) as site:
--- a/primroserudder/standins/groupengine.py
+++ b/primroserudder/standins/groupengine.py
@@ -93,6 +93,8 @@
     fails_with: int = 0
     # An answer in place of a stream, none if empty.
     odd_answer: OddAnswer | None = None
+    # Bytes in place of any answer, after which the connection ends.
+    raw_answer: bytes = b''
     ignores_orders: bool = False
     late_orders_s: float = 0
     is_unresponsive: bool = False
@@ -255,6 +257,8 @@
                 asyncio.get_running_loop().time(),
             )
         )
+        if self.faults.raw_answer:
+            return _send_raw(request, self.faults.raw_answer)
         if body in self.faults.crashing_bodies:
             self.end_process(self)
             if self.faults.crashes_silently:
@@ -357,6 +361,14 @@
         return response
 
 
+def _send_raw(request: web.Request, octets: bytes) -> web.Response:
+    """Send bytes as they are, and end the connection."""
+    if request.transport is not None:
+        request.transport.write(octets)
+        request.transport.close()
+    return web.Response()
+
+
 def shared_parts(headers: Mapping[str, str]) -> tuple[str, ...]:
     """Return the ids of a prompt's parts, except the last one.
 
