Take an unknown state of a group for no proof that its members are free

Cause: an entry whose group has an unknown state was read as "in no group", and a head in no group counts as one that left it.

Change: GroupState.UNKNOWN. Its engine takes no new requests, and its group goes on closing until the head proves that it ended.

Why it works: a release needs a proof, and an unknown state is none; the engine's own entry follows with its next heartbeat.

--- a/primroserudder/fleet/model/engines.py
+++ b/primroserudder/fleet/model/engines.py
@@ -10,13 +10,20 @@
 
 
 class GroupState(enum.StrEnum):
-    """State of an engine within its group."""
+    """State of an engine within its group.
+
+    Explanation
+    ===========
+    ``UNKNOWN`` stands for any other that an entry names: it proves nothing,
+    neither that the engine takes requests nor that it is free.
+    """
 
     JOINING = 'joining'
     READY = 'ready'
     OPEN = 'open'
     CLOSING = 'closing'
     BROKEN = 'broken'
+    UNKNOWN = 'unknown'
 
 
 @dataclass(frozen=True, slots=True)
--- a/primroserudder/fleet/tests/test_group_lifecycle.py
+++ b/primroserudder/fleet/tests/test_group_lifecycle.py
@@ -342,3 +342,14 @@
     assert not next_actions(
         progress, engine_snapshot(engines, now=again, unreachable={'a'})
     )
+
+
+def test_unknown_state_of_a_closing_head_does_not_free_the_members() -> None:
+    """Else they are ordered into another group while the head has streams."""
+    claimed = formation()
+    progress = group_progress(claimed)
+    progress.dissolve('a member drains', 0)
+    progress.is_close_answered = True
+    engines = group(claimed, GroupState.UNKNOWN)
+    actions = next_actions(progress, engine_snapshot(engines))
+    assert not any(isinstance(action, Release) for action in actions)
--- a/primroserudder/platform/enginelist.py
+++ b/primroserudder/platform/enginelist.py
@@ -185,8 +185,6 @@
 def _membership(group: _Group | None) -> Membership | None:
     if group is None or not group.name:
         return None
-    try:
-        state = GroupState(group.state)
-    except ValueError:
-        return None
+    is_known = group.state in set(GroupState)
+    state = GroupState(group.state) if is_known else GroupState.UNKNOWN
     return Membership(group.name, group.epoch, group.rank, state)
--- a/primroserudder/platform/tests/test_decoding.py
+++ b/primroserudder/platform/tests/test_decoding.py
@@ -120,6 +120,17 @@
     assert decode_engine('i-1', {**ENTRY, **change}) is None
 
 
+@pytest.mark.parametrize('state', ['serving', '', 'OPEN', 'unknown'])
+def test_unknown_state_of_a_group_is_no_proof_that_there_is_none(
+    state: str,
+) -> None:
+    group = {'Name': 'small.7', 'epoch': 7, 'rank': 0, 'State': state}
+    engine = decode_engine('i-1', {**ENTRY, 'group': group})
+    assert engine is not None and engine.membership is not None
+    assert engine.membership.state is GroupState.UNKNOWN
+    assert engine.membership.group == 'small.7'
+
+
 @pytest.mark.parametrize(
     'missing', ['Service', 'Address', 'Zone', 'State', 'born']
 )
