Bound what is kept of ordered joins, and spare restarted engines

Cause: the highest epoch ordered to each start of an engine was kept for good, and an engine that had refused four tokens got no joins after a restart under its id either, though it then knows no epoch.

Change: 10,000 starts are kept, the last ones ordered to; refusals count for a start of an engine.

--- a/primroserudder/fleet/group_reconciler.py
+++ b/primroserudder/fleet/group_reconciler.py
@@ -205,7 +205,7 @@
         ]
         free_by_service = self.inventory.free_by_service(
             remaining,
-            self.reachability.unreachable() | self.later.refusing_ids,
+            self.reachability.unreachable() | self.later.refusing_ids(),
             self._spec,
         )
         new_formations = [
--- a/primroserudder/fleet/latertenures.py
+++ b/primroserudder/fleet/latertenures.py
@@ -10,6 +10,7 @@
 
 from collections import Counter
 from collections.abc import Awaitable, Callable, Iterable, Sequence
+from collections.abc import Set as AbstractSet
 from dataclasses import dataclass, field
 
 from ..platform import OrderOutcome
@@ -25,6 +26,11 @@
 TOKEN_STEPS = (MAX_LOST_TENURES, 1000, 10_000, 100_000)
 
 
+# The engines of several large sites; of others the orders are forgotten.
+MAX_INSTANCES = 10_000
+
+# An engine's id and start time.
+Instance = tuple[str, int]
 SendJoin = Callable[[Engine, Formation], Awaitable[OrderOutcome]]
 
 
@@ -40,18 +46,22 @@
 class JoinRecord:
     """The joins that this VM ordered, and those refused without its doing."""
 
-    _epoch_by_instance: dict[tuple[str, int], int] = field(default_factory=dict)
+    _epoch_by_instance: dict[Instance, int] = field(default_factory=dict)
     _refused: list[RefusedJoin] = field(default_factory=list)
 
     async def send(
         self, join: SendJoin, engine: Engine, formation: Formation
     ) -> OrderOutcome:
         """Send a join; record a refusal that no other order explains."""
-        instance = (engine.engine_id, engine.born_ms)
-        before = self._epoch_by_instance.get(instance, 0)
+        instance = _instance(engine)
+        before = self._epoch_by_instance.pop(instance, 0)
         self._epoch_by_instance[instance] = max(before, formation.epoch)
+        if len(self._epoch_by_instance) > MAX_INSTANCES:
+            longest_ago = next(iter(self._epoch_by_instance))
+            self._epoch_by_instance.pop(longest_ago)
         outcome = await join(engine, formation)
-        is_highest = self._epoch_by_instance[instance] == formation.epoch
+        highest = self._epoch_by_instance.get(instance)
+        is_highest = highest == formation.epoch
         if outcome is OrderOutcome.OUTDATED and is_highest:
             self._refused.append(RefusedJoin(engine, formation))
         return outcome
@@ -65,21 +75,22 @@
 
 @dataclass(slots=True)
 class LaterTenures:
-    """Ends the tenure of a holder whose fencing token is too low.
-
-    Parameters
-    ==========
-    refusing_ids : set of str
-        Engines that refuse whatever token the holder takes.
-    """
+    """Ends the tenure of a holder whose fencing token is too low."""
 
     lease: Lease
     directory: Directory
     log: DecisionLog
-    refusing_ids: set[str] = field(default_factory=set)
-    _refusals_by_instance: Counter[tuple[str, int]] = field(
-        default_factory=Counter
-    )
+    _refusals_by_instance: Counter[Instance] = field(default_factory=Counter)
+    _refusing: set[Instance] = field(default_factory=set)
+
+    def refusing_ids(self) -> AbstractSet[str]:
+        """Return the engines that refuse whatever token the holder takes."""
+        engines = self.directory.engines_by_id
+        return {
+            engine_id
+            for engine_id, born_ms in self._refusing
+            if engine_id in engines and engines[engine_id].born_ms == born_ms
+        }
 
     def note_refusals(
         self, refused: Iterable[RefusedJoin], fencing: int
@@ -105,10 +116,14 @@
 
     def _step(self, engine: Engine) -> int:
         """Return how far to raise the token, zero if it would not help."""
-        instance = (engine.engine_id, engine.born_ms)
+        instance = _instance(engine)
         refusals = self._refusals_by_instance[instance]
         if refusals == len(TOKEN_STEPS):
-            self.refusing_ids.add(engine.engine_id)
+            self._refusing.add(instance)
             return 0
         self._refusals_by_instance[instance] += 1
         return TOKEN_STEPS[refusals]
+
+
+def _instance(engine: Engine) -> Instance:
+    return engine.engine_id, engine.born_ms
--- a/primroserudder/fleet/tests/test_later_tenures.py
+++ b/primroserudder/fleet/tests/test_later_tenures.py
@@ -1,5 +1,7 @@
 """A lease whose token is lower than those that engines have seen."""
 
+from dataclasses import replace
+
 from ...platform import OrderOutcome
 from ...process.clock import LoopClock
 from ...process.decisions import DecisionLog
@@ -57,7 +59,7 @@
 async def test_engine_that_refuses_each_token_does_not_end_each_tenure() -> (
     None
 ):
-    later = await _later_tenures()
+    later = await _later_tenures(ENGINE)
     tenures = 0
     for _ in range(12):
         fencing = later.lease.fencing
@@ -68,7 +70,10 @@
         tenures += not later.lease.is_held()
         assert await later.lease.renew()
     assert tenures == 4
-    assert later.refusing_ids == {ENGINE.engine_id}
+    assert later.refusing_ids() == {ENGINE.engine_id}
+    restarted = replace(ENGINE, born_ms=ENGINE.born_ms + 1)
+    later.directory.engines_by_id[ENGINE.engine_id] = restarted
+    assert not later.refusing_ids()
 
 
 async def test_refusal_after_a_later_order_of_this_vm_is_no_proof() -> None:
