--- a/primroserudder/fleet/tests/test_late_claims.py
+++ b/primroserudder/fleet/tests/test_late_claims.py
@@ -93,3 +93,16 @@
         with pytest.raises(Conflict):
             await tenure.load()
         assert set(tenure.groups_by_name) == {FIRST.name}
+
+
+async def test_late_release_of_the_lease_does_not_end_the_next_tenure() -> None:
+    async with tenure_on_standin() as (standin, tenure):
+        lease = tenure.lease
+        standin.faults.late_by_s = 0.2
+        with pytest.raises(OutcomeUnknown):
+            await lease.release()
+        standin.faults.late_by_s = 0
+        assert await lease.renew()
+        await asyncio.sleep(0.4)
+        row = standin.rows.fields('leases', 'site')
+        assert row is not None and row['holder'] == lease.holder
