--- a/primroserudder/fleet/tests/test_long_rounds.py
+++ b/primroserudder/fleet/tests/test_long_rounds.py
@@ -50,7 +50,7 @@
         assert not standin.refused
 
 
-async def test_engines_are_released_before_they_areclaimed_names() -> None:
+async def test_engines_are_released_before_they_are_claimed() -> None:
     # A transaction fails: those that rely on it must not be sent.
     async with tenure_on_standin(SIZE) as (standin, tenure):
         assert await tenure.replace([], _formations(1), {})
